--- /dev/null
+++ b/Makefile
@@ -0,0 +1,11 @@
+.PHONY: build run test prove bench capacity
+
+# The race detector slows tests down; the limit covers a slow machine.
+TEST_TIMEOUT = 20m
+
+build:
+	CGO_ENABLED=1 go build -o bin/knapweedreel ./cmd/knapweedreel
+	CGO_ENABLED=1 go build -o bin/standin ./cmd/standin
+
+test:
+	go test -race -timeout $(TEST_TIMEOUT) ./...
--- /dev/null
+++ b/cmd/knapweedreel/main.go
@@ -0,0 +1,13 @@
+// Command knapweedreel runs an instance of the proxy fleet and gives operators
+// their commands.
+package main
+
+import (
+	"os"
+
+	"knapweedreel/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/document/document.go
@@ -0,0 +1,149 @@
+// Package document defines the document that a team owns for its service: the
+// operators' only means to change what the fleet does.
+//
+// A document is JSON with comments. Parse reads and validates it; an Envelope
+// is a document as the store keeps it, with its revision and history.
+package document
+
+import "time"
+
+// Document describes one service.
+type Document struct {
+	// Service is the name of the service, unique in the fleet.
+	Service string `json:"service"`
+	// Hosts are the values of the Host header that select the service.
+	Hosts []string `json:"hosts"`
+	// Upstreams are the upstreams that may run the service's requests.
+	Upstreams []Upstream `json:"upstreams"`
+	// Unhealthy says which answers count against an upstream.
+	Unhealthy Unhealthy `json:"unhealthy"`
+	// Routes are matched in order; the first match decides.
+	Routes []Route `json:"routes"`
+	// FloorSlots is the healthy capacity, in slots, below which no ejection
+	// may bring the service. Default 0.
+	FloorSlots int `json:"floor_slots"`
+	// DeadlineMS is the time for a whole request, in milliseconds, where the
+	// route gives none. Default 10,000.
+	DeadlineMS int `json:"deadline_ms"`
+	// Retries is the largest number of further attempts for a request.
+	// Default 2.
+	Retries *int `json:"retries,omitempty"`
+	// Queue bounds the requests that wait for a slot at one instance.
+	Queue Queue `json:"queue"`
+	// IdleTimeoutMS is the time, in milliseconds, after which an idle
+	// connection to an upstream is closed. Default 10,000.
+	IdleTimeoutMS int `json:"idle_timeout_ms"`
+}
+
+// UpstreamState is the state that operators give an upstream.
+type UpstreamState string
+
+// The upstream states. The empty state means active.
+const (
+	UpstreamActive  UpstreamState = "active"
+	UpstreamLeaving UpstreamState = "leaving"
+)
+
+// Upstream is one upstream of a service.
+type Upstream struct {
+	// ID is the upstream's name, unique in the service.
+	ID string `json:"id"`
+	// Address is IP:port.
+	Address string `json:"address"`
+	// Region is the upstream's region.
+	Region string `json:"region"`
+	// FailureDomain is the upstream's failure domain.
+	FailureDomain string `json:"failure_domain"`
+	// Slots is the number of requests the upstream runs at a time, for all
+	// instances together.
+	Slots int `json:"slots"`
+	// Connections is the number of connections the upstream accepts from all
+	// instances together. Default 330.
+	Connections int `json:"connections"`
+	// State is "active" (default) or "leaving".
+	State UpstreamState `json:"state,omitempty"`
+}
+
+// Unhealthy says which answers count against an upstream and how fast the
+// fleet acts on them.
+type Unhealthy struct {
+	// Statuses are the statuses that count as failures.
+	// Default 500, 502, 503, 504.
+	Statuses []int `json:"statuses,omitempty"`
+	// SlowAfterMS is the time to the end of the answer header, in
+	// milliseconds, from which an answer counts as slow. 0 means that only
+	// SlowFactor decides. Default 0.
+	SlowAfterMS int `json:"slow_after_ms"`
+	// SlowFactor is the multiple of the route's median time from which an
+	// answer counts as slow. Default 2.5; below 1 turns it off.
+	SlowFactor *float64 `json:"slow_factor,omitempty"`
+	// Sensitivity trades detection time against false ejections: 0 gives the
+	// fewest false ejections, 1 the fastest detection. Default 0.5.
+	Sensitivity *float64 `json:"sensitivity,omitempty"`
+	// ColdStartMS is the time after an upstream appears, in milliseconds, for
+	// which slowness does not count. Default 10,000.
+	ColdStartMS *int `json:"cold_start_ms,omitempty"`
+}
+
+// Route says how the requests of one method and path are treated.
+type Route struct {
+	// Method is the HTTP method, or "*" for any.
+	Method string `json:"method"`
+	// Path is an exact path, or a prefix that ends with "*".
+	Path string `json:"path"`
+	// Idempotent allows the fleet to run a request of this route more than
+	// once. Default false.
+	Idempotent bool `json:"idempotent"`
+	// DeadlineMS is the time for a whole request, in milliseconds. Default:
+	// the document's.
+	DeadlineMS int `json:"deadline_ms"`
+	// MaxBodyBytes is the largest request body. Default 16 MiB.
+	MaxBodyBytes int64 `json:"max_body_bytes"`
+}
+
+// Queue bounds the requests that wait for a slot at one instance.
+type Queue struct {
+	// Length is the largest number of waiting requests. Default 64.
+	Length int `json:"length"`
+	// TimeoutMS is the longest wait, in milliseconds. Default 1,000.
+	TimeoutMS int `json:"timeout_ms"`
+}
+
+// HistoryLimit is the number of changes that an envelope keeps.
+const HistoryLimit = 32
+
+// Change is one accepted change of a document.
+type Change struct {
+	Revision uint64    `json:"revision" cbor:"1,keyasint"`
+	ChangeID string    `json:"change_id" cbor:"2,keyasint"`
+	Author   string    `json:"author" cbor:"3,keyasint"`
+	Time     time.Time `json:"time" cbor:"4,keyasint"`
+	Instance string    `json:"instance" cbor:"5,keyasint"` // where it was accepted
+	Summary  string    `json:"summary" cbor:"6,keyasint"`  // what changed, in one line
+}
+
+// Envelope is a document as the store and the instances keep it.
+type Envelope struct {
+	Service  string   `json:"service" cbor:"1,keyasint"`
+	Revision uint64   `json:"revision" cbor:"2,keyasint"` // first 1, grows by 1
+	Text     string   `json:"text" cbor:"3,keyasint"`     // as the operator wrote it
+	History  []Change `json:"history" cbor:"4,keyasint"`  // newest last, at most HistoryLimit
+}
+
+// Latest returns the change that made this revision.
+func (e *Envelope) Latest() Change {
+	if len(e.History) == 0 {
+		return Change{}
+	}
+	return e.History[len(e.History)-1]
+}
+
+// HasChange reports whether the change with the given ID is in the history.
+func (e *Envelope) HasChange(id string) bool {
+	for _, c := range e.History {
+		if c.ChangeID == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/jsonc/jsonc.go
@@ -0,0 +1,2 @@
+// Package jsonc reads JSON with comments strictly.
+package jsonc
--- /dev/null
+++ b/internal/keys/keys.go
@@ -0,0 +1,2 @@
+// Package keys loads and creates the certificates for mutual authentication.
+package keys
--- /dev/null
+++ b/internal/slots/slots.go
@@ -0,0 +1,2 @@
+// Package slots assigns the slots of upstreams to instances.
+package slots
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,118 @@
+// Package store defines the two services that the platform gives: the
+// key-value store and the list of instances. Adapters for a platform's
+// protocol live in packages of their own, such as httpstore.
+package store
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// MaxValueBytes is the largest value the platform's store accepts.
+const MaxValueBytes = 1 << 20
+
+// Errors that adapters return, possibly wrapped.
+var (
+	// ErrConflict means that the key's version is not the expected one.
+	ErrConflict = errors.New("store: version conflict")
+	// ErrHeld means that another holder has the lease.
+	ErrHeld = errors.New("store: lease is held by another holder")
+	// ErrLeaseLost means that the lease given with a write is no longer held.
+	ErrLeaseLost = errors.New("store: lease is no longer held")
+	// ErrUnavailable means that the call had no effect: nothing was sent, or
+	// the store refused it.
+	ErrUnavailable = errors.New("store: unavailable")
+	// ErrUnknownResult means that the call was sent and its answer was lost.
+	ErrUnknownResult = errors.New("store: result unknown")
+)
+
+// Value is what the store holds for a key.
+type Value struct {
+	Data    []byte
+	Version uint64 // 0 when the key is absent
+}
+
+// KeyValue is a key with its value.
+type KeyValue struct {
+	Key   string
+	Value Value
+}
+
+// LeaseID identifies one holding of a lease. Empty means no lease.
+type LeaseID string
+
+// Lease is a lease as granted or renewed.
+type Lease struct {
+	Key    string
+	ID     LeaseID
+	Holder string
+	Fence  uint64        // grows with every new holding
+	TTL    time.Duration // from the moment the call was sent
+}
+
+// Store is the platform's key-value store. All calls return ErrUnavailable or
+// ErrUnknownResult when the store cannot be reached.
+type Store interface {
+	// Get returns the key's value. An absent key has Version 0 and no error.
+	Get(ctx context.Context, key string) (Value, error)
+	// Put writes data if the key's version equals version and returns the new
+	// version. With a non-empty lease the store also checks that it is held.
+	Put(ctx context.Context, key string, data []byte, version uint64, lease LeaseID) (uint64, error)
+	// List returns all keys that begin with prefix.
+	List(ctx context.Context, prefix string) ([]KeyValue, error)
+	// Watch waits until a key that begins with prefix changes after the given
+	// store index, and returns the changed keys and the new index. It returns
+	// no keys when nothing changed within the adapter's waiting time.
+	Watch(ctx context.Context, prefix string, after uint64) ([]KeyValue, uint64, error)
+	// AcquireLease takes the lease, or returns ErrHeld.
+	AcquireLease(ctx context.Context, key, holder string, ttl time.Duration) (Lease, error)
+	// RenewLease extends the lease, or returns ErrLeaseLost.
+	RenewLease(ctx context.Context, lease Lease) (Lease, error)
+	// ReleaseLease gives the lease up.
+	ReleaseLease(ctx context.Context, lease Lease) error
+}
+
+// Role tells what a listed instance does.
+type Role string
+
+// The roles.
+const (
+	RoleEntry    Role = "entry"
+	RoleUpstream Role = "upstream"
+)
+
+// State is the listed state of an instance.
+type State string
+
+// The states.
+const (
+	StateLive    State = "live"
+	StateLeaving State = "leaving"
+)
+
+// Instance is an entry of the platform's list. Addresses are IP:port.
+type Instance struct {
+	ID            string `json:"id"`
+	Role          Role   `json:"role"`
+	Service       string `json:"service,omitempty"` // upstreams only
+	Address       string `json:"address"`
+	PeerAddress   string `json:"peer_address,omitempty"`  // entries only
+	AdminAddress  string `json:"admin_address,omitempty"` // entries only
+	Region        string `json:"region"`
+	FailureDomain string `json:"failure_domain"`
+	State         State  `json:"state"`
+}
+
+// InstanceList is the platform's list of live and leaving instances. It lags
+// and may be wrong in both directions.
+type InstanceList interface {
+	Instances(ctx context.Context) ([]Instance, error)
+}
+
+// Registrar adds this instance to the list and marks it as leaving. Platforms
+// that maintain the list by themselves need none.
+type Registrar interface {
+	Register(ctx context.Context, instance Instance) error
+}
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,52 @@
+// Package telemetry gives an instance its logger and its metrics.
+//
+// The logger writes one line of key=value pairs for each event. Metrics are
+// tally scopes, exposed in the Prometheus text format.
+package telemetry
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// NewLogger returns a logger that writes key=value lines to w. The level is
+// "debug", "info", "warn" or "error".
+func NewLogger(w io.Writer, level string) (*zap.Logger, error) {
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, errors.Wrap(err, "log level")
+	}
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeTime = zapcore.ISO8601TimeEncoder
+	cfg.MessageKey = "event"
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), l)
+	return zap.New(core), nil
+}
+
+// Metrics is a tally scope with the page from which it is scraped.
+type Metrics struct {
+	Scope   tally.Scope
+	Handler http.Handler
+	closer  io.Closer
+}
+
+// NewMetrics returns metrics whose names begin with "knapweedreel_".
+func NewMetrics() *Metrics {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScopeWithDefaultInterval(tally.ScopeOptions{
+		Prefix:         "knapweedreel",
+		CachedReporter: reporter,
+		Separator:      prometheus.DefaultSeparator,
+	})
+	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
+}
+
+// Close stops reporting.
+func (m *Metrics) Close() error { return m.closer.Close() }
