Parse and validate documents and settings

Both are JSON with comments, read by a shared strict reader that reports every mistake of a text at once with its line and field path. Addresses have to be IP:port with a port, because names are not resolved and other processes connect to them.

--- /dev/null
+++ b/internal/settings/normalize.go
@@ -0,0 +1,59 @@
+package settings
+
+// Defaults of an instance's settings. Times are in milliseconds.
+const (
+	DefaultLogLevel            = "info"
+	DefaultCallerConnections   = 4_096
+	DefaultHeaderBytes         = 32 << 10
+	DefaultBufferedAnswerBytes = 64 << 10
+	DefaultBufferedBodyBytes   = 64 << 10
+	DefaultExplanations        = 1_024
+	DefaultHeaderMS            = 30_000
+	DefaultConnectMS           = 1_000
+	DefaultStoreMS             = 2_000
+	DefaultHeartbeatMS         = 1_000
+	DefaultPeerTimeoutMS       = 3_000
+	DefaultLeaseMS             = 15_000
+	DefaultKeepMS              = 10_000
+	DefaultStopLimitMS         = 120_000
+
+	// drainMarginMS is added to KeepMS for DrainMS: a caller whose address
+	// answer has just expired needs time to ask again.
+	drainMarginMS = 2_000
+)
+
+// Normalize fills in the defaults of absent fields. It changes nothing when it
+// is called again.
+func (s *Settings) Normalize() {
+	setDefault(&s.ListAddress, s.StoreAddress)
+	setDefault(&s.LogLevel, DefaultLogLevel)
+	s.Limits.normalize()
+	s.Times.normalize()
+}
+
+func (l *Limits) normalize() {
+	setDefault(&l.CallerConnections, DefaultCallerConnections)
+	setDefault(&l.HeaderBytes, DefaultHeaderBytes)
+	setDefault(&l.BufferedAnswerBytes, DefaultBufferedAnswerBytes)
+	setDefault(&l.BufferedBodyBytes, DefaultBufferedBodyBytes)
+	setDefault(&l.Explanations, DefaultExplanations)
+}
+
+func (t *Times) normalize() {
+	setDefault(&t.HeaderMS, DefaultHeaderMS)
+	setDefault(&t.ConnectMS, DefaultConnectMS)
+	setDefault(&t.StoreMS, DefaultStoreMS)
+	setDefault(&t.HeartbeatMS, DefaultHeartbeatMS)
+	setDefault(&t.PeerTimeoutMS, DefaultPeerTimeoutMS)
+	setDefault(&t.LeaseMS, DefaultLeaseMS)
+	setDefault(&t.KeepMS, DefaultKeepMS)
+	setDefault(&t.DrainMS, t.KeepMS+drainMarginMS)
+	setDefault(&t.StopLimitMS, DefaultStopLimitMS)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/settings/validate.go
@@ -0,0 +1,94 @@
+package settings
+
+import "knapweedreel/internal/jsonc"
+
+// The ranges of limits. The smallest header must hold an ordinary request, and
+// the largest values keep a small instance from running out of memory.
+const (
+	minHeaderBytes  = 1 << 10
+	maxHeaderBytes  = 1 << 20
+	maxBufferBytes  = 16 << 20
+	maxConnections  = 1_000_000
+	maxExplanations = 1_000_000
+)
+
+// Validate returns the mistakes of settings that were normalized. Problems
+// have the path of their field, without file and line.
+func (s *Settings) Validate() []jsonc.Problem {
+	var p jsonc.Problems
+	p.CheckName("instance", s.Instance)
+	p.CheckName("region", s.Region)
+	p.CheckName("failure_domain", s.FailureDomain)
+	p.CheckAddress("entry_address", s.EntryAddress)
+	p.CheckAddress("peer_address", s.PeerAddress)
+	p.CheckAddress("admin_address", s.AdminAddress)
+	p.CheckAddress("store_address", s.StoreAddress)
+	if s.ListAddress != s.StoreAddress {
+		p.CheckAddress("list_address", s.ListAddress)
+	}
+	if s.EntryAddress != "" && s.EntryAddress == s.AdminAddress {
+		p.Add("admin_address", "is the same as entry_address")
+	}
+	s.Keys.validate(&p)
+	s.Limits.validate(&p)
+	s.Times.validate(&p)
+	switch s.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		p.Add("log_level", "is %q, want \"debug\", \"info\", \"warn\" or \"error\"", s.LogLevel)
+	}
+	return p
+}
+
+func (k *Keys) validate(p *jsonc.Problems) {
+	checkFile(p, "keys.certificate_file", k.CertificateFile)
+	checkFile(p, "keys.key_file", k.KeyFile)
+	checkFile(p, "keys.authority_file", k.AuthorityFile)
+}
+
+func (l *Limits) validate(p *jsonc.Problems) {
+	jsonc.CheckRange(p, "limits.caller_connections", l.CallerConnections, 1, maxConnections)
+	jsonc.CheckRange(p, "limits.header_bytes", l.HeaderBytes, minHeaderBytes, maxHeaderBytes)
+	jsonc.CheckRange(p, "limits.buffered_answer_bytes", l.BufferedAnswerBytes, 1, maxBufferBytes)
+	jsonc.CheckRange(p, "limits.buffered_body_bytes", l.BufferedBodyBytes, 1, maxBufferBytes)
+	jsonc.CheckRange(p, "limits.explanations", l.Explanations, 1, maxExplanations)
+}
+
+func (t *Times) validate(p *jsonc.Problems) {
+	for _, f := range []struct {
+		field string
+		value int
+	}{
+		{"times.header_ms", t.HeaderMS},
+		{"times.connect_ms", t.ConnectMS},
+		{"times.store_ms", t.StoreMS},
+		{"times.heartbeat_ms", t.HeartbeatMS},
+		{"times.peer_timeout_ms", t.PeerTimeoutMS},
+		{"times.lease_ms", t.LeaseMS},
+		{"times.keep_ms", t.KeepMS},
+		{"times.drain_ms", t.DrainMS},
+		{"times.stop_limit_ms", t.StopLimitMS},
+	} {
+		jsonc.CheckRange(p, f.field, f.value, 1, jsonc.MaxTimeMS)
+	}
+	t.validateOrder(p)
+}
+
+// validateOrder checks times that only work together.
+func (t *Times) validateOrder(p *jsonc.Problems) {
+	if t.DrainMS < t.KeepMS {
+		p.Add("times.drain_ms", "is %d, must be at least keep_ms (%d): callers use the address for that long", t.DrainMS, t.KeepMS)
+	}
+	if t.PeerTimeoutMS < 2*t.HeartbeatMS {
+		p.Add("times.peer_timeout_ms", "is %d, must be at least twice heartbeat_ms (%d): one lost heartbeat must not end a link", t.PeerTimeoutMS, t.HeartbeatMS)
+	}
+	if t.LeaseMS < 2*t.StoreMS {
+		p.Add("times.lease_ms", "is %d, must be at least twice store_ms (%d): a renewal may need a second call", t.LeaseMS, t.StoreMS)
+	}
+}
+
+func checkFile(p *jsonc.Problems, field, name string) {
+	if name == "" {
+		p.Add(field, "is missing")
+	}
+}
