Add the command table with serve, settings, document check and version

Requested help goes to stdout with exit code 0; wrong usage goes to stderr with exit code 2. serve checks its settings and then fails with the internal exit code, because the instance is not connected yet.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -2,10 +2,16 @@
 package cli
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
 
 	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/jsonc"
 )
 
 // Exit codes.
@@ -19,8 +25,76 @@
 	ExitInternal    = 70
 )
 
-// Main runs the command that args name and returns the exit code.
+// Main runs the command that args name and returns the exit code. An interrupt
+// or SIGTERM ends the command's context.
 func Main(args []string, stdout, stderr io.Writer) int {
-	fmt.Fprintln(stderr, errkind.New(errkind.BadRequest, "unknown command %v", args))
-	return ExitUsage
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return run(ctx, args, stdout, stderr)
+}
+
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	s := &session{stdout: stdout, stderr: stderr, output: outputText}
+	c, code := parse(args, s)
+	if c == nil {
+		return code
+	}
+	if err := s.checkOutput(); err != nil {
+		return s.fail(err)
+	}
+	if err := c.run(ctx, s); err != nil {
+		return s.fail(err)
+	}
+	return ExitOK
+}
+
+// exitError is an error with the exit code it leads to.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+func (e *exitError) Unwrap() error { return e.err }
+
+// exitWith returns an error that ends the process with code.
+func exitWith(code int, format string, args ...any) error {
+	return &exitError{code: code, err: errors.NewWithDepthf(1, format, args...)}
+}
+
+// fail prints the error and returns its exit code.
+func (s *session) fail(err error) int {
+	fmt.Fprintln(s.stderr, err)
+	return exitCode(err)
+}
+
+// exitCode returns the exit code for an error: that of an exitError, else the
+// one that belongs to its kind.
+func exitCode(err error) int {
+	var exit *exitError
+	var mistakes *jsonc.Error
+	var kind *errkind.Error
+	switch {
+	case errors.As(err, &exit):
+		return exit.code
+	case errors.As(err, &mistakes):
+		return ExitUsage
+	case errors.As(err, &kind):
+		return kindExitCode(kind.Kind)
+	}
+	return ExitFailed
+}
+
+func kindExitCode(kind errkind.Kind) int {
+	switch kind {
+	case errkind.BadRequest, errkind.InvalidDocument:
+		return ExitUsage
+	case errkind.Conflict, errkind.StoreStale, errkind.StoreUnavailable:
+		return ExitConflict
+	case errkind.StoreUnknown:
+		return ExitUnknown
+	case errkind.Internal:
+		return ExitInternal
+	}
+	return ExitFailed
 }
