--- /dev/null
+++ b/cmd/standin/upstream.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/integrii/flaggy"
+
+	"knapweedreel/internal/standin/upstream"
+)
+
+func upstreamCommand() subcommand {
+	address, cfg := "127.0.0.1:0", upstream.Config{ID: "upstream", Service: "service", Slots: 6}
+	workMS, coldStartMS := 5, 0
+	sc := flaggy.NewSubcommand("upstream")
+	sc.Description = "Run an upstream whose faults are switched by POST /.standin/control"
+	sc.String(&address, "", "address", "IP:port to listen on; port 0 takes a free one, which is printed")
+	sc.String(&cfg.ID, "", "id", "ID of the upstream")
+	sc.String(&cfg.Service, "", "service", "Service of the upstream")
+	sc.Int(&cfg.Slots, "", "slots", "Requests that are run at a time; as many may wait")
+	sc.Int(&workMS, "", "work-ms", "Time that a request takes, in milliseconds")
+	sc.Int(&coldStartMS, "", "cold-start-ms", "Time after the start in which requests take longer, in milliseconds")
+	return subcommand{sc, func(ctx context.Context) error {
+		cfg.Work = time.Duration(workMS) * time.Millisecond
+		cfg.ColdStart = time.Duration(coldStartMS) * time.Millisecond
+		return listenAndServe(ctx, address, upstream.New(cfg).Handler())
+	}}
+}
+
+// listenAndServe prints the address it listens on as "address=IP:port" and
+// serves until ctx ends.
+func listenAndServe(ctx context.Context, address string, handler http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	fmt.Printf("address=%s\n", l.Addr())
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 30 * time.Second}
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+	defer stop()
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve")
+	}
+	return nil
+}
