--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,5 +1,5 @@
-// Command standin runs the stand-ins for the platform, for upstreams and for
-// callers that tests and the demonstration use. It is not part of the product.
+// Command standin runs the stand-ins for the platform and for upstreams that
+// tests and the demonstration use. It is not part of the product.
 package main
 
 import (
@@ -12,40 +12,37 @@
 	"github.com/integrii/flaggy"
 )
 
-// subcommand is one row of the command table.
-type subcommand struct {
-	node *flaggy.Subcommand
-	run  func(context.Context) error
+// command is a subcommand of the stand-ins.
+type command struct {
+	sub *flaggy.Subcommand
+	run func(ctx context.Context) error
 }
 
 func main() {
-	table := []subcommand{
+	commands := []command{
+		proxyCommand(),
 		upstreamCommand(),
 	}
-	p := flaggy.NewParser("standin")
-	p.Description = "Stand-ins for tests and the demonstration of knapweedreel"
-	p.DisableShowVersionWithVersion()
-	for _, c := range table {
-		p.AttachSubcommand(c.node, 1)
+	parser := flaggy.NewParser("standin")
+	parser.Description = "Stand-ins for the platform and for upstreams."
+	for _, c := range commands {
+		parser.AttachSubcommand(c.sub, 1)
 	}
-	if err := p.Parse(); err != nil {
+	if err := parser.Parse(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	for _, c := range table {
-		if c.node.Used {
-			exit(c.run(ctx))
+	for _, c := range commands {
+		if !c.sub.Used {
+			continue
 		}
+		if err := c.run(ctx); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
 	}
-	p.ShowHelpAndExit("A command is needed.")
-}
-
-func exit(err error) {
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	os.Exit(0)
+	parser.ShowHelpAndExit("no subcommand given")
 }
--- a/cmd/standin/upstream.go
+++ b/cmd/standin/upstream.go
@@ -13,7 +13,7 @@
 	"knapweedreel/internal/standin/upstream"
 )
 
-func upstreamCommand() subcommand {
+func upstreamCommand() command {
 	address, cfg := "127.0.0.1:0", upstream.Config{ID: "upstream", Service: "service", Slots: 6}
 	workMS, coldStartMS := 5, 0
 	sc := flaggy.NewSubcommand("upstream")
@@ -24,7 +24,7 @@
 	sc.Int(&cfg.Slots, "", "slots", "Requests that are run at a time; as many may wait")
 	sc.Int(&workMS, "", "work-ms", "Time that a request takes, in milliseconds")
 	sc.Int(&coldStartMS, "", "cold-start-ms", "Time after the start in which requests take longer, in milliseconds")
-	return subcommand{sc, func(ctx context.Context) error {
+	return command{sub: sc, run: func(ctx context.Context) error {
 		cfg.Work = time.Duration(workMS) * time.Millisecond
 		cfg.ColdStart = time.Duration(coldStartMS) * time.Millisecond
 		return listenAndServe(ctx, address, upstream.New(cfg).Handler())
