--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -20,6 +20,7 @@
 
 func main() {
 	commands := []command{
+		callerCommand(),
 		proxyCommand(),
 		upstreamCommand(),
 	}
--- /dev/null
+++ b/internal/standin/caller/runs.go
@@ -0,0 +1,76 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"knapweedreel/internal/standin/upstream"
+)
+
+// maxMistakes is the number of mistakes that a RunCheck lists.
+const maxMistakes = 20
+
+// RunCheck compares what callers were told with what upstreams have run.
+type RunCheck struct {
+	Requests int      `json:"requests"` // of these callers
+	Runs     int      `json:"runs"`     // of their requests, at all upstreams together
+	Repeated int      `json:"repeated"` // requests that were run more than once
+	Mistakes []string `json:"mistakes"` // the first that were found
+}
+
+// checkRuns asks the upstreams which requests they have run.
+func (c *Caller) checkRuns(ctx context.Context) (RunCheck, error) {
+	runs := map[string]int{}
+	for _, address := range c.cfg.Upstreams {
+		got, err := c.fetchRuns(ctx, address)
+		if err != nil {
+			return RunCheck{}, errors.Wrap(err, address)
+		}
+		for id, n := range got.ByID {
+			runs[id] += n
+		}
+	}
+	return compareRuns(c.summary.known(), runs, c.cfg.Once), nil
+}
+
+func (c *Caller) fetchRuns(ctx context.Context, address string) (upstream.Runs, error) {
+	var runs upstream.Runs
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/.standin/runs", nil)
+	if err != nil {
+		return runs, err
+	}
+	answer, err := c.client.Do(r)
+	if err != nil {
+		return runs, err
+	}
+	defer answer.Body.Close()
+	return runs, json.NewDecoder(answer.Body).Decode(&runs)
+}
+
+func compareRuns(outcomes map[string]Outcome, runs map[string]int, once bool) RunCheck {
+	check := RunCheck{Requests: len(outcomes), Mistakes: []string{}}
+	for id, outcome := range outcomes {
+		n := runs[id]
+		check.Runs += n
+		if n > 1 {
+			check.Repeated++
+		}
+		problem := ""
+		switch {
+		case outcome == OK && n == 0:
+			problem = "was answered but not run"
+		case outcome == NotRun && n > 0:
+			problem = fmt.Sprintf("was reported as not run but ran %d times", n)
+		case once && n > 1:
+			problem = fmt.Sprintf("ran %d times", n)
+		}
+		if problem != "" && len(check.Mistakes) < maxMistakes {
+			check.Mistakes = append(check.Mistakes, id+" "+problem)
+		}
+	}
+	return check
+}
