--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -21,6 +21,7 @@
 func main() {
 	commands := []command{
 		callerCommand(),
+		portsCommand(),
 		proxyCommand(),
 		upstreamCommand(),
 	}
--- a/internal/cli/table.go
+++ b/internal/cli/table.go
@@ -33,6 +33,7 @@
 		settingsCheckCommand(),
 		settingsPrintCommand(),
 		documentCheckCommand(),
+		locateCommand(),
 		versionCommand(),
 	}
 }
