--- a/internal/keys/keys.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package keys loads and creates the certificates for mutual authentication.
-package keys
--- /dev/null
+++ b/internal/keys/material.go
@@ -0,0 +1,131 @@
+package keys
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"knapweedreel/internal/settings"
+)
+
+// ProtocolPeer is the ALPN protocol of links between instances, which QUIC
+// requires.
+const ProtocolPeer = "knapweedreel/1"
+
+// Material is a certificate with its key and the trusted authorities.
+type Material struct {
+	identity    Identity
+	certificate tls.Certificate
+	authorities *x509.CertPool
+}
+
+// LoadTLS reads the PEM files. It fails when the key does not fit the
+// certificate or no listed authority has signed the certificate.
+func LoadTLS(files settings.Keys) (*Material, error) {
+	certificate, err := tls.LoadX509KeyPair(files.CertificateFile, files.KeyFile)
+	if err != nil {
+		return nil, errors.Wrapf(err, "load %s and %s", files.CertificateFile, files.KeyFile)
+	}
+	authorities, err := loadAuthorities(files.AuthorityFile)
+	if err != nil {
+		return nil, err
+	}
+	m := &Material{certificate: certificate, authorities: authorities}
+	if m.identity, err = m.verify([]*x509.Certificate{certificate.Leaf}, x509.ExtKeyUsageAny); err != nil {
+		return nil, errors.Wrap(err, files.CertificateFile)
+	}
+	return m, nil
+}
+
+func loadAuthorities(file string) (*x509.CertPool, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read authorities")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, errors.Newf("%s holds no certificate", file)
+	}
+	return pool, nil
+}
+
+// Identity returns the name and role in this side's certificate.
+func (m *Material) Identity() Identity { return m.identity }
+
+// PeerServer returns the settings for accepting links of peers.
+func (m *Material) PeerServer() *tls.Config {
+	c := m.server(RoleInstance)
+	c.NextProtos = []string{ProtocolPeer}
+	return c
+}
+
+// PeerClient returns the settings for opening links to peers.
+func (m *Material) PeerClient() *tls.Config {
+	c := m.client()
+	c.NextProtos = []string{ProtocolPeer}
+	return c
+}
+
+// AdminServer returns the settings of the operators' server. Instances may
+// connect too; the server decides what each role may do.
+func (m *Material) AdminServer() *tls.Config { return m.server(RoleOperator, RoleInstance) }
+
+// AdminClient returns the settings for connecting to an operators' server.
+func (m *Material) AdminClient() *tls.Config { return m.client() }
+
+func (m *Material) server(roles ...Role) *tls.Config {
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{m.certificate},
+		ClientAuth:   tls.RequireAnyClientCert,
+		// VerifyConnection also runs for resumed sessions, where ClientCAs
+		// would not be checked again.
+		VerifyConnection: m.verifier(x509.ExtKeyUsageClientAuth, roles...),
+	}
+}
+
+func (m *Material) client() *tls.Config {
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{m.certificate},
+		// Addresses are IP:port and certificates carry no DNS names, so the
+		// default verification cannot apply. VerifyConnection replaces it.
+		InsecureSkipVerify: true,
+		VerifyConnection:   m.verifier(x509.ExtKeyUsageServerAuth, RoleInstance),
+	}
+}
+
+func (m *Material) verifier(usage x509.ExtKeyUsage, roles ...Role) func(tls.ConnectionState) error {
+	return func(state tls.ConnectionState) error {
+		id, err := m.verify(state.PeerCertificates, usage)
+		if err != nil {
+			return err
+		}
+		if !slices.Contains(roles, id.Role) {
+			return errors.Newf("certificate of %s has role %s, want one of %v", id.Name, id.Role, roles)
+		}
+		return nil
+	}
+}
+
+// verify checks a chain against the authorities and returns its identity.
+func (m *Material) verify(chain []*x509.Certificate, usage x509.ExtKeyUsage) (Identity, error) {
+	if len(chain) == 0 {
+		return Identity{}, errors.New("the other side sent no certificate")
+	}
+	options := x509.VerifyOptions{
+		Roots:         m.authorities,
+		Intermediates: x509.NewCertPool(),
+		KeyUsages:     []x509.ExtKeyUsage{usage},
+	}
+	for _, c := range chain[1:] {
+		options.Intermediates.AddCert(c)
+	}
+	if _, err := chain[0].Verify(options); err != nil {
+		return Identity{}, errors.Wrap(err, "verify certificate")
+	}
+	return IdentityOf(chain[0])
+}
--- /dev/null
+++ b/internal/standin/storeserver/calls.go
@@ -0,0 +1,130 @@
+package storeserver
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"knapweedreel/internal/store"
+	"knapweedreel/internal/store/httpstore"
+)
+
+// maxWatchWait bounds wait_ms of a watch.
+const maxWatchWait = 20 * time.Second
+
+var errTooLarge = errors.New("storeserver: value too large")
+
+func (s *Server) get(r *http.Request) (any, error) {
+	key := r.PathValue("key")
+	v, err := s.memory.Get(r.Context(), key)
+	return httpstore.Item{Key: key, Data: v.Data, Version: v.Version}, err
+}
+
+func (s *Server) put(r *http.Request) (any, error) {
+	version, err := number(r, "version")
+	if err != nil {
+		return nil, err
+	}
+	var body httpstore.PutRequest
+	if err := decode(r, &body); err != nil {
+		return nil, err
+	}
+	if len(body.Data) > store.MaxValueBytes {
+		return nil, errTooLarge
+	}
+	id := store.LeaseID(r.URL.Query().Get("lease"))
+	version, err = s.memory.Put(r.Context(), r.PathValue("key"), body.Data, version, id)
+	return httpstore.PutAnswer{Version: version}, err
+}
+
+func (s *Server) list(r *http.Request) (any, error) {
+	kvs, index := s.memory.list(r.URL.Query().Get("prefix"))
+	return itemsAnswer(kvs, index), nil
+}
+
+func (s *Server) watch(r *http.Request) (any, error) {
+	after, err := number(r, "after")
+	if err != nil {
+		return nil, err
+	}
+	ms, err := number(r, "wait_ms")
+	if err != nil {
+		return nil, err
+	}
+	wait := min(time.Duration(ms)*time.Millisecond, maxWatchWait)
+	kvs, index, err := s.memory.watch(r.Context(), r.URL.Query().Get("prefix"), after, wait)
+	return itemsAnswer(kvs, index), err
+}
+
+func (s *Server) acquire(r *http.Request) (any, error) {
+	var body httpstore.LeaseRequest
+	if err := decode(r, &body); err != nil {
+		return nil, err
+	}
+	l, err := s.memory.AcquireLease(r.Context(), r.PathValue("key"), body.Holder, time.Duration(body.TTLMS)*time.Millisecond)
+	return leaseAnswer(l), err
+}
+
+func (s *Server) renew(r *http.Request) (any, error) {
+	var body httpstore.LeaseRequest
+	if err := decode(r, &body); err != nil {
+		return nil, err
+	}
+	held := heldLease(r)
+	held.TTL = time.Duration(body.TTLMS) * time.Millisecond
+	l, err := s.memory.RenewLease(r.Context(), held)
+	return leaseAnswer(l), err
+}
+
+func (s *Server) release(r *http.Request) (any, error) {
+	return struct{}{}, s.memory.ReleaseLease(r.Context(), heldLease(r))
+}
+
+func (s *Server) instances(r *http.Request) (any, error) {
+	is, err := s.memory.Instances(r.Context())
+	return httpstore.InstancesAnswer{Instances: is}, err
+}
+
+func (s *Server) register(r *http.Request) (any, error) {
+	var i store.Instance
+	if err := decode(r, &i); err != nil {
+		return nil, err
+	}
+	if i.ID != r.PathValue("id") {
+		return nil, errBadRequest
+	}
+	return struct{}{}, s.memory.Register(r.Context(), i)
+}
+
+func heldLease(r *http.Request) store.Lease {
+	return store.Lease{Key: r.PathValue("key"), ID: store.LeaseID(r.PathValue("id"))}
+}
+
+func leaseAnswer(l store.Lease) httpstore.LeaseAnswer {
+	return httpstore.LeaseAnswer{ID: string(l.ID), Fence: l.Fence, TTLMS: l.TTL.Milliseconds()}
+}
+
+func itemsAnswer(kvs []store.KeyValue, index uint64) httpstore.ItemsAnswer {
+	a := httpstore.ItemsAnswer{Items: make([]httpstore.Item, len(kvs)), Index: index}
+	for i, kv := range kvs {
+		a.Items[i] = httpstore.Item{Key: kv.Key, Data: kv.Value.Data, Version: kv.Value.Version}
+	}
+	return a
+}
+
+func number(r *http.Request, name string) (uint64, error) {
+	n, err := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
+	return n, errors.Mark(errors.Wrapf(err, "parameter %s", name), errBadRequest)
+}
+
+func decode(r *http.Request, to any) error {
+	err := json.NewDecoder(r.Body).Decode(to)
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return errTooLarge
+	}
+	return errors.Mark(errors.Wrap(err, "body"), errBadRequest)
+}
