--- a/internal/instance/admin/admin.go
+++ b/internal/instance/admin/admin.go
@@ -10,6 +10,7 @@
 	"knapweedreel/internal/health"
 	"knapweedreel/internal/instance/platform"
 	"knapweedreel/internal/routing"
+	"knapweedreel/internal/wire"
 )
 
 // Control is what the admin server needs of the control goroutine.
@@ -19,6 +20,9 @@
 	// Offer puts the envelope in force if its revision is higher than the one
 	// in force, and returns the revision then in force at this instance.
 	Offer(ctx context.Context, envelope document.Envelope, source platform.DocumentSource) (uint64, error)
+	// Holder returns the newest known holder of this instance's shard lease,
+	// or nil when none was announced within the lease's time.
+	Holder() *wire.Holder
 	// Envelope returns the envelope in force of a service.
 	Envelope(ctx context.Context, service string) (document.Envelope, bool, error)
 	// ExplainUpstream returns the current view of an upstream and the recent
@@ -32,3 +36,9 @@
 type RequestExplainer interface {
 	ExplainRequest(id string) (RequestExplanation, bool)
 }
+
+// Putter brings documents into the store; *platform.Putter implements it.
+type Putter interface {
+	Put(ctx context.Context, r platform.PutRequest) platform.PutResult
+	ChangeResult(ctx context.Context, service, changeID string) platform.PutResult
+}
--- /dev/null
+++ b/internal/instance/admin/status.go
@@ -0,0 +1,113 @@
+package admin
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"knapweedreel/internal/document"
+	"knapweedreel/internal/health"
+	"knapweedreel/internal/member"
+	"knapweedreel/internal/routing"
+	"knapweedreel/internal/store"
+	"knapweedreel/internal/wire"
+)
+
+// Status is what one instance knows at one moment.
+type Status struct {
+	Self             member.Info                        `json:"self"`
+	Time             time.Time                          `json:"time"`
+	Ready            bool                               `json:"ready"` // documents were read from the store or a peer
+	SnapshotSequence uint64                             `json:"snapshot_sequence"`
+	SnapshotAge      time.Duration                      `json:"snapshot_age_ns"`
+	Shards           int                                `json:"shards"`
+	Shard            int                                `json:"shard"`            // of this instance
+	Holder           *wire.Holder                       `json:"holder,omitempty"` // of the shard's lease, if known
+	Services         []ServiceStatus                    `json:"services"`
+	Members          []MemberStatus                     `json:"members"`
+	PlatformCalls    map[store.CallKind]store.CallCount `json:"platform_calls,omitempty"`
+}
+
+// ServiceStatus is the state of a service at the instance.
+type ServiceStatus struct {
+	Name         string           `json:"name"`
+	Revision     uint64           `json:"revision"` // in force
+	Shard        int              `json:"shard"`
+	Served       bool             `json:"served"` // this instance is in the service's shard
+	FloorSlots   int              `json:"floor_slots"`
+	HealthySlots int              `json:"healthy_slots"`
+	Upstreams    []UpstreamStatus `json:"upstreams"`
+}
+
+// UpstreamStatus is the state of an upstream at the instance.
+type UpstreamStatus struct {
+	ID             string       `json:"id"`
+	Address        string       `json:"address"`
+	State          health.State `json:"state"`
+	Weight         float64      `json:"weight"`
+	Slots          int          `json:"slots"`
+	HomeSlots      int          `json:"home_slots"`
+	MaxConnections int          `json:"max_connections"`
+	PeerInFlight   int          `json:"peer_in_flight"`
+}
+
+// MemberStatus is what the instance knows of a member.
+type MemberStatus struct {
+	member.Info
+	Live  bool `json:"live"`
+	Shard int  `json:"shard"`
+}
+
+// UpstreamExplanation tells why an upstream is in its state.
+type UpstreamExplanation struct {
+	Instance string          `json:"instance"`
+	View     health.View     `json:"view"`
+	Changes  []health.Change `json:"changes"` // newest last
+}
+
+// History is the list of the latest changes of a document.
+type History struct {
+	Service  string            `json:"service"`
+	Revision uint64            `json:"revision"`
+	Changes  []document.Change `json:"changes"` // newest last
+}
+
+// newStatus describes a snapshot.
+func newStatus(s *routing.Snapshot, holder *wire.Holder, now time.Time) Status {
+	shards := max(1, s.Shards)
+	st := Status{
+		Self: s.Self, Time: now, Ready: s.Ready,
+		SnapshotSequence: s.Sequence, SnapshotAge: now.Sub(s.Built),
+		Shards: shards, Shard: member.ShardOf(s.Self.ID, shards), Holder: holder,
+		Services: []ServiceStatus{}, Members: []MemberStatus{},
+	}
+	for _, svc := range s.Services {
+		st.Services = append(st.Services, newServiceStatus(svc, shards))
+	}
+	slices.SortFunc(st.Services, func(a, b ServiceStatus) int { return cmp.Compare(a.Name, b.Name) })
+	for _, m := range s.Members {
+		st.Members = append(st.Members, MemberStatus{Info: m.Info, Live: m.Live, Shard: member.ShardOf(m.ID, shards)})
+	}
+	slices.SortFunc(st.Members, func(a, b MemberStatus) int { return cmp.Compare(a.ID, b.ID) })
+	return st
+}
+
+func newServiceStatus(svc *routing.Service, shards int) ServiceStatus {
+	st := ServiceStatus{
+		Name: svc.Name, Revision: svc.Revision, Served: svc.Served,
+		Shard: member.ShardOf(svc.Name, shards), Upstreams: []UpstreamStatus{},
+	}
+	if svc.Document != nil {
+		st.FloorSlots = svc.Document.FloorSlots
+	}
+	for _, u := range svc.Upstreams {
+		if u.State == health.InService {
+			st.HealthySlots += u.Slots
+		}
+		st.Upstreams = append(st.Upstreams, UpstreamStatus{
+			ID: u.ID, Address: u.Address, State: u.State, Weight: u.Weight, Slots: u.Slots,
+			HomeSlots: u.HomeSlots, MaxConnections: u.MaxConnections, PeerInFlight: u.PeerInFlight,
+		})
+	}
+	return st
+}
--- /dev/null
+++ b/internal/instance/platform/envelope.go
@@ -0,0 +1,58 @@
+package platform
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"knapweedreel/internal/document"
+	"knapweedreel/internal/store"
+)
+
+// documentPrefix begins the store keys of documents.
+const documentPrefix = "documents/"
+
+// ErrTooLarge means that a document does not fit in a value of the store.
+var ErrTooLarge = errors.New("platform: document is too large for the store")
+
+func documentKey(service string) string { return documentPrefix + service }
+
+// EncodeEnvelope returns the stored form of an envelope: JSON of at most
+// store.MaxValueBytes. The oldest changes are left out when it would be larger;
+// ErrTooLarge means that the text with its latest change does not fit.
+func EncodeEnvelope(e document.Envelope) ([]byte, error) {
+	for {
+		var b bytes.Buffer
+		enc := json.NewEncoder(&b)
+		enc.SetEscapeHTML(false)
+		if err := enc.Encode(e); err != nil {
+			return nil, errors.Wrap(err, "encode envelope")
+		}
+		if b.Len() <= store.MaxValueBytes {
+			return b.Bytes(), nil
+		}
+		if len(e.History) <= 1 {
+			return nil, errors.Wrapf(ErrTooLarge, "%d bytes, limit %d", b.Len(), store.MaxValueBytes)
+		}
+		e.History = e.History[1:]
+	}
+}
+
+// DecodeEnvelope decodes the value of a store key. An absent key gives an
+// envelope of revision 0.
+func DecodeEnvelope(key string, v store.Value) (document.Envelope, error) {
+	service := strings.TrimPrefix(key, documentPrefix)
+	if v.Version == 0 {
+		return document.Envelope{Service: service}, nil
+	}
+	var e document.Envelope
+	if err := json.Unmarshal(v.Data, &e); err != nil {
+		return document.Envelope{}, errors.Wrapf(err, "decode %s", key)
+	}
+	if e.Service != service || e.Revision == 0 {
+		return document.Envelope{}, errors.Newf("%s holds service %q at revision %d", key, e.Service, e.Revision)
+	}
+	return e, nil
+}
--- /dev/null
+++ b/internal/instance/platform/list.go
@@ -0,0 +1,162 @@
+package platform
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"knapweedreel/internal/store"
+)
+
+const (
+	// holderPoll is the mean time between the holder's polls of the list.
+	holderPoll = time.Second
+	// otherPoll is the time between the polls of all others, and otherPollEach
+	// the time for each member, whichever is more: at 2,800 members they poll
+	// each 28 s and make 100 calls/s together.
+	otherPoll     = 10 * time.Second
+	otherPollEach = 10 * time.Millisecond
+	// registerRetry is the mean wait after a failed registration.
+	registerRetry = time.Second
+	// registerAgain is the time from which an entry that the list does not show
+	// is registered again. The list lags by seconds.
+	registerAgain = 15 * time.Second
+)
+
+// runList polls the list of instances.
+func (c *Child) runList(ctx context.Context) error {
+	if !pause(ctx, c.random.upTo(holderPoll/4)) {
+		return nil
+	}
+	var last time.Time // of the last successful poll
+	for {
+		if now := time.Now(); last.IsZero() || c.held() != nil || now.Sub(last) >= c.pollInterval() {
+			if c.pollList(ctx) {
+				last = now
+			}
+		}
+		if !c.random.sleep(ctx, holderPoll) {
+			return nil
+		}
+	}
+}
+
+func (c *Child) pollInterval() time.Duration {
+	_, members := c.shard()
+	return max(otherPoll, time.Duration(members)*otherPollEach)
+}
+
+func (c *Child) pollList(ctx context.Context) bool {
+	is, err := c.list.Instances(ctx)
+	if ctx.Err() != nil {
+		return false
+	}
+	if err != nil {
+		c.log.Warn("list_poll_failed", zap.Error(err))
+		return false
+	}
+	c.control.Listed(is)
+	c.entry.seen(is, time.Now())
+	return true
+}
+
+// registration is this instance's entry in the platform's list.
+type registration struct {
+	mu      sync.Mutex
+	entry   store.Instance
+	written time.Time     // of the last successful registration; zero when one is due
+	wake    chan struct{} // has a value when a registration may be due
+}
+
+func newRegistration(self store.Instance) *registration {
+	if self.Role == "" {
+		self.Role = store.RoleEntry
+	}
+	if self.State == "" {
+		self.State = store.StateLive
+	}
+	return &registration{entry: self, wake: make(chan struct{}, 1)}
+}
+
+func (r *registration) notify() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (r *registration) setState(s store.State) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.entry.State != s {
+		r.entry.State = s
+		r.written = time.Time{}
+		r.notify()
+	}
+}
+
+// seen compares the list with the entry and makes a registration due when the
+// list has had time to show it and does not.
+func (r *registration) seen(is []store.Instance, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.written.IsZero() || now.Sub(r.written) < registerAgain {
+		return
+	}
+	for _, i := range is {
+		if i == r.entry {
+			return
+		}
+	}
+	r.written = time.Time{}
+	r.notify()
+}
+
+// due returns the entry if it has to be registered.
+func (r *registration) due() (store.Instance, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.entry, r.written.IsZero()
+}
+
+func (r *registration) done(entry store.Instance, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.entry == entry {
+		r.written = now
+	}
+}
+
+// runRegistration keeps this instance's entry in the list.
+func (c *Child) runRegistration(ctx context.Context) error {
+	if c.registrar == nil {
+		return nil
+	}
+	c.entry.notify()
+	for {
+		select {
+		case <-c.entry.wake:
+		case <-ctx.Done():
+			return nil
+		}
+		for entry, due := c.entry.due(); due; entry, due = c.entry.due() {
+			if !c.register(ctx, entry) && !c.random.sleep(ctx, registerRetry) {
+				return nil
+			}
+		}
+	}
+}
+
+func (c *Child) register(ctx context.Context, entry store.Instance) bool {
+	if err := c.registrar.Register(ctx, entry); err != nil {
+		if ctx.Err() == nil {
+			c.log.Warn("registration_failed", zap.Error(err))
+		}
+		return false
+	}
+	c.entry.done(entry, time.Now())
+	c.log.Info("registered", zap.String("state", string(entry.State)))
+	return true
+}
--- a/internal/store/count.go
+++ b/internal/store/count.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 )
 
 // CallKind is the kind of a call to the platform.
@@ -39,6 +40,8 @@
 
 type callCounter struct {
 	calls, failed, refused atomic.Uint64
+
+	callsMetric, failedMetric, refusedMetric tally.Counter
 }
 
 // Counter counts calls to the platform by kind, whatever the adapter. It may
@@ -47,11 +50,21 @@
 	kinds map[CallKind]*callCounter
 }
 
-// NewCounter returns a Counter with all counts at 0.
-func NewCounter() *Counter {
+// NewCounter returns a Counter with all counts at 0. It also counts in scope as
+// platform_calls, platform_calls_failed and platform_calls_refused, with the
+// tag kind. A nil scope is allowed.
+func NewCounter(scope tally.Scope) *Counter {
+	if scope == nil {
+		scope = tally.NoopScope
+	}
 	c := &Counter{kinds: make(map[CallKind]*callCounter, len(CallKinds))}
 	for _, k := range CallKinds {
-		c.kinds[k] = &callCounter{}
+		tagged := scope.Tagged(map[string]string{"kind": string(k)})
+		c.kinds[k] = &callCounter{
+			callsMetric:   tagged.Counter("platform_calls"),
+			failedMetric:  tagged.Counter("platform_calls_failed"),
+			refusedMetric: tagged.Counter("platform_calls_refused"),
+		}
 	}
 	return c
 }
@@ -66,15 +79,21 @@
 }
 
 // begin counts a call at its start, so that a pending watch is counted.
-func (c *Counter) begin(kind CallKind) { c.kinds[kind].calls.Add(1) }
+func (c *Counter) begin(kind CallKind) {
+	c.kinds[kind].calls.Add(1)
+	c.kinds[kind].callsMetric.Inc(1)
+}
 
 func (c *Counter) end(kind CallKind, err error) {
+	n := c.kinds[kind]
 	switch {
 	case err == nil:
 	case errors.IsAny(err, ErrConflict, ErrHeld, ErrLeaseLost):
-		c.kinds[kind].refused.Add(1)
+		n.refused.Add(1)
+		n.refusedMetric.Inc(1)
 	default:
-		c.kinds[kind].failed.Add(1)
+		n.failed.Add(1)
+		n.failedMetric.Inc(1)
 	}
 }
 
