--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -23,6 +23,7 @@
 		callerCommand(),
 		portsCommand(),
 		proxyCommand(),
+		storeCommand(),
 		upstreamCommand(),
 	}
 	parser := flaggy.NewParser("standin")
