Proxy requests of callers with one attempt on an own connection

The entry matches host and route, takes a slot at an upstream in service and makes one attempt on an http.ClientConn, which never resends by itself. It streams both ways, answers errors with kind and run state, answers locate and explains the latest requests.

--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -4,8 +4,21 @@
 package entry
 
 import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
 	"knapweedreel/internal/health"
+	"knapweedreel/internal/instance/entry/upstream"
 	"knapweedreel/internal/routing"
+	"knapweedreel/internal/settings"
 )
 
 // Control is what the entry needs of the control goroutine. No call blocks.
@@ -16,3 +29,132 @@
 	// not fit in the queue is dropped and counted.
 	ReportOutcome(health.Outcome)
 }
+
+// Config holds what the entry needs to start.
+type Config struct {
+	Instance string // this instance's name
+	Address  string // IP:port where callers connect
+	Limits   settings.Limits
+	Times    settings.Times
+	Log      *zap.Logger // default: none
+	Scope    tally.Scope // default: none
+	// Listener accepts callers instead of one opened at Address. Run closes it.
+	Listener net.Listener
+	// Rand chooses among equal upstreams. Default: a random seed. It is used
+	// under a lock.
+	Rand *rand.Rand
+	// Upstreams changes how connections to upstreams are opened, for tests.
+	Upstreams upstream.Config
+}
+
+// Server serves callers.
+type Server struct {
+	cfg     Config
+	control Control
+	log     *zap.Logger
+	pools   *upstream.Pools
+	ring    *ring
+
+	mu       sync.Mutex
+	services map[string]*service
+
+	randMu sync.Mutex
+	rand   *rand.Rand
+
+	http  *http.Server
+	drain drainState
+}
+
+// New returns a server. It accepts callers once Run is called.
+func New(cfg Config, control Control) *Server {
+	if cfg.Log == nil {
+		cfg.Log = zap.NewNop()
+	}
+	if cfg.Scope == nil {
+		cfg.Scope = tally.NoopScope
+	}
+	cfg.Limits, cfg.Times = withDefaults(cfg.Limits, cfg.Times)
+	if cfg.Rand == nil {
+		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if cfg.Upstreams.ConnectTimeout == 0 {
+		cfg.Upstreams.ConnectTimeout = milliseconds(cfg.Times.ConnectMS)
+	}
+	if cfg.Upstreams.HeaderBytes == 0 {
+		cfg.Upstreams.HeaderBytes = int64(cfg.Limits.HeaderBytes)
+	}
+	s := &Server{
+		cfg:      cfg,
+		control:  control,
+		log:      cfg.Log,
+		pools:    upstream.New(cfg.Upstreams),
+		ring:     newRing(cfg.Limits.Explanations),
+		services: make(map[string]*service),
+		rand:     cfg.Rand,
+	}
+	s.http = &http.Server{
+		Handler:           s,
+		ReadHeaderTimeout: milliseconds(cfg.Times.HeaderMS),
+		IdleTimeout:       milliseconds(cfg.Times.HeaderMS),
+		MaxHeaderBytes:    cfg.Limits.HeaderBytes,
+		ErrorLog:          zap.NewStdLog(cfg.Log),
+	}
+	return s
+}
+
+// withDefaults fills in the defaults that settings document, for callers that
+// build settings by hand.
+func withDefaults(l settings.Limits, t settings.Times) (settings.Limits, settings.Times) {
+	set := func(v *int, def int) {
+		if *v == 0 {
+			*v = def
+		}
+	}
+	set(&l.CallerConnections, 4096)
+	set(&l.HeaderBytes, 32<<10)
+	set(&l.BufferedAnswerBytes, 64<<10)
+	set(&l.BufferedBodyBytes, 64<<10)
+	set(&l.Explanations, 1024)
+	set(&t.HeaderMS, 30_000)
+	set(&t.ConnectMS, 1_000)
+	set(&t.KeepMS, 10_000)
+	set(&t.DrainMS, t.KeepMS+2_000)
+	set(&t.StopLimitMS, 120_000)
+	return l, t
+}
+
+func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// Run serves callers until ctx is cancelled or Drain has ended. When ctx is
+// cancelled, the listener and all connections are closed at once and requests
+// in flight are cancelled; Run returns nil in both cases.
+func (s *Server) Run(ctx context.Context) error {
+	l := s.cfg.Listener
+	if l == nil {
+		var err error
+		if l, err = net.Listen("tcp", s.cfg.Address); err != nil {
+			return errors.Wrap(err, "listen for callers")
+		}
+	}
+	defer s.pools.Close()
+	served := make(chan error, 1)
+	go func() { served <- s.http.Serve(l) }()
+	select {
+	case <-ctx.Done():
+		_ = s.http.Close()
+		<-served
+		return nil
+	case err := <-served:
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return errors.Wrap(err, "serve callers")
+	}
+}
+
+// shuffle returns a random permutation of n indexes.
+func (s *Server) shuffle(n int) []int {
+	s.randMu.Lock()
+	defer s.randMu.Unlock()
+	return s.rand.Perm(n)
+}
--- /dev/null
+++ b/internal/instance/entry/harness_test.go
@@ -0,0 +1,146 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"knapweedreel/internal/document"
+	"knapweedreel/internal/health"
+	"knapweedreel/internal/instance/entry/upstream"
+	"knapweedreel/internal/member"
+	"knapweedreel/internal/routing"
+	"knapweedreel/internal/settings"
+)
+
+// waitLimit is the generous limit for any event a test waits for.
+const waitLimit = 20 * time.Second
+
+// fakeControl is a Control with a fixed snapshot that records outcomes.
+type fakeControl struct {
+	mu       sync.Mutex
+	snap     *routing.Snapshot
+	outcomes []health.Outcome
+}
+
+func (c *fakeControl) Snapshot() *routing.Snapshot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.snap
+}
+
+func (c *fakeControl) ReportOutcome(o health.Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outcomes = append(c.outcomes, o)
+}
+
+func (c *fakeControl) reported() []health.Outcome {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]health.Outcome(nil), c.outcomes...)
+}
+
+// snapshotOf returns a snapshot with one service whose host is its name.
+func snapshotOf(doc *document.Document, upstreams ...routing.Upstream) *routing.Snapshot {
+	svc := &routing.Service{Name: doc.Service, Revision: 7, Document: doc, Served: true, Upstreams: upstreams}
+	self := member.Info{ID: "a", EntryAddress: "127.0.0.1:1", Region: "south", FailureDomain: "s1", State: member.Active}
+	return &routing.Snapshot{
+		Ready: true, Self: self, Shards: 1,
+		Services: map[string]*routing.Service{doc.Service: svc},
+		Hosts:    map[string]*routing.Service{doc.Service: svc},
+		Members:  []routing.Member{{Info: self, Live: true}},
+	}
+}
+
+// testDocument returns a document with an idempotent route /read/*, a route
+// /write/* that is not, and a small body limit on /small.
+func testDocument() *document.Document {
+	return &document.Document{
+		Service: "svc", Hosts: []string{"svc"}, DeadlineMS: 10_000,
+		Routes: []document.Route{
+			{Method: "*", Path: "/read/*", Idempotent: true, MaxBodyBytes: 64 << 20},
+			{Method: "*", Path: "/write/*", MaxBodyBytes: 64 << 20},
+			{Method: "*", Path: "/small", MaxBodyBytes: 10},
+		},
+		Queue: document.Queue{Length: 64, TimeoutMS: 1_000},
+	}
+}
+
+// standin starts an upstream that echoes the request identity.
+func standin(t *testing.T, id string, h http.HandlerFunc) routing.Upstream {
+	t.Helper()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(upstream.HeaderRequestID, r.Header.Get(upstream.HeaderRequestID))
+		h(w, r)
+	}))
+	t.Cleanup(srv.Close)
+	return upstreamAt(id, srv.Listener.Addr().String())
+}
+
+func upstreamAt(id, address string) routing.Upstream {
+	return routing.Upstream{
+		Upstream: document.Upstream{ID: id, Address: address, Slots: 6, Connections: 330},
+		State:    health.InService, Weight: 1, HomeSlots: 6, MaxConnections: 10,
+	}
+}
+
+// startServer runs a server until the test ends and returns it with its URL.
+func startServer(t *testing.T, c Control, change func(*Config)) (*Server, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := Config{Instance: "a", Listener: l, Times: settings.Times{HeaderMS: 5_000}}
+	if change != nil {
+		change(&cfg)
+	}
+	s := New(cfg, c)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		select {
+		case err := <-ended:
+			if err != nil {
+				t.Errorf("Run: %v", err)
+			}
+		case <-time.After(waitLimit):
+			t.Error("Run did not end")
+		}
+	})
+	return s, fmt.Sprintf("http://%s", l.Addr())
+}
+
+// request returns a request to the service of testDocument.
+func request(t *testing.T, method, url string, body []byte) *http.Request {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, url, bodyReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "svc"
+	return req
+}
+
+// eventually waits until cond holds.
+func eventually(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	limit := time.After(waitLimit)
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for !cond() {
+		select {
+		case <-limit:
+			t.Fatalf("not seen in time: %s", what)
+		case <-tick.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/instance/entry/locate.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/member"
+	"knapweedreel/internal/routing"
+)
+
+// Paths that the entry answers itself, for every host.
+const (
+	localPrefix = "/.knapweedreel/"
+	locatePath  = localPrefix + "locate"
+)
+
+// Sizes of an address answer.
+const (
+	maxAddresses = 8
+	minLive      = 3 // below this number members that were not heard from are added
+)
+
+// Location is an address where callers reach a service.
+type Location struct {
+	Address       string `json:"address"` // IP:port
+	Instance      string `json:"instance"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failure_domain"`
+}
+
+// Locations is the answer to a locate request.
+type Locations struct {
+	Service   string     `json:"service"`
+	Addresses []Location `json:"addresses"` // best first
+	KeepMS    int        `json:"keep_ms"`   // time for which the answer may be kept
+	Revision  uint64     `json:"revision"`  // of the service's document
+}
+
+func (s *Server) serveLocal(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != locatePath {
+		errkind.WriteAnswer(w, errkind.NotFound, "no such page")
+		return
+	}
+	if r.Method != http.MethodGet && r.Method != http.MethodHead {
+		errkind.WriteAnswer(w, errkind.BadRequest, "locate accepts GET only")
+		return
+	}
+	q := r.URL.Query()
+	answer, err := s.locate(s.control.Snapshot(), q.Get("service"), q.Get("region"))
+	if err != nil {
+		errkind.WriteAnswer(w, errkind.Of(err), err.Error())
+		return
+	}
+	data, err := json.Marshal(answer)
+	if err != nil {
+		errkind.WriteAnswer(w, errkind.Internal, err.Error())
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(data, '\n'))
+}
+
+// locate chooses the addresses for a service and a caller's region.
+func (s *Server) locate(snap *routing.Snapshot, service, region string) (Locations, error) {
+	if service == "" {
+		return Locations{}, errkind.New(errkind.BadRequest, "the parameter service is missing")
+	}
+	svc := snap.Services[service]
+	if svc == nil {
+		if !snap.Ready {
+			return Locations{}, errkind.New(errkind.NoDocument, "this instance has received no document yet")
+		}
+		return Locations{}, errkind.New(errkind.UnknownService, "no service has the name %q", service)
+	}
+	shards := max(1, snap.Shards)
+	shard := member.ShardOf(service, shards)
+	var live, silent []routing.Member
+	for _, m := range snap.Members {
+		if m.State != member.Active || m.EntryAddress == "" || member.ShardOf(m.ID, shards) != shard {
+			continue
+		}
+		if m.Live {
+			live = append(live, m)
+		} else {
+			silent = append(silent, m)
+		}
+	}
+	if len(live) < minLive {
+		live = append(live, silent...)
+	}
+	answer := Locations{Service: service, Addresses: []Location{}, KeepMS: s.cfg.Times.KeepMS, Revision: svc.Revision}
+	for _, m := range spread(live, service, region) {
+		answer.Addresses = append(answer.Addresses, Location{
+			Address: m.EntryAddress, Instance: m.ID, Region: m.Region, FailureDomain: m.FailureDomain,
+		})
+	}
+	return answer, nil
+}
+
+// spread returns up to maxAddresses members: those in region first, and within
+// a region one of each failure domain before a second of any. Live members
+// come before others.
+func spread(members []routing.Member, service, region string) []routing.Member {
+	slices.SortFunc(members, func(a, b routing.Member) int {
+		return cmp.Or(cmp.Compare(hashOf(service, a.ID), hashOf(service, b.ID)), cmp.Compare(a.ID, b.ID))
+	})
+	rank := make(map[string]int, len(members)) // position within the failure domain
+	seen := make(map[string]int)
+	for _, m := range members {
+		domain := m.Region + "\x00" + m.FailureDomain
+		rank[m.ID] = seen[domain]
+		seen[domain]++
+	}
+	slices.SortStableFunc(members, func(a, b routing.Member) int {
+		return cmp.Or(
+			cmp.Compare(boolRank(!a.Live), boolRank(!b.Live)),
+			cmp.Compare(boolRank(a.Region != region), boolRank(b.Region != region)),
+			cmp.Compare(rank[a.ID], rank[b.ID]),
+		)
+	})
+	return members[:min(len(members), maxAddresses)]
+}
+
+func hashOf(service, id string) uint64 { return xxhash.Sum64String(service + "\x00" + id) }
+
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/instance/entry/match.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"strings"
+
+	"knapweedreel/internal/document"
+	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/routing"
+)
+
+// matchService finds the service of a request by its Host header.
+func matchService(snap *routing.Snapshot, host string) (*routing.Service, error) {
+	svc := snap.Hosts[normalHost(host)]
+	if svc == nil {
+		if !snap.Ready {
+			return nil, errkind.New(errkind.NoDocument, "this instance has received no document yet")
+		}
+		return nil, errkind.New(errkind.UnknownService, "no service has the host %q", host)
+	}
+	if svc.Document == nil {
+		return nil, errkind.New(errkind.NoDocument, "this instance has no document of service %s", svc.Name)
+	}
+	if !svc.Served {
+		return nil, errkind.New(errkind.Misdirected, "service %s is served by other instances", svc.Name)
+	}
+	return svc, nil
+}
+
+// normalHost returns a Host header in lower case and without its port.
+func normalHost(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	return strings.ToLower(strings.TrimSuffix(host, "."))
+}
+
+// matchRoute returns the first route that matches the request.
+func matchRoute(doc *document.Document, r *http.Request) (*document.Route, error) {
+	for i := range doc.Routes {
+		rt := &doc.Routes[i]
+		if (rt.Method == "*" || rt.Method == r.Method) && matchPath(rt.Path, r.URL.Path) {
+			return rt, nil
+		}
+	}
+	return nil, errkind.New(errkind.UnknownRoute, "service %s has no route for %s %s", doc.Service, r.Method, r.URL.Path)
+}
+
+func matchPath(pattern, path string) bool {
+	if prefix, ok := strings.CutSuffix(pattern, "*"); ok {
+		return strings.HasPrefix(path, prefix)
+	}
+	return pattern == path
+}
