Verify pooled connections and prove what was sent

A pooled connection is used only when its reader waits with an empty buffer and the operating system holds neither bytes nor an end of it; otherwise an answer nobody asked for could be read as the next one. Writes are counted and can be sealed, so that "not sent" is a proof and not a guess from an error's text. A refusal counts only when it names the request or comes on a connection that has carried no other.

--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -123,7 +123,7 @@
 		MaxConnections: c.upstream.MaxConnections,
 		IdleTimeout:    idleTimeout(e.svc.Document),
 	}
-	ans, trace, err := s.pools.Do(ctx, target, req, e.route.Idempotent)
+	ans, trace, err := s.pools.Do(ctx, upstream.Attempt{Target: target, Request: req, Idempotent: e.route.Idempotent})
 	out := health.Outcome{
 		Upstream: target.Key,
 		Route:    e.route.Method + " " + e.route.Path,
--- a/internal/instance/entry/upstream/attempt.go
+++ b/internal/instance/entry/upstream/attempt.go
@@ -2,22 +2,60 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"slices"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"knapweedreel/internal/errkind"
 )
 
-// HeaderRequestID carries the identity of a request. Upstreams echo it.
-const HeaderRequestID = "Knapweedreel-Request-Id"
+// Headers between the fleet and upstreams.
+const (
+	// HeaderRequestID carries the identity of a request. Upstreams echo it.
+	HeaderRequestID = "Knapweedreel-Request-Id"
+	// HeaderRefused marks a 503 by which an upstream says that it has not run
+	// the request.
+	HeaderRefused = "Knapweedreel-Refused"
+)
+
+// Refusal is the reason of an upstream that has not run a request.
+type Refusal string
+
+// The refusals.
+const (
+	NotRefused Refusal = ""
+	Shed       Refusal = "shed"     // all slots are in use
+	Draining   Refusal = "draining" // the upstream is leaving
+)
+
+// Attempt is one request to one upstream.
+type Attempt struct {
+	Target  Target
+	Request *http.Request // its Body may be an Interrupter
+	// Idempotent allows an older pooled connection, whose close by the upstream
+	// may cross the request.
+	Idempotent bool
+	// FreshOnly makes the attempt open a connection.
+	FreshOnly bool
+	// Silence is the longest time from sending to the end of the answer
+	// header. 0 leaves it to the context.
+	Silence time.Duration
+}
+
+// Interrupter is a request body whose pending and later reads can be made to
+// fail. The transport waits for a pending read before it reports a failure, so
+// a body that cannot be interrupted delays it.
+type Interrupter interface{ Interrupt() }
 
 // Trace tells what is known of an attempt, also of one that failed.
 type Trace struct {
 	Fresh    bool          // the connection was opened for this attempt
 	Sent     bool          // bytes of the request may have been written
 	Received bool          // bytes of an answer were received
+	Local    bool          // failed for lack of a resource of this machine
 	Latency  time.Duration // from sending to the end of the answer header
 }
 
@@ -25,55 +63,151 @@
 // closed.
 type Answer struct {
 	*http.Response
+	// Refused is set when the upstream has provably not run the request.
+	Refused Refusal
 }
 
-// Do makes one attempt: it takes or opens a connection to t, writes req and
-// reads the header of the answer. The context bounds the whole attempt,
-// including the reading of the body. Errors carry an errkind.Kind; the errors
-// of a cancelled context are wrapped and do not.
-func (p *Pools) Do(ctx context.Context, t Target, req *http.Request, idempotent bool) (*Answer, Trace, error) {
-	pl, c, err := p.get(ctx, t, idempotent)
+// errSilent ends an attempt whose answer header takes longer than Silence.
+var errSilent = errors.New("no answer header within the limit")
+
+// Do makes one attempt: it takes or opens a connection, writes the request and
+// reads the header of the answer. It writes the request to at most one
+// connection and never resends it. The context bounds the whole attempt,
+// including the reading of the body.
+//
+// Errors carry an errkind.Kind. When the context has ended, the error also
+// matches its error. When Trace.Sent is false, no byte of the request was
+// written.
+func (p *Pools) Do(ctx context.Context, a Attempt) (*Answer, Trace, error) {
+	pl, c, err := p.get(ctx, a)
 	if err != nil {
-		return nil, Trace{Fresh: true}, err
+		return nil, Trace{Fresh: true, Local: local(err)}, contextFirst(ctx, err)
+	}
+	x := &exchange{pool: pl, conn: c, request: a.Request, trace: Trace{Fresh: c.fresh}}
+	x.written, x.read = c.counted.begin(x.interrupt)
+	x.ctx, x.cancel = context.WithCancelCause(ctx)
+	if ctx.Err() != nil { // the transport would write the request all the same
+		x.fail()
+		return nil, x.trace, contextFirst(ctx, errkind.New(errkind.ConnectFailed, "the context ended before sending"))
+	}
+	ans, err := x.run(a.Silence)
+	if err != nil {
+		x.fail()
+		return nil, x.trace, contextFirst(ctx, err)
+	}
+	return ans, x.trace, nil
+}
+
+// exchange is an attempt on a connection.
+type exchange struct {
+	pool    *pool
+	conn    *conn
+	request *http.Request
+	trace   Trace
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	written int64 // counts of the connection at the start
+	read    int64
+}
+
+// run sends the request and returns the answer. After an error the connection
+// is still open.
+func (x *exchange) run(silence time.Duration) (*Answer, error) {
+	stop := context.AfterFunc(x.ctx, x.interrupt)
+	defer stop()
+	if silence > 0 {
+		t := time.AfterFunc(silence, func() { x.cancel(errSilent) })
+		defer t.Stop()
 	}
-	trace := Trace{Fresh: c.fresh}
-	read, written := c.counted.read.Load(), c.counted.written.Load()
 	started := time.Now()
-	resp, err := c.client.RoundTrip(req.WithContext(ctx))
-	trace.Latency = time.Since(started)
-	trace.Sent = c.counted.wroteSince(written)
-	trace.Received = c.counted.read.Load() != read
+	resp, err := x.conn.client.RoundTrip(x.request.WithContext(x.ctx))
+	x.trace.Latency = time.Since(started)
+	x.trace.Sent = true
+	x.trace.Received = x.conn.counted.receivedSince(x.read)
 	if err != nil {
-		c.close()
-		pl.done()
-		return nil, trace, roundTripError(trace, err)
+		return nil, x.roundTripError(err)
+	}
+	resp.Body = &body{ReadCloser: resp.Body, x: x}
+	ans := &Answer{Response: resp}
+	if err := x.check(ans); err != nil {
+		return nil, err
+	}
+	return ans, nil
+}
+
+// interrupt ends a pending read of the request's body, for which the transport
+// waits when the connection or the context has ended.
+func (x *exchange) interrupt() {
+	if b, ok := x.request.Body.(Interrupter); ok {
+		b.Interrupt()
 	}
-	resp.Body = &body{ReadCloser: resp.Body, pool: pl, conn: c}
-	if err := check(req, resp); err != nil {
-		_ = resp.Body.Close()
-		return nil, trace, err
+}
+
+// fail closes the connection and settles whether anything was sent.
+func (x *exchange) fail() {
+	x.trace.Sent = x.conn.counted.seal(x.written)
+	x.pool.discard(x.conn)
+	x.cancel(nil)
+}
+
+func (x *exchange) roundTripError(err error) error {
+	switch {
+	case errors.Is(context.Cause(x.ctx), errSilent):
+		return errkind.Wrap(errkind.UpstreamSilent, err, "wait for the answer")
+	case !x.conn.counted.seal(x.written):
+		return errkind.Wrap(errkind.ConnectFailed, err, "connection closed before the request was written")
+	case !x.trace.Received:
+		return errkind.Wrap(errkind.UpstreamReset, err, "wait for the answer")
+	case x.conn.counted.hasEnded():
+		return errkind.Wrap(errkind.TruncatedAnswer, err, "read the answer header")
 	}
-	return &Answer{resp}, trace, nil
+	return errkind.Wrap(errkind.BadAnswer, err, "read the answer header")
 }
 
-func roundTripError(trace Trace, err error) error {
-	if trace.Received {
-		return errkind.Wrap(errkind.TruncatedAnswer, err, "answer header")
+// contextFirst makes err match the error of a context that has ended.
+func contextFirst(ctx context.Context, err error) error {
+	if ctx.Err() == nil {
+		return err
 	}
-	return errkind.Wrap(errkind.UpstreamReset, err, "request")
+	return errors.Mark(err, ctx.Err())
 }
 
-// check refuses answers that cannot be passed on as the whole answer to req.
-func check(req *http.Request, resp *http.Response) error {
-	if echo, ok := resp.Header[HeaderRequestID]; ok && (len(echo) != 1 || echo[0] != req.Header.Get(HeaderRequestID)) {
-		return errkind.New(errkind.CrossedAnswer, "answer belongs to request %q", echo)
+// local reports whether a connection failed for lack of descriptors, ports or
+// memory of this machine, which says nothing about the upstream.
+func local(err error) bool {
+	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, e) {
+			return true
+		}
 	}
-	if resp.StatusCode < http.StatusOK {
-		return errkind.New(errkind.BadAnswer, "unexpected status %d", resp.StatusCode)
+	return false
+}
+
+// check refuses answers that cannot be passed on as the whole answer to the
+// request, and recognises refusals.
+func (x *exchange) check(ans *Answer) error {
+	echo, echoed := ans.Header[HeaderRequestID]
+	id := x.request.Header.Get(HeaderRequestID)
+	if echoed && (len(echo) != 1 || echo[0] != id) {
+		return errkind.New(errkind.CrossedAnswer, "the answer belongs to request %q", echo)
 	}
-	if !framed(req, resp) {
-		return errkind.New(errkind.BadAnswer, "answer has neither a length nor chunked framing")
+	if ans.StatusCode < http.StatusOK {
+		return errkind.New(errkind.BadAnswer, "unexpected status %d", ans.StatusCode)
 	}
+	if !framed(x.request, ans.Response) {
+		return errkind.New(errkind.BadAnswer, "the answer has neither a length nor chunked framing")
+	}
+	refused := Refusal(ans.Header.Get(HeaderRefused))
+	if ans.StatusCode != http.StatusServiceUnavailable || refused != Shed && refused != Draining {
+		return nil
+	}
+	// A refusal proves that the request was not run only if it cannot be meant
+	// for another one: it names this request, or no other request was ever sent
+	// on the connection.
+	if !echoed && !x.conn.fresh {
+		return errkind.New(errkind.BadAnswer, "a refusal without request identity on a reused connection")
+	}
+	ans.Refused = refused
 	return nil
 }
 
@@ -86,37 +220,3 @@
 		resp.ContentLength >= 0 ||
 		slices.Contains(resp.TransferEncoding, "chunked")
 }
-
-// body gives the connection back once the answer was read to its end, and
-// closes it otherwise.
-type body struct {
-	io.ReadCloser
-	pool *pool
-	conn *conn
-	end  bool
-	done bool
-}
-
-func (b *body) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		b.end = true
-	}
-	return n, err
-}
-
-func (b *body) Close() error {
-	if b.done {
-		return nil
-	}
-	b.done = true
-	if b.end {
-		_ = b.ReadCloser.Close()
-		b.pool.put(b.conn)
-		return nil
-	}
-	b.conn.close()
-	err := b.ReadCloser.Close()
-	b.pool.done()
-	return err
-}
--- a/internal/instance/entry/upstream/conn.go
+++ b/internal/instance/entry/upstream/conn.go
@@ -4,39 +4,153 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
+	"sync"
+	"syscall"
 	"time"
 )
 
-// countedConn counts the bytes of a connection, so that an attempt knows
-// whether any byte of its request was written.
+// parkLimit is the time given to the reader of a connection to go back to
+// waiting after an answer was read. It only has to be scheduled.
+const parkLimit = 5 * time.Millisecond
+
+// countedConn is a connection that knows what passed through it. An attempt
+// learns from it whether any byte of its request was written, and the pool
+// whether the connection carries bytes that nobody asked for.
 type countedConn struct {
 	net.Conn
-	written atomic.Int64 // bytes accepted by the operating system
-	read    atomic.Int64 // bytes received
-	writing atomic.Int32 // Write calls in progress
+
+	mu       sync.Mutex
+	written  int64         // bytes accepted by the operating system
+	writing  bool          // a Write is in progress
+	sealed   bool          // no further Write is let through
+	received int64         // bytes received
+	ended    bool          // reading failed or reached the end
+	parked   bool          // the reader waits, with an empty buffer
+	onPark   chan struct{} // closed when the reader parks, nil if nobody waits
+	onClose  func()        // called when the connection is closed, may be nil
 }
 
 // Write counts the bytes that were accepted, also when it fails part way.
 func (c *countedConn) Write(p []byte) (int, error) {
-	c.writing.Add(1)
+	c.mu.Lock()
+	if c.sealed {
+		c.mu.Unlock()
+		return 0, net.ErrClosed
+	}
+	c.writing = true
+	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
-	c.written.Add(int64(n))
-	c.writing.Add(-1)
+	c.mu.Lock()
+	c.writing = false
+	c.written += int64(n)
+	c.mu.Unlock()
 	return n, err
 }
 
-// Read counts the bytes received.
+// Read counts the bytes received. The transport calls it only when it has
+// nothing buffered.
 func (c *countedConn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	c.parked = true
+	if c.onPark != nil {
+		close(c.onPark)
+		c.onPark = nil
+	}
+	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
-	c.read.Add(int64(n))
+	c.mu.Lock()
+	c.parked = false
+	c.received += int64(n)
+	c.ended = c.ended || err != nil
+	c.mu.Unlock()
 	return n, err
 }
 
-// wroteSince reports whether bytes may have been written after the count was
-// before. A call in progress counts as written.
-func (c *countedConn) wroteSince(before int64) bool {
-	return c.writing.Load() != 0 || c.written.Load() != before
+// Close closes the connection and tells the attempt that uses it.
+func (c *countedConn) Close() error {
+	c.mu.Lock()
+	f := c.onClose
+	c.mu.Unlock()
+	err := c.Conn.Close()
+	if f != nil {
+		f()
+	}
+	return err
+}
+
+// begin starts an attempt. It returns the counts at its start; onClose is
+// called, possibly several times, when the connection is closed.
+func (c *countedConn) begin(onClose func()) (written, received int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.onClose = onClose
+	return c.written, c.received
+}
+
+// receivedSince reports whether bytes arrived after the count was before.
+func (c *countedConn) receivedSince(before int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.received != before
+}
+
+// hasEnded reports whether reading has failed or reached the end.
+func (c *countedConn) hasEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
+// seal lets no further byte be written and reports whether any was written, or
+// may have been, after the count was before. Its false is a proof.
+func (c *countedConn) seal(before int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.writing || c.written != before
+}
+
+// waitParked waits until the reader waits for the next answer with an empty
+// buffer. It returns false when that takes longer than parkLimit.
+func (c *countedConn) waitParked() bool {
+	c.mu.Lock()
+	if c.parked {
+		c.mu.Unlock()
+		return true
+	}
+	if c.onPark == nil {
+		c.onPark = make(chan struct{})
+	}
+	parked := c.onPark
+	c.mu.Unlock()
+	t := time.NewTimer(parkLimit)
+	defer t.Stop()
+	select {
+	case <-parked:
+		return true
+	case <-t.C:
+		return false
+	}
+}
+
+// silent reports whether the operating system holds neither bytes nor an end
+// of this connection. It does not disturb the reader.
+func (c *countedConn) silent() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	silent := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		silent = err == syscall.EAGAIN
+	})
+	return err == nil && silent
 }
 
 // dialSlot carries the connection from the transport's dial function to the
@@ -65,7 +179,7 @@
 	fresh    bool      // has carried no request before the current one
 }
 
-// open opens a connection. The context bounds only the opening.
+// open opens a connection.
 func (p *Pools) open(ctx context.Context, address string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.cfg.ConnectTimeout)
 	defer cancel()
@@ -77,4 +191,15 @@
 	return &conn{client: cc, counted: slot.conn, fresh: true}, nil
 }
 
-func (c *conn) close() { _ = c.client.Close() }
+// verify reports whether an idle connection may carry a request: it is open,
+// its reader waits for the next answer, and nothing has arrived.
+func (c *conn) verify() bool {
+	return c.counted.waitParked() && c.client.Available() > 0 && c.counted.silent()
+}
+
+// close closes the connection. The transport gives a connection away after a
+// 101 answer and then leaves it open, hence the second call.
+func (c *conn) close() {
+	_ = c.client.Close()
+	_ = c.counted.Close()
+}
--- a/internal/instance/entry/upstream/pool.go
+++ b/internal/instance/entry/upstream/pool.go
@@ -24,53 +24,85 @@
 	closed bool
 }
 
-// get returns a checked idle connection, or opens one.
-func (p *Pools) get(ctx context.Context, t Target, idempotent bool) (*pool, *conn, error) {
-	pl := p.pool(t)
-	maxIdle := t.IdleTimeout
-	if !idempotent {
-		maxIdle = min(maxIdle, verifiedFor)
+// get returns a verified idle connection, or opens one. The caller gives it
+// back with put or discard.
+func (p *Pools) get(ctx context.Context, a Attempt) (*pool, *conn, error) {
+	pl := p.pool(a.Target)
+	youngest := a.Target.IdleTimeout
+	if !a.Idempotent {
+		youngest = min(youngest, verifiedFor)
 	}
-	c, err := pl.take(maxIdle, t.MaxConnections)
-	if err != nil || c != nil {
-		return pl, c, err
+	for !a.FreshOnly {
+		c := pl.takeIdle(youngest, a.Target.IdleTimeout)
+		if c == nil {
+			break
+		}
+		if c.verify() {
+			c.fresh = false
+			return pl, c, nil
+		}
+		pl.discard(c)
 	}
-	c, err = p.open(ctx, t.Address)
+	if !pl.reserve(a.Target.MaxConnections) {
+		return nil, nil, errkind.New(errkind.NoUpstream, "all %d connections to upstream %s are in use",
+			a.Target.MaxConnections, a.Target.Key.Upstream)
+	}
+	c, err := p.open(ctx, a.Target.Address)
 	if err != nil {
-		pl.done()
-		return nil, nil, errkind.Wrap(errkind.ConnectFailed, err, "connect to upstream %s at %s", t.Key.Upstream, t.Address)
+		pl.discard(nil)
+		return nil, nil, errkind.Wrap(errkind.ConnectFailed, err, "connect to upstream %s", a.Target.Key.Upstream)
 	}
 	return pl, c, nil
 }
 
-// take returns an idle connection that was used within maxIdle, or nil when
-// one is to be opened. Either way the caller owns one place in the pool.
-func (pl *pool) take(maxIdle time.Duration, limit int) (*conn, error) {
+// takeIdle returns the idle connection that was used last, if that was within
+// youngest. It closes connections that were idle for longer than idleTimeout.
+func (pl *pool) takeIdle(youngest, idleTimeout time.Duration) *conn {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
-	for len(pl.idle) > 0 {
-		last := len(pl.idle) - 1
-		c := pl.idle[last]
-		pl.idle = pl.idle[:last]
-		if time.Since(c.lastUsed) < maxIdle && c.usable() {
-			c.fresh = false
-			pl.busy++
-			return c, nil
-		}
-		c.close()
-	}
-	if pl.busy >= max(1, limit) {
-		return nil, errkind.New(errkind.NoUpstream, "all %d connections to %s are in use", limit, pl.address)
+	pl.dropIdleLocked(idleTimeout)
+	last := len(pl.idle) - 1
+	if last < 0 || time.Since(pl.idle[last].lastUsed) >= youngest {
+		return nil
 	}
+	c := pl.idle[last]
+	pl.idle = pl.idle[:last]
 	pl.busy++
-	return nil, nil
+	return c
 }
 
-// usable reports whether an idle connection is still open.
-func (c *conn) usable() bool { return c.client.Err() == nil && c.client.Available() > 0 }
+func (pl *pool) dropIdleLocked(idleTimeout time.Duration) {
+	old := 0
+	for old < len(pl.idle) && time.Since(pl.idle[old].lastUsed) >= idleTimeout {
+		pl.idle[old].close()
+		old++
+	}
+	pl.idle = append(pl.idle[:0], pl.idle[old:]...)
+}
 
-// done gives back a place whose connection was closed or never opened.
-func (pl *pool) done() {
+// reserve makes room for a connection that is to be opened. At the limit it
+// closes the idle connection that was used first.
+func (pl *pool) reserve(limit int) bool {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	limit = max(1, limit)
+	if pl.busy >= limit {
+		return false
+	}
+	for pl.busy+len(pl.idle) >= limit {
+		pl.idle[0].close()
+		pl.idle = append(pl.idle[:0], pl.idle[1:]...)
+	}
+	pl.busy++
+	return true
+}
+
+// discard closes a connection that was taken. A nil connection stands for one
+// that could not be opened.
+func (pl *pool) discard(c *conn) {
+	if c != nil {
+		c.close()
+	}
 	pl.mu.Lock()
 	pl.busy--
 	pl.mu.Unlock()
@@ -80,7 +112,7 @@
 func (pl *pool) put(c *conn) {
 	pl.mu.Lock()
 	pl.busy--
-	keep := !pl.closed
+	keep := !pl.closed && c.client.Err() == nil
 	if keep {
 		c.lastUsed = time.Now()
 		pl.idle = append(pl.idle, c)
--- /dev/null
+++ b/internal/instance/entry/upstream/raw_test.go
@@ -0,0 +1,133 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"knapweedreel/internal/health"
+)
+
+// waitLimit is the generous limit for any event a test waits for.
+const waitLimit = 20 * time.Second
+
+// rawUpstream is an upstream that speaks TCP, so that it can end a connection
+// at any byte. It counts the requests whose first byte arrived.
+type rawUpstream struct {
+	t *testing.T
+	l net.Listener
+
+	mu       sync.Mutex
+	conns    int
+	requests int
+	waiters  sync.WaitGroup
+}
+
+// newRaw starts an upstream that serves each connection with serve. The number
+// counts connections from 0.
+func newRaw(t *testing.T, serve func(u *rawUpstream, n int, c *net.TCPConn, br *bufio.Reader)) *rawUpstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &rawUpstream{t: t, l: l}
+	u.waiters.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			u.mu.Lock()
+			n := u.conns
+			u.conns++
+			u.mu.Unlock()
+			u.waiters.Go(func() {
+				defer func() { _ = c.Close() }()
+				_ = c.SetDeadline(time.Now().Add(waitLimit))
+				serve(u, n, c.(*net.TCPConn), bufio.NewReader(c))
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		u.waiters.Wait()
+	})
+	return u
+}
+
+// request waits for the first byte of a request, counts it and reads its
+// header. It returns nil when the connection ends instead.
+func (u *rawUpstream) request(br *bufio.Reader) *http.Request {
+	if _, err := br.Peek(1); err != nil {
+		return nil
+	}
+	u.mu.Lock()
+	u.requests++
+	u.mu.Unlock()
+	req, err := http.ReadRequest(br)
+	if err != nil {
+		return nil
+	}
+	return req
+}
+
+func (u *rawUpstream) counts() (conns, requests int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.conns, u.requests
+}
+
+// answer writes a whole answer that echoes the identity of req.
+func answer(c net.Conn, req *http.Request, status int, header, body string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d Status\r\n%s: %s\r\nContent-Length: %d\r\n%s\r\n%s",
+		status, HeaderRequestID, req.Header.Get(HeaderRequestID), len(body), header, body)
+}
+
+// reset closes c with a TCP reset.
+func reset(c *net.TCPConn) {
+	_ = c.SetLinger(0)
+	_ = c.Close()
+}
+
+// drain reads until the other side closes.
+func drain(br *bufio.Reader) { _, _ = br.WriteTo(discard{}) }
+
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+func (u *rawUpstream) target() Target {
+	return Target{
+		Key:     health.Key{Service: "svc", Upstream: "u1"},
+		Address: u.l.Addr().String(), MaxConnections: 2, IdleTimeout: 10 * time.Second,
+	}
+}
+
+func newPools(t *testing.T) *Pools {
+	p := New(Config{ConnectTimeout: waitLimit, HeaderBytes: 8 << 10})
+	t.Cleanup(p.Close)
+	return p
+}
+
+// get returns an idempotent attempt without a body.
+func (u *rawUpstream) get(id string) Attempt {
+	req, err := http.NewRequest(http.MethodGet, "http://"+u.l.Addr().String()+"/x", nil)
+	if err != nil {
+		u.t.Fatal(err)
+	}
+	req.Header.Set(HeaderRequestID, id)
+	return Attempt{Target: u.target(), Request: req, Idempotent: true}
+}
+
+// testContext returns a context that ends with the test.
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), waitLimit)
+	t.Cleanup(cancel)
+	return ctx
+}
