health: merge evidence with baselines, caps and guards

The score compares two rates. The healthy rate follows the failure rate of the service's upstreams without the worst quarter, so that a fault of the whole service ejects nobody while single faulty upstreams stay visible. A second check compares the scores themselves, because the rate needs about a second to follow a sudden fault.

Evidence carries five more fields. Slow keeps slow answers apart from failures, since their usual rates differ. Old lets a receiver that joins late, or whose link was cut, count recent failures only. Out tells of an ejection: once most peers stopped using an upstream, an instance just below the threshold gets hardly any evidence. Traffic gives the baseline its denominator. FailingCallers names callers of whose requests many fail: without the rate, rare failures of a busy caller at many upstreams would make it look poisonous.

--- /dev/null
+++ b/internal/health/decide.go
@@ -0,0 +1,78 @@
+package health
+
+import (
+	"fmt"
+	"time"
+)
+
+// scoreHalfLife is the time in which a score halves without new evidence. What a
+// peer repeats without new counts is no new evidence. At one failure in 10 s
+// and nothing else, the score still reaches 14.
+const scoreHalfLife = 30 * time.Second
+
+// peersOutShare is the part of the threshold that falls away as peers eject the
+// upstream. Once most peers have stopped using it, hardly any new evidence
+// arrives, and an instance just below the threshold would otherwise go on
+// sending work to it.
+const peersOutShare = 0.5
+
+// minPeersOut is the least number of peers to which that part is related.
+const minPeersOut = 4
+
+// threshold returns the score from which the upstream is ejected here.
+func (e *Engine) threshold(s *service, u *upstream) float64 {
+	out := 0
+	for _, p := range e.peers {
+		if p.seen[u.key].out {
+			out++
+		}
+	}
+	share := float64(out) / float64(max(len(e.peers), minPeersOut))
+	return s.limits.threshold * (1 - peersOutShare*share)
+}
+
+// decide ejects an upstream in service whose score has reached the threshold,
+// unless the evidence points elsewhere.
+func (e *Engine) decide(s *service, u *upstream) {
+	h := s.limits.threshold
+	if u.score() < h*(1-peersOutShare) || u.score() < e.threshold(s, u) {
+		return
+	}
+	worst, slow := u.worst(), u.slow.sum > u.failed.sum
+	if s.isServiceWide(u, slow) || e.isPartition(u) {
+		// The score restarts lower, so that the end of the common fault does
+		// not eject the upstream that happens to be reported last.
+		worst.shrink(h / 2)
+		return
+	}
+	kind := "failures"
+	if slow {
+		kind = "slow answers"
+	}
+	e.eject(s, u, fmt.Sprintf("%d %s seen by %d reporters from %d callers", worst.failures, kind, len(worst.reporters), len(worst.callers)))
+}
+
+// applyTick lets time pass.
+func (e *Engine) applyTick() {
+	passed := time.Duration(0)
+	if !e.ticked.IsZero() {
+		passed = e.now.Sub(e.ticked)
+	}
+	e.ticked = e.now
+	e.updateDoubt()
+	e.rotateOwn()
+	e.eachService(func(s *service) {
+		s.callers.forget(e.now)
+		e.updateBaseline(s)
+		for _, u := range s.upstreams {
+			if u.state == InService {
+				u.failed.shrink(u.failed.sum * decay(passed, scoreHalfLife))
+				u.slow.shrink(u.slow.sum * decay(passed, scoreHalfLife))
+				e.decide(s, u)
+			}
+		}
+		e.expireLeaving(s)
+		e.advance(s)
+		e.holdFloor(s)
+	})
+}
--- a/internal/health/engine.go
+++ b/internal/health/engine.go
@@ -17,7 +17,10 @@
 	peers    map[string]*peer
 	pending  map[Key]leavingSet // of upstreams that no document names yet
 	untold   []Key              // leaving upstreams that peers were not told of
-	changes  []Change           // of the event being applied
+	doubt    doubt
+	ticked   time.Time // time of the last tick
+	rotated  time.Time // when the windows of own counts last moved
+	changes  []Change  // of the event being applied
 }
 
 // service is a service with the document in force.
@@ -28,6 +31,10 @@
 	limits    limits
 	upstreams []*upstream // in the order of the document
 	byID      map[string]*upstream
+	traffic   window // own outcomes
+	baseline  baseline
+	callers   callers
+	routes    routes
 }
 
 // upstream is what this instance knows of one upstream.
@@ -38,10 +45,12 @@
 	since    time.Time // of the state
 	appeared time.Time // start of the cold start
 	leaving  leavingSet
-	failed   score // failures other than slowness
-	slow     score // slow answers
-	own      counts
-	sent     counts
+	failed   score            // failures other than slowness
+	slow     score            // slow answers
+	seen     presence[string] // reporters with traffic to the upstream
+	ownLast  ownLast
+	own      own
+	recent   struct{ failed, slow window } // merged counts for the baseline
 	recovery recovery
 	held     bool // an ejection is held by the floor
 	last     Change
--- a/internal/health/evidence.go
+++ b/internal/health/evidence.go
@@ -5,25 +5,46 @@
 	"time"
 )
 
+// maxPeers bounds the peers whose counts are kept. A shard has fewer than 128
+// instances.
+const maxPeers = 256
+
+// maxSuccessesPerReport bounds the successes of one report. A report after a
+// cut link carries successes of many seconds, which would hide newer failures.
+const maxSuccessesPerReport = 100
+
 // counts are the outcomes that one reporter has seen of one upstream since its
 // boot. Successes are counted only while the upstream is under suspicion, so
 // that a report never carries successes from before the suspicion.
 type counts struct {
-	successes, failures uint64
+	successes uint64
+	failures  uint64 // slow answers included
+	slow      uint64
 }
 
 // peer is what is known of another instance as a reporter.
 type peer struct {
 	boot, sequence uint64
 	region         string
-	seen           map[Key]counts // of upstreams that documents name
+	heard          time.Time
+	seen           map[Key]seen     // of upstreams that documents name
+	traffic        map[string]gauge // by service
 }
 
-// Rates of the two hypotheses that the score compares.
-const (
-	failingRate = 0.2  // p1: a faulty upstream
-	healthyRate = 0.01 // p0: a healthy one
-)
+// seen is the latest report of a peer on one upstream.
+type seen struct {
+	counts
+	out bool // ejected there
+}
+
+// report is what one reporter adds to the evidence of one upstream.
+type report struct {
+	reporter  string
+	callers   []uint64 // among which the failures are spread evenly
+	successes uint64
+	failed    uint64 // slow answers not included
+	slow      uint64
+}
 
 // applyOutcome takes the outcome of an attempt of this instance.
 func (e *Engine) applyOutcome(o Outcome) {
@@ -36,109 +57,165 @@
 		e.holdFloor(s)
 		return
 	}
-	switch o.Class {
-	case OK:
-		if u.suspected() {
-			u.own.successes++
+	if o.Class == Neutral || u.isStale(e.now, o.Latency) {
+		return
+	}
+	slow := o.Class == OK && s.isSlow(o)
+	if o.Class == OK {
+		s.routes.add(o.Route, u.key.Upstream, o.Latency)
+		if slow && e.now.Sub(u.appeared) < s.limits.coldStart {
+			return
 		}
+	}
+	r := report{reporter: e.config.Instance, callers: []uint64{o.Caller}}
+	s.traffic.add(e.now, 1)
+	s.callers.present.add(o.Caller, e.now)
+	switch {
+	case o.Class == OK && !slow:
+		r.successes = 1
+		s.callers.succeed(o.Caller)
+		u.ownLast = ownLast{at: e.now}
 		u.countServed()
-		e.merge(s, u, e.config.Instance, 1, 0, []uint64{o.Caller})
-	case Failed:
-		u.own.failures++
-		e.merge(s, u, e.config.Instance, 0, 1, []uint64{o.Caller})
+	case e.ignoresOwnFailure(o, u):
+		return
+	case slow:
+		r.slow = 1
+	default:
+		r.failed = 1
+	}
+	if r.failed+r.slow > 0 {
+		s.callers.fail(o.Caller, u, e.now)
+		u.own.addFailure(o.Caller, slow)
+	} else if u.suspected() {
+		u.own.now.successes++
 	}
+	e.merge(s, u, r)
 }
 
-// applyPeer takes a peer's cumulative counts.
+// isStale reports whether the attempt says nothing about the upstream's present
+// state: it began before the ejection whose wait is now running or over.
+// Answers to a hung request can arrive as late as its deadline.
+func (u *upstream) isStale(now time.Time, latency time.Duration) bool {
+	began := now.Add(-latency)
+	switch u.state {
+	case Ejected:
+		return now.Sub(u.since) > RecentWindow
+	case Probation:
+		return began.Before(u.since)
+	case Leaves:
+		return true
+	default:
+		return began.Before(u.recovery.ejectedAt)
+	}
+}
+
+// applyPeer takes a peer's cumulative counts. Reports of an earlier boot or an
+// older sequence are ignored.
 func (e *Engine) applyPeer(p PeerEvidence) {
 	known := e.peers[p.Reporter]
+	if known != nil && (p.Boot < known.boot || p.Boot == known.boot && p.Sequence < known.sequence) {
+		return
+	}
 	if known == nil || p.Boot > known.boot {
-		known = &peer{boot: p.Boot, seen: map[Key]counts{}}
+		e.makeRoomForPeer()
+		known = &peer{boot: p.Boot, seen: map[Key]seen{}, traffic: map[string]gauge{}}
 		e.peers[p.Reporter] = known
 	}
-	if p.Boot < known.boot || p.Sequence < known.sequence {
-		return
-	}
-	known.sequence, known.region = p.Sequence, p.Region
+	known.sequence, known.region, known.heard = p.Sequence, p.Region, e.now
 	for _, ev := range p.Evidence {
-		s, u := e.find(ev.Upstream)
-		if u == nil {
-			continue
-		}
-		before := known.seen[ev.Upstream]
-		now := counts{
-			successes: max(before.successes, ev.Successes),
-			failures:  max(before.failures, ev.Failures),
-		}
-		known.seen[ev.Upstream] = now
-		if ev.SelfSuspect {
-			u.failed.drop(p.Reporter)
-			u.slow.drop(p.Reporter)
-			continue
+		if s, u := e.find(ev.Upstream); u != nil {
+			e.applyEvidence(s, u, p.Reporter, known, ev)
 		}
-		e.merge(s, u, p.Reporter, now.successes-before.successes, now.failures-before.failures, ev.Callers)
 	}
 }
 
-func (e *Engine) applyPeerLost(p PeerLost) { delete(e.peers, p.Reporter) }
-
-func (e *Engine) applyPaused(Paused) {}
+// applyEvidence takes one upstream's counts of a peer.
+func (e *Engine) applyEvidence(s *service, u *upstream, reporter string, p *peer, ev Evidence) {
+	before := p.seen[u.key]
+	now := seen{out: ev.Out && !ev.SelfSuspect, counts: counts{
+		successes: max(before.successes, ev.Successes),
+		failures:  max(before.failures, ev.Failures),
+		slow:      max(before.slow, ev.Slow),
+	}}
+	p.seen[u.key] = now
+	p.traffic[s.name] = gauge{value: float64(ev.Traffic), at: e.now}
+	if ev.SelfSuspect {
+		u.failed.drop(reporter)
+		u.slow.drop(reporter)
+	}
+	failures := min(now.failures-before.failures, ev.Failures-min(ev.Old, ev.Failures))
+	slow := min(now.slow-before.slow, failures)
+	r := report{
+		reporter:  reporter,
+		callers:   ev.Callers[:min(len(ev.Callers), MaxCallers)],
+		successes: min(now.successes-before.successes, maxSuccessesPerReport),
+		failed:    failures - slow,
+		slow:      slow,
+	}
+	if ev.SelfSuspect {
+		r.failed, r.slow = 0, 0
+	}
+	if failures > 0 {
+		s.callers.noteElsewhere(u, r.callers, ev.FailingCallers, e.now)
+	}
+	if e.now.Sub(u.appeared) < s.limits.coldStart {
+		r.slow = 0
+	}
+	e.merge(s, u, r)
+}
 
-// applyTick lets time pass.
-func (e *Engine) applyTick() {
-	e.eachService(func(s *service) {
-		e.expireLeaving(s)
-		e.advance(s)
-		e.holdFloor(s)
-	})
+// makeRoomForPeer drops the peer that was silent for the longest time when the
+// table is full.
+func (e *Engine) makeRoomForPeer() {
+	if len(e.peers) < maxPeers {
+		return
+	}
+	oldest := ""
+	for _, name := range sortedKeys(e.peers) {
+		if oldest == "" || e.peers[name].heard.Before(e.peers[oldest].heard) {
+			oldest = name
+		}
+	}
+	delete(e.peers, oldest)
 }
 
-// merge takes new counts of one reporter.
-func (e *Engine) merge(s *service, u *upstream, reporter string, successes, failures uint64, callers []uint64) {
+// applyPeerLost forgets a peer's counts. What it reported stays in the scores,
+// where it decays.
+func (e *Engine) applyPeerLost(p PeerLost) { delete(e.peers, p.Reporter) }
+
+// merge adds a report to the upstream's evidence and decides.
+func (e *Engine) merge(s *service, u *upstream, r report) {
+	if r.successes+r.failed+r.slow == 0 {
+		return
+	}
+	u.seen.add(r.reporter, e.now)
+	callers := e.soundCallers(s, u, &r)
+	u.recent.failed.add(e.now, float64(r.failed))
+	u.recent.slow.add(e.now, float64(r.slow))
 	switch u.state {
 	case Probation:
-		e.probationOutcomes(s, u, reporter, successes, failures)
+		e.probationOutcomes(s, u, r)
 	case InService:
-		for i := range failures {
-			caller := uint64(0)
-			if len(callers) > 0 {
-				caller = callers[i%uint64(len(callers))]
-			}
-			u.failed.fail(e.now, blow{reporter, caller, math.Log(failingRate / healthyRate), math.Inf(1), math.Inf(1)})
-		}
-		u.failed.succeed(successes, math.Log((1-failingRate)/(1-healthyRate)))
-		if u.score() >= s.limits.threshold {
-			e.eject(s, u, "")
+		h := s.limits.threshold
+		b := blow{
+			reporter:    r.reporter,
+			reporterCap: u.reporterCap(h, e.now),
+			callerCap:   s.callers.cap(h, e.now),
 		}
+		u.failed.take(e.now, b, s.baseline.failed, callers, r.failed, r.successes+r.slow)
+		u.slow.take(e.now, b, s.baseline.slow, callers, r.slow, r.successes)
+		e.decide(s, u)
 	}
 }
 
-// suspected reports whether peers should know of successes.
-func (u *upstream) suspected() bool {
-	return u.score() > 0 || u.state == Probation
-}
-
-// Outgoing returns the evidence to send to the shard's peers now: upstreams
-// with new failures, and upstreams under suspicion with new successes. It is
-// called after every Tick, so that each upstream is reported at most once per
-// TickInterval.
-func (e *Engine) Outgoing(now time.Time) []Evidence {
-	if now.After(e.now) {
-		e.now = now
-	}
-	var out []Evidence
-	e.eachService(func(s *service) {
-		for _, u := range s.upstreams {
-			if u.own == u.sent {
-				continue
-			}
-			u.sent = u.own
-			out = append(out, Evidence{
-				Upstream:  u.key,
-				Successes: u.own.successes,
-				Failures:  u.own.failures,
-			})
+// take adds failures, spread over the callers, and then successes.
+func (s *score) take(now time.Time, b blow, rates rates, callers []uint64, failures, successes uint64) {
+	b.ratio = math.Log(rates.faulty / rates.healthy)
+	for i := range min(failures, maxShares) {
+		if len(callers) > 0 {
+			b.caller = callers[i%uint64(len(callers))]
 		}
-	})
-	return out
+		s.fail(now, b)
+	}
+	s.succeed(successes, math.Log((1-rates.faulty)/(1-rates.healthy)))
 }
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -52,8 +52,24 @@
 	Failures    uint64   `json:"failures" cbor:"3,keyasint"`     // slow answers included
 	Callers     []uint64 `json:"callers" cbor:"4,keyasint"`      // distinct callers of recent failures, at most MaxCallers
 	SelfSuspect bool     `json:"self_suspect" cbor:"5,keyasint"` // the reporter doubts itself
+	Slow        uint64   `json:"slow" cbor:"6,keyasint"`         // slow answers among Failures
+	// Old is the part of Failures that is older than RecentWindow. A receiver
+	// that joins, or whose link was cut, counts only newer failures.
+	Old uint64 `json:"old" cbor:"7,keyasint"`
+	// Out says that the upstream is ejected at the reporter.
+	Out bool `json:"out" cbor:"8,keyasint"`
+	// Traffic is the reporter's number of outcomes in the last RecentWindow at
+	// all upstreams of the service.
+	Traffic uint64 `json:"traffic" cbor:"9,keyasint"`
+	// FailingCallers are those among Callers of whose requests many fail at
+	// the reporter.
+	FailingCallers []uint64 `json:"failing_callers" cbor:"10,keyasint"`
 }
 
+// RecentWindow is the age up to which failures count for a receiver that has
+// not seen the reporter's earlier counts. It is longer than a report takes.
+const RecentWindow = 2 * time.Second
+
 // MaxCallers bounds Evidence.Callers.
 const MaxCallers = 8
 
--- a/internal/health/recovery.go
+++ b/internal/health/recovery.go
@@ -94,13 +94,14 @@
 }
 
 // probationOutcomes takes new counts of an upstream in probation.
-func (e *Engine) probationOutcomes(s *service, u *upstream, reporter string, successes, failures uint64) {
+func (e *Engine) probationOutcomes(s *service, u *upstream, r report) {
 	p := &u.recovery.probation
+	successes, failures := r.successes, r.failed+r.slow
 	p.successes += successes
 	p.outcomes += successes + failures
 	switch {
 	case failures > 0:
-		e.takeOut(s, u, RuleProbationFailed, "failure seen by "+reporter)
+		e.takeOut(s, u, RuleProbationFailed, "failure seen by "+r.reporter)
 	case p.successes >= probationSuccesses:
 		e.passProbation(s, u, fmt.Sprintf("%d successes", p.successes))
 	}
--- a/internal/health/score.go
+++ b/internal/health/score.go
@@ -25,6 +25,9 @@
 // overflowCaller stands for the callers beyond maxShares.
 const overflowCaller = 0
 
+// negligible is the score that counts as none.
+const negligible = 1e-3
+
 // minScale is the scale at which the shares are stored anew, before the
 // division loses precision.
 const minScale = 1e-6
@@ -75,7 +78,7 @@
 	if to >= s.sum {
 		return
 	}
-	if to <= 1e-3 {
+	if to <= negligible {
 		s.reset()
 		return
 	}
@@ -100,7 +103,7 @@
 	}
 	rest := s.sum - share
 	delete(s.reporters, reporter)
-	if rest <= 1e-3 {
+	if rest <= negligible {
 		s.reset()
 		return
 	}
@@ -110,6 +113,25 @@
 	s.sum = rest
 }
 
+// dropCaller takes a caller's share out. Reporters lose alike, since the score
+// does not know whose reports the caller's failures came with.
+func (s *score) dropCaller(caller uint64) {
+	share := s.callers[caller] * s.scale
+	if share == 0 {
+		return
+	}
+	rest := s.sum - share
+	delete(s.callers, caller)
+	if rest <= negligible {
+		s.reset()
+		return
+	}
+	for r := range s.reporters {
+		s.reporters[r] *= rest / s.sum
+	}
+	s.sum = rest
+}
+
 func (s *score) reset() { *s = score{} }
 
 // reporterNames returns the reporters with failures, sorted.
