--- /dev/null
+++ b/internal/instance/control/antientropy.go
@@ -0,0 +1,53 @@
+package control
+
+import (
+	"iter"
+	"maps"
+	"slices"
+
+	"knapweedreel/internal/member"
+	"knapweedreel/internal/wire"
+)
+
+// synchronize compares the digest with one random linked peer's and exchanges
+// revisions when they differ. While documents are unchecked it asks anyway.
+func (l *Loop) synchronize() {
+	peers := l.sample(slices.Sorted(l.linkedIDs()), 1)
+	if len(peers) == 0 {
+		return
+	}
+	if !l.ready.done || l.links[peers[0]].digest != l.documents.digest {
+		l.askRevisions(peers[0])
+	}
+}
+
+func (l *Loop) linkedIDs() iter.Seq[string] { return maps.Keys(l.links) }
+
+// askRevisions sends the own revisions and asks for the receivers'.
+func (l *Loop) askRevisions(ids ...string) {
+	if len(ids) == 0 {
+		return
+	}
+	revisions := l.documents.revisions()
+	for _, id := range ids {
+		l.send(id, wire.Message{RevisionVector: &wire.RevisionVector{Revisions: revisions, Reply: true}})
+	}
+}
+
+// receiveRevisions answers a peer's revisions with the documents of which this
+// instance has a higher one and, if asked, with its own revisions.
+func (l *Loop) receiveRevisions(from string, v *wire.RevisionVector) {
+	for _, service := range slices.Sorted(maps.Keys(l.documents.byService)) {
+		f := l.documents.byService[service]
+		if f.envelope.Revision > v.Revisions[service] {
+			l.send(from, wire.Message{DocumentPush: &wire.DocumentPush{Envelope: f.envelope}})
+		}
+	}
+	if v.Reply {
+		l.send(from, wire.Message{RevisionVector: &wire.RevisionVector{Revisions: l.documents.revisions()}})
+	}
+	if row, ok := l.table.Row(from); ok && row.State != member.Starting {
+		l.ready.heard(v.Revisions)
+		l.checkReady()
+	}
+}
--- /dev/null
+++ b/internal/instance/control/heartbeat.go
@@ -0,0 +1,91 @@
+package control
+
+import (
+	"time"
+
+	"knapweedreel/internal/health"
+	"knapweedreel/internal/instance/platform"
+	"knapweedreel/internal/member"
+	"knapweedreel/internal/wire"
+)
+
+// Bounds that keep messages below wire.MaxFrame.
+const (
+	maxInFlight = 512 // upstreams in a heartbeat
+	maxEvidence = 128 // upstreams in an evidence message
+)
+
+// SetInFlight gives the source of the entry's requests in flight.
+func (l *Loop) SetInFlight(source func() []wire.InFlight) { l.inFlight.Store(&source) }
+
+// heartbeat sends a heartbeat on every link.
+func (l *Loop) heartbeat(time.Time) {
+	l.self.Sequence++
+	l.table.SetSelf(l.self)
+	for id := range l.links {
+		l.send(id, l.heartbeatFor(id))
+	}
+}
+
+// heartbeatFor returns a heartbeat for a peer. Only peers of the own shard
+// share upstreams, so only they get requests in flight.
+func (l *Loop) heartbeatFor(id string) wire.Message {
+	h := &wire.Heartbeat{Info: l.self, Digest: l.documents.digest}
+	if held := l.holder.Load(); held != nil && held.own {
+		h.Holder = &held.holder
+	}
+	shards := l.table.Shards()
+	if source := l.inFlight.Load(); source != nil && member.ShardOf(id, shards) == member.ShardOf(l.self.ID, shards) {
+		h.InFlight = (*source)()
+		h.InFlight = h.InFlight[:min(len(h.InFlight), maxInFlight)]
+	}
+	return wire.Message{Heartbeat: h}
+}
+
+func (l *Loop) receiveHeartbeat(now time.Time, from string, h *wire.Heartbeat) {
+	l.merge(now, h.Info)
+	l.noteHolder(now, from, h.Holder)
+	k, ok := l.links[from]
+	if !ok {
+		return
+	}
+	inFlight := make(map[health.Key]uint32, len(h.InFlight))
+	for _, f := range h.InFlight {
+		inFlight[f.Upstream] = f.Count
+	}
+	l.setInFlight(k, inFlight)
+	k.digest = h.Digest
+	if !k.heard && k.digest != l.documents.digest {
+		l.askRevisions(from)
+	}
+	k.heard = true
+}
+
+// sendEvidence sends the evidence that is due to the peers of the own shard.
+func (l *Loop) sendEvidence(now time.Time) {
+	evidence := l.engine.Outgoing(now)
+	if len(evidence) == 0 {
+		return
+	}
+	peers := l.shardLinks()
+	for len(evidence) > 0 {
+		n := min(len(evidence), maxEvidence)
+		for _, id := range peers {
+			l.send(id, wire.Message{Evidence: &wire.Evidence{Region: l.self.Region, Evidence: evidence[:n]}})
+		}
+		evidence = evidence[n:]
+	}
+}
+
+func (l *Loop) receiveEvidence(now time.Time, m *wire.Message) {
+	l.feed(now, health.Event{Peer: &health.PeerEvidence{
+		Reporter: m.Sender, Boot: m.Boot, Sequence: m.Sequence,
+		Region: m.Evidence.Region, Evidence: m.Evidence.Evidence,
+	}})
+}
+
+func (l *Loop) receiveDocument(now time.Time, from string, p *wire.DocumentPush) {
+	// A refusal is logged by offer; the link of the sender stays up, as the
+	// sender may only have passed the document on.
+	_ = l.offer(now, p.Envelope, platform.SourcePeer, from)
+}
--- /dev/null
+++ b/internal/instance/control/links.go
@@ -0,0 +1,165 @@
+package control
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"knapweedreel/internal/health"
+	"knapweedreel/internal/member"
+	"knapweedreel/internal/wire"
+)
+
+// link is what is known of a peer to which a link is up.
+type link struct {
+	digest   uint64
+	inFlight map[health.Key]uint32
+	heard    bool // a heartbeat has arrived on this link
+}
+
+// LinkUp says that a link to the member is up and authenticated.
+func (l *Loop) LinkUp(info member.Info) { l.post(linkUp{info}) }
+
+// LinkDown says that the last link to the member is gone.
+func (l *Loop) LinkDown(id string) { l.post(linkDown{id}) }
+
+// Message hands over a message of an authenticated member.
+func (l *Loop) Message(from string, m wire.Message) { l.post(received{from, m}) }
+
+type linkUp struct{ info member.Info }
+
+func (e linkUp) apply(l *Loop, now time.Time) {
+	id := e.info.ID
+	if _, ok := l.links[id]; !ok {
+		l.links[id] = &link{}
+	}
+	l.merge(now, e.info)
+	l.send(id, l.heartbeatFor(id))
+	if !l.ready.done {
+		l.askRevisions(id)
+	}
+}
+
+type linkDown struct{ id string }
+
+func (e linkDown) apply(l *Loop, _ time.Time) {
+	if k, ok := l.links[e.id]; ok {
+		l.setInFlight(k, nil)
+		delete(l.links, e.id)
+	}
+}
+
+// setInFlight replaces a peer's requests in flight and marks the services whose
+// numbers differ.
+func (l *Loop) setInFlight(k *link, inFlight map[health.Key]uint32) {
+	for key, n := range inFlight {
+		if k.inFlight[key] != n {
+			l.publisher.service(key.Service, false)
+		}
+	}
+	for key := range k.inFlight {
+		if _, ok := inFlight[key]; !ok {
+			l.publisher.service(key.Service, false)
+		}
+	}
+	k.inFlight = inFlight
+}
+
+// peerInFlight returns the requests in flight of all linked peers at an
+// upstream.
+func (l *Loop) peerInFlight(key health.Key) int {
+	n := 0
+	for _, k := range l.links {
+		n += int(k.inFlight[key])
+	}
+	return n
+}
+
+// send completes a message and queues it for a peer.
+func (l *Loop) send(id string, m wire.Message) {
+	l.sequence++
+	m.Version = wire.Version
+	m.Sender = l.self.ID
+	m.Boot = l.self.Boot
+	m.Sequence = l.sequence
+	l.cfg.Peers.Send(id, m)
+}
+
+// shardLinks returns the linked live members of the own shard, in order.
+func (l *Loop) shardLinks() []string {
+	shards := l.table.Shards()
+	own := member.ShardOf(l.self.ID, shards)
+	var out []string
+	for id := range l.links {
+		if member.ShardOf(id, shards) == own {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// chooseLinks tells peering to which members links are to be kept: all of the
+// own shard, and Fanout random others so that documents reach every shard.
+func (l *Loop) chooseLinks() {
+	rows := l.table.Rows()
+	shards := l.table.Shards()
+	own := member.ShardOf(l.self.ID, shards)
+	var want []member.Info
+	others := make(map[string]member.Info)
+	for _, row := range rows {
+		switch {
+		case row.ID == l.self.ID || row.PeerAddress == "":
+		case member.ShardOf(row.ID, shards) == own:
+			want = append(want, row.Info)
+		case row.Presence != member.Lost:
+			others[row.ID] = row.Info
+		}
+	}
+	maps.DeleteFunc(l.chosen, func(id string, _ bool) bool { _, ok := others[id]; return !ok })
+	var fresh []string
+	for _, id := range slices.Sorted(maps.Keys(others)) {
+		if !l.chosen[id] {
+			fresh = append(fresh, id)
+		}
+	}
+	for _, id := range l.sample(fresh, max(Fanout-len(l.chosen), 0)) {
+		l.chosen[id] = true
+	}
+	for _, id := range slices.Sorted(maps.Keys(l.chosen)) {
+		want = append(want, others[id])
+	}
+	l.cfg.Peers.Connect(want)
+}
+
+type received struct {
+	from    string
+	message wire.Message
+}
+
+func (e received) apply(l *Loop, now time.Time) {
+	m := &e.message
+	if row, ok := l.table.Row(e.from); ok && m.Boot < row.Boot {
+		l.cfg.Log.Debug("message_of_earlier_boot", zap.String("member", e.from))
+		return
+	}
+	l.table.Touch(e.from, m.Boot, now)
+	switch {
+	case m.Hello != nil:
+		l.merge(now, *m.Hello)
+	case m.Heartbeat != nil:
+		l.receiveHeartbeat(now, e.from, m.Heartbeat)
+	case m.Evidence != nil:
+		l.receiveEvidence(now, m)
+	case m.Leaving != nil:
+		l.receiveLeaving(now, e.from, m.Leaving)
+	case m.DocumentPush != nil:
+		l.receiveDocument(now, e.from, m.DocumentPush)
+	case m.RevisionVector != nil:
+		l.receiveRevisions(e.from, m.RevisionVector)
+	case m.AuditEvents != nil:
+		l.receiveAudits(m.AuditEvents)
+	}
+}
--- /dev/null
+++ b/internal/instance/control/members.go
@@ -0,0 +1,149 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"knapweedreel/internal/audit"
+	"knapweedreel/internal/health"
+	"knapweedreel/internal/member"
+	"knapweedreel/internal/store"
+	"knapweedreel/internal/wire"
+)
+
+// Self returns what this instance says of itself at the moment.
+func (l *Loop) Self() member.Info { return l.Snapshot().Self }
+
+// merge takes in what a peer said of itself.
+func (l *Loop) merge(now time.Time, info member.Info) {
+	l.transitions(now, l.table.Merge(info, now))
+}
+
+// expireMembers drops the evidence and slots of members that went silent.
+func (l *Loop) expireMembers(now time.Time) {
+	lost := l.table.Expire(now)
+	for _, t := range lost {
+		l.feed(now, health.Event{PeerLost: &health.PeerLost{Reporter: t.Member.ID}})
+		l.peerLostLeavings(now, t.Member.ID)
+	}
+	l.transitions(now, lost)
+}
+
+func (l *Loop) transitions(now time.Time, ts []member.Transition) {
+	for _, t := range ts {
+		l.publisher.members(false)
+		l.cfg.Log.Info("member_state",
+			zap.String("member", t.Member.ID), zap.Uint64("boot", t.Member.Boot),
+			zap.String("from", string(t.From)), zap.String("to", string(t.To)), zap.String("state", string(t.State)))
+		if l.recordsMembers() {
+			l.record(memberRecord(now, l.self.ID, t))
+		}
+	}
+}
+
+// recordsMembers reports whether this instance writes membership changes to the
+// audit trail. Every peer of a shard sees them, and one record is enough: the
+// lease holder writes it or, while none is known, the live member of the shard
+// with the smallest ID.
+func (l *Loop) recordsMembers() bool {
+	if h := l.Holder(); h != nil {
+		return h.Instance == l.self.ID
+	}
+	shards := l.table.Shards()
+	own := member.ShardOf(l.self.ID, shards)
+	for _, row := range l.table.Rows() {
+		if row.Presence == member.Live && member.ShardOf(row.ID, shards) == own {
+			return row.ID == l.self.ID
+		}
+	}
+	return false
+}
+
+// Listed hands over the platform's list of instances.
+func (l *Loop) Listed(instances []store.Instance) { l.post(listed{instances}) }
+
+type listed struct{ instances []store.Instance }
+
+func (e listed) apply(l *Loop, now time.Time) {
+	var members []member.Info
+	leaving := make(map[health.Key]bool)
+	for _, i := range e.instances {
+		switch {
+		case i.Role == store.RoleEntry:
+			members = append(members, listedInfo(i))
+		case i.Role == store.RoleUpstream && i.State == store.StateLeaving:
+			leaving[health.Key{Service: i.Service, Upstream: i.ID}] = true
+		}
+	}
+	l.table.Listed(members, now)
+	l.publisher.members(false)
+	l.setListedLeaving(now, leaving)
+	l.chooseLinks()
+}
+
+func listedInfo(i store.Instance) member.Info {
+	state := member.Active
+	if i.State == store.StateLeaving {
+		state = member.Leaving
+	}
+	return member.Info{
+		ID: i.ID, EntryAddress: i.Address, PeerAddress: i.PeerAddress, AdminAddress: i.AdminAddress,
+		Region: i.Region, FailureDomain: i.FailureDomain, State: state,
+	}
+}
+
+// Leave announces the planned stop of this instance to all linked peers.
+func (l *Loop) Leave(ctx context.Context) error {
+	done := make(chan struct{})
+	if err := l.submit(ctx, leaveEvent{done}); err != nil {
+		return err
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-l.stopped:
+		return ErrStopped
+	}
+}
+
+type leaveEvent struct{ done chan<- struct{} }
+
+func (e leaveEvent) apply(l *Loop, _ time.Time) {
+	l.setState(member.Leaving)
+	close(e.done)
+}
+
+// setState announces a new state of this instance. A leaving instance stays so.
+func (l *Loop) setState(s member.State) {
+	if l.self.State == s || l.self.State == member.Leaving {
+		return
+	}
+	l.self.State = s
+	l.self.Sequence++
+	l.table.SetSelf(l.self)
+	l.publisher.members(true)
+	info := l.self
+	for id := range l.links {
+		l.send(id, wire.Message{Hello: &info})
+	}
+	l.cfg.Log.Info("own_state", zap.String("state", string(s)))
+	l.record(audit.Record{
+		Time: l.cfg.Clock.Now(), Instance: l.self.ID, Kind: audit.KindMember,
+		Subject: l.self.ID, Action: string(s),
+	})
+}
+
+func memberRecord(now time.Time, instance string, t member.Transition) audit.Record {
+	action := string(t.To)
+	if t.To == member.Live {
+		action = string(t.State)
+	}
+	return audit.Record{
+		Time: now, Instance: instance, Kind: audit.KindMember,
+		Subject: t.Member.ID, Action: action, Rule: "from " + string(t.From),
+	}
+}
--- /dev/null
+++ b/internal/instance/control/metrics.go
@@ -0,0 +1,61 @@
+package control
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"knapweedreel/internal/health"
+	"knapweedreel/internal/member"
+)
+
+type metrics struct {
+	scope           tally.Scope
+	outcomesDropped tally.Counter
+	auditDropped    tally.Counter
+	traceDropped    tally.Counter
+	documents       tally.Counter
+	refused         tally.Counter
+	conflicts       tally.Counter
+	stale           tally.Counter
+	pauses          tally.Counter
+	snapshots       tally.Counter
+	members         tally.Gauge
+	links           tally.Gauge
+	audits          tally.Gauge
+}
+
+func newMetrics(s tally.Scope) metrics {
+	return metrics{
+		scope:           s,
+		outcomesDropped: s.Counter("outcomes_dropped"),
+		auditDropped:    s.Counter("audit_dropped"),
+		traceDropped:    s.Counter("trace_dropped"),
+		documents:       s.Counter("documents_applied"),
+		refused:         s.Counter("documents_refused"),
+		conflicts:       s.Counter("document_conflicts"),
+		stale:           s.Counter("store_stale"),
+		pauses:          s.Counter("process_pauses"),
+		snapshots:       s.Counter("snapshots"),
+		members:         s.Gauge("members_live"),
+		links:           s.Gauge("links"),
+		audits:          s.Gauge("audit_queued"),
+	}
+}
+
+func (m *metrics) decision(c health.Change) {
+	m.scope.Tagged(map[string]string{"rule": string(c.Rule)}).Counter("decisions").Inc(1)
+}
+
+// observe updates the gauges.
+func (m *metrics) observe(l *Loop, _ time.Time) {
+	live := 0
+	for _, row := range l.table.Rows() {
+		if row.Presence == member.Live {
+			live++
+		}
+	}
+	m.members.Update(float64(live))
+	m.links.Update(float64(len(l.links)))
+	m.audits.Update(float64(len(l.audits.records)))
+}
--- /dev/null
+++ b/internal/instance/control/snapshot.go
@@ -0,0 +1,177 @@
+package control
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"knapweedreel/internal/document"
+	"knapweedreel/internal/health"
+	"knapweedreel/internal/member"
+	"knapweedreel/internal/routing"
+)
+
+// publisher notes what the next snapshot has to rebuild.
+type publisher struct {
+	dirty    bool
+	urgent   bool
+	fleet    bool            // members or readiness
+	services map[string]bool // services whose upstreams changed
+	shares   map[string]share
+	last     time.Time
+}
+
+// share is this instance's part of a service's upstreams, by upstream ID.
+type share struct {
+	revision    uint64
+	homeSlots   map[string]int
+	connections map[string]int
+}
+
+func newPublisher() publisher {
+	return publisher{services: make(map[string]bool), shares: make(map[string]share)}
+}
+
+func (p *publisher) service(name string, urgent bool) {
+	p.services[name] = true
+	p.dirty = true
+	p.urgent = p.urgent || urgent
+}
+
+func (p *publisher) members(urgent bool) {
+	p.fleet = true
+	p.dirty = true
+	p.urgent = p.urgent || urgent
+}
+
+func (p *publisher) all(urgent bool) { p.members(urgent) }
+
+type publishEvent struct{}
+
+func (publishEvent) apply(*Loop, time.Time) {}
+
+// settle publishes what has changed: at once when it is urgent, else at most
+// every PublishInterval.
+func (l *Loop) settle(now time.Time) {
+	p := &l.publisher
+	if p.dirty && (p.urgent || now.Sub(p.last) >= PublishInterval) {
+		l.publish(now)
+	}
+}
+
+// Snapshot returns the current routing snapshot, never nil.
+func (l *Loop) Snapshot() *routing.Snapshot { return l.snapshot.Load() }
+
+// publish builds a snapshot aside and swaps it in. Services that did not change
+// are shared with the previous one.
+func (l *Loop) publish(now time.Time) {
+	p := &l.publisher
+	next := &routing.Snapshot{
+		Built: now, Self: l.self, Ready: l.ready.done, Shards: l.table.Shards(),
+		Services: make(map[string]*routing.Service, len(l.documents.byService)),
+		Hosts:    make(map[string]*routing.Service, len(l.documents.byService)),
+	}
+	previous := l.snapshot.Load()
+	if previous != nil {
+		next.Sequence = previous.Sequence + 1
+		next.Members = previous.Members
+		maps.Copy(next.Services, previous.Services)
+	}
+	if p.fleet || previous == nil {
+		next.Members = l.routingMembers()
+		l.followShards(now, next.Shards)
+		clear(p.shares)
+		for name := range l.documents.byService {
+			p.services[name] = true
+		}
+	}
+	present := l.presentMembers(now)
+	for name := range p.services {
+		if f, ok := l.documents.byService[name]; ok {
+			next.Services[name] = l.routingService(f, present, next.Shards)
+		}
+	}
+	for _, name := range slices.Backward(slices.Sorted(maps.Keys(next.Services))) {
+		for _, host := range next.Services[name].Document.Hosts {
+			next.Hosts[strings.ToLower(host)] = next.Services[name]
+		}
+	}
+	l.snapshot.Store(next)
+	l.metrics.snapshots.Inc(1)
+	clear(p.services)
+	p.dirty, p.urgent, p.fleet, p.last = false, false, false, now
+}
+
+func (l *Loop) routingMembers() []routing.Member {
+	rows := l.table.Rows()
+	out := make([]routing.Member, 0, len(rows))
+	for _, row := range rows {
+		out = append(out, routing.Member{Info: row.Info, Live: row.Presence == member.Live})
+	}
+	return out
+}
+
+// presentMembers returns the members of the own shard that share slots and
+// connections, in the order of their IDs.
+func (l *Loop) presentMembers(now time.Time) []string {
+	shards := l.table.Shards()
+	own := member.ShardOf(l.self.ID, shards)
+	var out []string
+	for _, row := range l.table.Rows() {
+		if member.ShardOf(row.ID, shards) == own && l.table.Present(row, now) {
+			out = append(out, row.ID)
+		}
+	}
+	return out
+}
+
+func (l *Loop) routingService(f *inForce, present []string, shards int) *routing.Service {
+	name := f.envelope.Service
+	s := &routing.Service{
+		Name: name, Revision: f.envelope.Revision, Document: f.parsed,
+		Served: l.serves(name, shards),
+	}
+	if !s.Served {
+		return s
+	}
+	part := l.shareOf(f, present)
+	views := make(map[string]health.View, len(f.parsed.Upstreams))
+	for _, v := range l.engine.Views(name) {
+		views[v.Upstream.Upstream] = v
+	}
+	s.Upstreams = make([]routing.Upstream, 0, len(f.parsed.Upstreams))
+	for _, u := range f.parsed.Upstreams {
+		v := views[u.ID]
+		s.Upstreams = append(s.Upstreams, routing.Upstream{
+			Upstream: u, State: v.State, Weight: v.Weight,
+			HomeSlots: part.homeSlots[u.ID], MaxConnections: part.connections[u.ID],
+			PeerInFlight: l.peerInFlight(health.Key{Service: name, Upstream: u.ID}),
+		})
+	}
+	return s
+}
+
+// shareOf returns this instance's part of the upstreams. It is computed again
+// only when the document or the members changed.
+func (l *Loop) shareOf(f *inForce, present []string) share {
+	name := f.envelope.Service
+	if s, ok := l.publisher.shares[name]; ok && s.revision == f.envelope.Revision {
+		return s
+	}
+	s := share{
+		revision:    f.envelope.Revision,
+		homeSlots:   l.cfg.HomeSlots(l.self.ID, present, f.parsed.Upstreams),
+		connections: connections(f.parsed.Upstreams, len(present)),
+	}
+	l.publisher.shares[name] = s
+	return s
+}
+
+func connections(upstreams []document.Upstream, members int) map[string]int {
+	out := make(map[string]int, len(upstreams))
+	for _, u := range upstreams {
+		out[u.ID] = max(1, u.Connections/max(members, 1))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/instance/peering/dialer.go
@@ -0,0 +1,139 @@
+package peering
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+// dialLocked starts the dialer of a wanted member if there is none.
+func (n *Node) dialLocked(id string) {
+	p := n.peerLocked(id)
+	if n.run == nil || p.cancel != nil {
+		return
+	}
+	r := n.run
+	ctx, cancel := context.WithCancel(r.ctx)
+	p.cancel = cancel
+	r.wg.Add(1)
+	go func() {
+		defer r.wg.Done()
+		defer cancel()
+		n.keep(ctx, r, id, p)
+	}()
+}
+
+// keep opens a link to a member whenever there is none, until ctx ends. The
+// member with the smaller ID dials at once, the other after the grace.
+func (n *Node) keep(ctx context.Context, r *run, id string, p *peer) {
+	backoff := MinBackoff
+	for ctx.Err() == nil {
+		if n.linked(p) {
+			backoff = MinBackoff
+			wait(ctx, p.changed, IdleTimeout)
+			continue
+		}
+		if n.cfg.ID > id && n.waitForPeer(ctx, p) {
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if err := n.dial(ctx, r, id); err != nil && ctx.Err() == nil {
+			n.metrics.failures.Inc(1)
+			n.cfg.Log.Debug("peer_dial_failed", zap.String("member", id), zap.Error(err))
+		}
+		if n.linked(p) {
+			continue
+		}
+		wait(ctx, nil, jittered(backoff, n.cfg.Jitter()))
+		backoff = min(2*backoff, MaxBackoff)
+	}
+}
+
+// waitForPeer waits until the member has dialed, at most for the grace, and
+// reports whether it has.
+func (n *Node) waitForPeer(ctx context.Context, p *peer) bool {
+	deadline := time.Now().Add(n.cfg.dialGrace())
+	for ctx.Err() == nil && time.Now().Before(deadline) {
+		wait(ctx, p.changed, time.Until(deadline))
+		if n.linked(p) {
+			return true
+		}
+	}
+	return false
+}
+
+// dial opens a connection to a member. The link is served in a goroutine of its
+// own; dial returns when the link is up or failed.
+func (n *Node) dial(ctx context.Context, r *run, id string) error {
+	n.metrics.dials.Inc(1)
+	n.mu.Lock()
+	info, ok := n.wanted[id]
+	n.mu.Unlock()
+	if !ok {
+		return errors.New("member is no longer wanted")
+	}
+	address, err := netip.ParseAddrPort(info.PeerAddress)
+	if err != nil {
+		return errors.Wrap(err, "peer address")
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, HelloTimeout)
+	defer cancel()
+	conn, err := r.transport.Dial(dialCtx, net.UDPAddrFromAddrPort(address), withProtocol(n.cfg.ClientTLS), quicConfig())
+	if err != nil {
+		return err
+	}
+	ended := make(chan error, 1)
+	r.wg.Add(1)
+	go func() {
+		defer r.wg.Done()
+		ended <- n.serve(r, conn, id)
+	}()
+	p := n.peerOf(id)
+	for {
+		select {
+		case err := <-ended:
+			return err
+		case <-p.changed:
+			if n.linked(p) {
+				return nil
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (n *Node) peerOf(id string) *peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.peerLocked(id)
+}
+
+func (n *Node) linked(p *peer) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(p.links) > 0
+}
+
+// jittered returns a time between half of d and d, so that instances that lost
+// the same peer do not dial it at the same moment.
+func jittered(d time.Duration, factor float64) time.Duration {
+	return d/2 + time.Duration(factor*float64(d/2))
+}
+
+// wait returns after d, when changed delivers, or when ctx ends.
+func wait(ctx context.Context, changed <-chan struct{}, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-changed:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/instance/peering/link.go
@@ -0,0 +1,174 @@
+package peering
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+
+	"knapweedreel/internal/member"
+	"knapweedreel/internal/wire"
+)
+
+// Codes with which a link is closed.
+const (
+	codeStopped   quic.ApplicationErrorCode = 0 // the instance stops or needs the link no more
+	codeMalformed quic.ApplicationErrorCode = 1
+	codeVersion   quic.ApplicationErrorCode = 2
+	codeIdentity  quic.ApplicationErrorCode = 3
+	codeReplaced  quic.ApplicationErrorCode = 4 // another link to the same member is kept
+	codeTooMany   quic.ApplicationErrorCode = 5
+)
+
+// ErrIdentity means that a message's sender is not the name in the
+// certificate, or that another member answered than the one dialed.
+var ErrIdentity = errors.New("peering: identity does not match the certificate")
+
+// link is an authenticated connection to a member, with one stream in each
+// direction.
+type link struct {
+	conn   *quic.Conn
+	out    *quic.SendStream
+	in     *wire.Reader
+	info   member.Info // from the Hello
+	dialed bool        // opened by this instance
+	serial uint64      // order in which links came up here
+
+	queue       chan *wire.Message
+	queuedBytes atomic.Int64
+}
+
+// open exchanges Hellos on a new connection. The caller closes the connection
+// on an error.
+func open(ctx context.Context, conn *quic.Conn, self member.Info, dialed bool) (*link, error) {
+	ctx, cancel := context.WithTimeout(ctx, HelloTimeout)
+	defer cancel()
+	name, err := commonName(conn)
+	if err != nil {
+		return nil, err
+	}
+	out, err := conn.OpenUniStreamSync(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "open stream")
+	}
+	hello, err := wire.Encode(wire.Message{
+		Version: wire.Version, Sender: self.ID, Boot: self.Boot, Sequence: self.Sequence, Hello: &self,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if _, err := out.Write(hello); err != nil {
+		return nil, errors.Wrap(err, "send hello")
+	}
+	stream, err := conn.AcceptUniStream(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "accept stream")
+	}
+	if err := stream.SetReadDeadline(time.Now().Add(HelloTimeout)); err != nil {
+		return nil, errors.Wrap(err, "set deadline")
+	}
+	k := &link{
+		conn: conn, out: out, in: wire.NewReader(stream), dialed: dialed,
+		queue: make(chan *wire.Message, SendQueue),
+	}
+	m, err := k.in.Next()
+	if err != nil {
+		return nil, errors.Wrap(err, "read hello")
+	}
+	if m.Hello == nil {
+		return nil, errors.Wrap(wire.ErrMalformed, "first message is no hello")
+	}
+	if m.Sender != name {
+		return nil, errors.Wrapf(ErrIdentity, "sender %q, certificate %q", m.Sender, name)
+	}
+	if err := stream.SetReadDeadline(time.Time{}); err != nil {
+		return nil, errors.Wrap(err, "clear deadline")
+	}
+	k.info = *m.Hello
+	return k, nil
+}
+
+func commonName(conn *quic.Conn) (string, error) {
+	certificates := conn.ConnectionState().TLS.PeerCertificates
+	if len(certificates) == 0 {
+		return "", errors.Wrap(ErrIdentity, "peer gave no certificate")
+	}
+	return certificates[0].Subject.CommonName, nil
+}
+
+// next returns the next message of the peer.
+func (k *link) next() (wire.Message, error) {
+	m, err := k.in.Next()
+	if err != nil {
+		return m, err
+	}
+	if m.Sender != k.info.ID || m.Boot != k.info.Boot {
+		return m, errors.Wrapf(ErrIdentity, "message of %q boot %d on the link of %q boot %d", m.Sender, m.Boot, k.info.ID, k.info.Boot)
+	}
+	return m, nil
+}
+
+// enqueue queues a message, or reports false when the queue is full.
+func (k *link) enqueue(m *wire.Message) bool {
+	size := queuedSize(m)
+	if k.queuedBytes.Add(size) > SendQueueBytes {
+		k.queuedBytes.Add(-size)
+		return false
+	}
+	select {
+	case k.queue <- m:
+		return true
+	default:
+		k.queuedBytes.Add(-size)
+		return false
+	}
+}
+
+// queuedSize estimates the memory that a queued message keeps alive. Only
+// documents are large.
+func queuedSize(m *wire.Message) int64 {
+	const small = 512
+	if m.DocumentPush == nil {
+		return small
+	}
+	return int64(small*(1+len(m.DocumentPush.Envelope.History)) + len(m.DocumentPush.Envelope.Text))
+}
+
+// write sends queued messages until the connection ends. A message that cannot
+// be encoded is counted as dropped.
+func (k *link) write(metrics *metrics) error {
+	done := k.conn.Context().Done()
+	for {
+		select {
+		case <-done:
+			return nil
+		case m := <-k.queue:
+			k.queuedBytes.Add(-queuedSize(m))
+			frame, err := wire.Encode(*m)
+			if err != nil {
+				metrics.dropped.Inc(1)
+				continue
+			}
+			if _, err := k.out.Write(frame); err != nil {
+				return err
+			}
+			metrics.sent.Inc(1)
+			metrics.sentBytes.Inc(int64(len(frame)))
+		}
+	}
+}
+
+// closeCode returns the code that tells the peer why its link ends.
+func closeCode(err error) quic.ApplicationErrorCode {
+	switch {
+	case errors.Is(err, wire.ErrVersion):
+		return codeVersion
+	case errors.Is(err, ErrIdentity):
+		return codeIdentity
+	case errors.Is(err, wire.ErrMalformed), errors.Is(err, wire.ErrTooLarge):
+		return codeMalformed
+	}
+	return codeStopped
+}
