--- a/internal/instance/control/audits.go
+++ b/internal/instance/control/audits.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"strings"
-	"time"
 
 	"knapweedreel/internal/audit"
 	"knapweedreel/internal/health"
@@ -55,7 +54,7 @@
 
 // flushAudits hands queued records to the platform child of this instance when
 // it is the holder, else to the holder by its link.
-func (l *Loop) flushAudits(time.Time) {
+func (l *Loop) flushAudits() {
 	q := &l.audits
 	h := l.Holder()
 	if len(q.records) == 0 || h == nil {
--- a/internal/instance/control/config.go
+++ b/internal/instance/control/config.go
@@ -52,10 +52,12 @@
 // Engine is the part of health.Engine that the loop uses.
 type Engine interface {
 	Apply(now time.Time, event health.Event) []health.Change
+	// Outgoing returns the evidence that is due for peers, after each Tick.
 	Outgoing(now time.Time) []health.Evidence
+	// Leaving returns the upstreams that this instance has newly learned to be
+	// leaving from others than peers, each once.
 	Leaving() []health.Key
 	Views(service string) []health.View
-	Healthy(service string) int
 }
 
 // Config is what a Loop needs. All fields but InFlight are required.
--- a/internal/instance/control/documents.go
+++ b/internal/instance/control/documents.go
@@ -140,21 +140,17 @@
 	return &inForce{envelope: *envelope, parsed: parsed}, nil
 }
 
-// notNewer logs the two cases that should not happen: a store that went back,
-// and two texts under one revision. The document in force stays either way.
+// notNewer logs two texts under one revision. The document in force stays. A
+// lower revision of the store is reported by the platform child.
 func (l *Loop) notNewer(current *inForce, envelope *document.Envelope, source platform.DocumentSource, sender string) {
-	fields := []zap.Field{
-		zap.String("service", envelope.Service), zap.Uint64("revision", envelope.Revision),
-		zap.Uint64("in_force", current.envelope.Revision), zap.String("source", string(source)), zap.String("sender", sender),
-	}
-	switch {
-	case envelope.Revision == current.envelope.Revision && envelope.Text != current.envelope.Text:
-		l.metrics.conflicts.Inc(1)
-		l.cfg.Log.Error("document_conflict", fields...)
-	case envelope.Revision < current.envelope.Revision && source == platform.SourceStore:
-		l.metrics.stale.Inc(1)
-		l.cfg.Log.Warn("store_stale", fields...)
+	if envelope.Revision != current.envelope.Revision || envelope.Text == current.envelope.Text {
+		return
 	}
+	l.metrics.conflicts.Inc(1)
+	l.cfg.Log.Error("document_conflict",
+		zap.String("service", envelope.Service), zap.Uint64("revision", envelope.Revision),
+		zap.String("source", string(source)), zap.String("sender", sender),
+		zap.String("change_in_force", current.envelope.Latest().ChangeID), zap.String("change", envelope.Latest().ChangeID))
 }
 
 // refuse logs a document that does not parse, once for each revision: peers
--- a/internal/instance/control/heartbeat.go
+++ b/internal/instance/control/heartbeat.go
@@ -19,7 +19,7 @@
 func (l *Loop) SetInFlight(source func() []wire.InFlight) { l.inFlight.Store(&source) }
 
 // heartbeat sends a heartbeat on every link.
-func (l *Loop) heartbeat(time.Time) {
+func (l *Loop) heartbeat() {
 	l.self.Sequence++
 	l.table.SetSelf(l.self)
 	for id := range l.links {
--- a/internal/instance/control/holder.go
+++ b/internal/instance/control/holder.go
@@ -3,9 +3,6 @@
 import (
 	"time"
 
-	"go.uber.org/zap"
-
-	"knapweedreel/internal/audit"
 	"knapweedreel/internal/member"
 	"knapweedreel/internal/wire"
 )
@@ -29,6 +26,7 @@
 }
 
 // SetHolder tells whether this instance holds the lease; nil for no.
+// Peers are told at once.
 func (l *Loop) SetHolder(h *wire.Holder) { l.post(ownHolder{h}) }
 
 type ownHolder struct{ holder *wire.Holder }
@@ -39,22 +37,12 @@
 	switch {
 	case e.holder != nil:
 		l.holder.Store(&heldLease{holder: *e.holder, own: true, heard: now})
-		if !owned || held.holder.Fence != e.holder.Fence {
-			l.leaseChanged(now, "acquired", e.holder)
-		}
 	case owned:
 		l.holder.Store(nil)
-		l.leaseChanged(now, "given-up", &held.holder)
+	default:
+		return
 	}
-}
-
-func (l *Loop) leaseChanged(now time.Time, action string, h *wire.Holder) {
-	l.cfg.Log.Info("lease", zap.String("action", action), zap.Int("shard", h.Shard), zap.Uint64("fence", h.Fence))
-	l.record(audit.Record{
-		Time: now, Instance: l.self.ID, Kind: audit.KindLease,
-		Subject: l.self.ID, Action: action, Revision: h.Fence,
-	})
-	l.heartbeat(now)
+	l.heartbeat()
 }
 
 // noteHolder takes in a peer's announcement that it holds the lease. A holder
--- a/internal/instance/control/links.go
+++ b/internal/instance/control/links.go
@@ -16,7 +16,7 @@
 type link struct {
 	digest   uint64
 	inFlight map[health.Key]uint32
-	heard    bool // a heartbeat has arrived on this link
+	heard    bool // a heartbeat has arrived since the link came up
 }
 
 // LinkUp says that a link to the member is up and authenticated.
@@ -32,11 +32,14 @@
 
 func (e linkUp) apply(l *Loop, now time.Time) {
 	id := e.info.ID
-	if _, ok := l.links[id]; !ok {
+	if k, ok := l.links[id]; ok {
+		k.heard = false
+	} else {
 		l.links[id] = &link{}
 	}
 	l.merge(now, e.info)
 	l.send(id, l.heartbeatFor(id))
+	l.tellLeavings(id)
 	if !l.ready.done {
 		l.askRevisions(id)
 	}
@@ -104,12 +107,11 @@
 // chooseLinks tells peering to which members links are to be kept: all of the
 // own shard, and Fanout random others so that documents reach every shard.
 func (l *Loop) chooseLinks() {
-	rows := l.table.Rows()
 	shards := l.table.Shards()
 	own := member.ShardOf(l.self.ID, shards)
 	var want []member.Info
 	others := make(map[string]member.Info)
-	for _, row := range rows {
+	for row := range l.table.All() {
 		switch {
 		case row.ID == l.self.ID || row.PeerAddress == "":
 		case member.ShardOf(row.ID, shards) == own:
@@ -154,7 +156,7 @@
 	case m.Evidence != nil:
 		l.receiveEvidence(now, m)
 	case m.Leaving != nil:
-		l.receiveLeaving(now, e.from, m.Leaving)
+		l.receiveLeaving(now, m.Leaving)
 	case m.DocumentPush != nil:
 		l.receiveDocument(now, e.from, m.DocumentPush)
 	case m.RevisionVector != nil:
--- a/internal/instance/control/loop.go
+++ b/internal/instance/control/loop.go
@@ -36,12 +36,14 @@
 	audited  chan audit.Record
 	stopped  chan struct{}
 	snapshot atomic.Pointer[routing.Snapshot]
+	turned   atomic.Int64 // time of the last event, in nanoseconds after started
 	inFlight atomic.Pointer[func() []wire.InFlight]
 	holder   atomic.Pointer[heldLease]
 	metrics  metrics
 
 	// The fields below belong to the goroutine of Run.
 	started   time.Time
+	ran       bool
 	pause     pauseDetector
 	engine    Engine
 	self      member.Info
@@ -76,24 +78,26 @@
 	if cfg.InFlight != nil {
 		l.SetInFlight(cfg.InFlight)
 	}
-	l.reset(cfg.Clock.Now())
+	now := cfg.Clock.Now()
+	l.started = now
+	l.table = member.NewTable(l.self, cfg.PeerTimeout, now)
+	l.links = make(map[string]*link)
+	l.chosen = make(map[string]bool)
+	l.decisions = newDecisions(cfg.Explanations)
+	l.documents.init()
+	l.reset(now)
 	return l
 }
 
-// reset sets up the control state. Documents in force are kept over a restart
-// of the loop, so that none reverts; the rest is rebuilt from peers.
+// reset sets up the health engine and publishes. Documents, members and links
+// outlive a restart of the loop: documents must not revert, and peering does
+// not report its links again. The evidence is rebuilt from traffic and peers.
 func (l *Loop) reset(now time.Time) {
-	l.started = now
-	l.pause = newPauseDetector(0, now.Round(0))
 	l.engine = l.cfg.NewEngine()
-	l.table = member.NewTable(l.self, l.cfg.PeerTimeout, now)
-	l.links = make(map[string]*link)
-	l.chosen = make(map[string]bool)
 	l.leavings = newLeavings()
-	l.decisions = newDecisions(l.cfg.Explanations)
 	l.publisher = newPublisher()
-	l.documents.init()
 	l.shards = 0
+	l.publisher.all(true)
 	l.publish(now)
 }
 
@@ -102,6 +106,14 @@
 func (l *Loop) Run(ctx context.Context) error {
 	ticks, stop := l.cfg.Clock.Tick(health.TickInterval)
 	defer stop()
+	now := l.cfg.Clock.Now()
+	if l.ran {
+		l.reset(now)
+	}
+	l.ran = true
+	l.pause = newPauseDetector(now.Sub(l.started), now.Round(0))
+	go l.watch(ctx)
+	defer l.closeTraces()
 	var due <-chan time.Time
 	for {
 		select {
@@ -131,10 +143,12 @@
 // that outcomes that waited during the pause count as seen by a paused process.
 func (l *Loop) handle(e event) {
 	now := l.cfg.Clock.Now()
+	l.turned.Store(int64(now.Sub(l.started)))
 	if d := l.pause.observe(now.Sub(l.started), now.Round(0)); d > 0 {
 		l.resumed(now, d)
 	}
 	e.apply(l, now)
+	l.sendLeavings(now)
 	l.settle(now)
 }
 
@@ -174,18 +188,17 @@
 	l.feed(now, health.Event{Tick: &health.Tick{}})
 	l.expireMembers(now)
 	l.sendEvidence(now)
-	l.sendLeavings(now)
 	if now.Sub(l.lastBeat) >= l.cfg.Heartbeat {
 		l.lastBeat = now
-		l.heartbeat(now)
+		l.heartbeat()
+		l.metrics.observe(l)
 	}
 	if now.Sub(l.lastSync) >= SyncInterval {
 		l.lastSync = now
 		l.synchronize()
 		l.chooseLinks()
 	}
-	l.flushAudits(now)
-	l.metrics.observe(l, now)
+	l.flushAudits()
 }
 
 // feed gives an event to the health engine and acts on its decisions.
@@ -218,6 +231,7 @@
 func (l *Loop) resumed(now time.Time, d time.Duration) {
 	l.metrics.pauses.Inc(1)
 	l.cfg.Log.Warn("process_paused", zap.Duration("duration", d))
+	l.table.Resume(d)
 	l.feed(now, health.Event{Paused: &health.Paused{Duration: d}})
 	if d > RecheckLimit && l.ready.done {
 		l.ready.begin()
--- a/internal/instance/control/members.go
+++ b/internal/instance/control/members.go
@@ -26,7 +26,6 @@
 	lost := l.table.Expire(now)
 	for _, t := range lost {
 		l.feed(now, health.Event{PeerLost: &health.PeerLost{Reporter: t.Member.ID}})
-		l.peerLostLeavings(now, t.Member.ID)
 	}
 	l.transitions(now, lost)
 }
@@ -53,7 +52,7 @@
 	}
 	shards := l.table.Shards()
 	own := member.ShardOf(l.self.ID, shards)
-	for _, row := range l.table.Rows() {
+	for row := range l.table.All() {
 		if row.Presence == member.Live && member.ShardOf(row.ID, shards) == own {
 			return row.ID == l.self.ID
 		}
@@ -73,7 +72,7 @@
 		switch {
 		case i.Role == store.RoleEntry:
 			members = append(members, listedInfo(i))
-		case i.Role == store.RoleUpstream && i.State == store.StateLeaving:
+		case i.Role == store.RoleUpstream && i.State == store.StateLeaving && l.serves(i.Service, l.shards):
 			leaving[health.Key{Service: i.Service, Upstream: i.ID}] = true
 		}
 	}
--- a/internal/instance/control/metrics.go
+++ b/internal/instance/control/metrics.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"time"
-
 	"github.com/uber-go/tally/v4"
 
 	"knapweedreel/internal/health"
@@ -17,7 +15,6 @@
 	documents       tally.Counter
 	refused         tally.Counter
 	conflicts       tally.Counter
-	stale           tally.Counter
 	pauses          tally.Counter
 	snapshots       tally.Counter
 	members         tally.Gauge
@@ -34,7 +31,6 @@
 		documents:       s.Counter("documents_applied"),
 		refused:         s.Counter("documents_refused"),
 		conflicts:       s.Counter("document_conflicts"),
-		stale:           s.Counter("store_stale"),
 		pauses:          s.Counter("process_pauses"),
 		snapshots:       s.Counter("snapshots"),
 		members:         s.Gauge("members_live"),
@@ -48,9 +44,9 @@
 }
 
 // observe updates the gauges.
-func (m *metrics) observe(l *Loop, _ time.Time) {
+func (m *metrics) observe(l *Loop) {
 	live := 0
-	for _, row := range l.table.Rows() {
+	for row := range l.table.All() {
 		if row.Presence == member.Live {
 			live++
 		}
--- a/internal/instance/control/snapshot.go
+++ b/internal/instance/control/snapshot.go
@@ -19,6 +19,7 @@
 	fleet    bool            // members or readiness
 	services map[string]bool // services whose upstreams changed
 	shares   map[string]share
+	present  []string // members that share slots, as of the last snapshot
 	last     time.Time
 }
 
@@ -80,16 +81,16 @@
 	}
 	if p.fleet || previous == nil {
 		next.Members = l.routingMembers()
+		p.present = l.presentMembers(next.Shards)
 		l.followShards(now, next.Shards)
 		clear(p.shares)
 		for name := range l.documents.byService {
 			p.services[name] = true
 		}
 	}
-	present := l.presentMembers(now)
 	for name := range p.services {
 		if f, ok := l.documents.byService[name]; ok {
-			next.Services[name] = l.routingService(f, present, next.Shards)
+			next.Services[name] = l.routingService(f, next.Shards)
 		}
 	}
 	for _, name := range slices.Backward(slices.Sorted(maps.Keys(next.Services))) {
@@ -104,9 +105,8 @@
 }
 
 func (l *Loop) routingMembers() []routing.Member {
-	rows := l.table.Rows()
-	out := make([]routing.Member, 0, len(rows))
-	for _, row := range rows {
+	out := make([]routing.Member, 0, l.table.Len())
+	for row := range l.table.All() {
 		out = append(out, routing.Member{Info: row.Info, Live: row.Presence == member.Live})
 	}
 	return out
@@ -114,19 +114,18 @@
 
 // presentMembers returns the members of the own shard that share slots and
 // connections, in the order of their IDs.
-func (l *Loop) presentMembers(now time.Time) []string {
-	shards := l.table.Shards()
+func (l *Loop) presentMembers(shards int) []string {
 	own := member.ShardOf(l.self.ID, shards)
 	var out []string
-	for _, row := range l.table.Rows() {
-		if member.ShardOf(row.ID, shards) == own && l.table.Present(row, now) {
+	for row := range l.table.All() {
+		if member.ShardOf(row.ID, shards) == own && row.Presence != member.Lost {
 			out = append(out, row.ID)
 		}
 	}
 	return out
 }
 
-func (l *Loop) routingService(f *inForce, present []string, shards int) *routing.Service {
+func (l *Loop) routingService(f *inForce, shards int) *routing.Service {
 	name := f.envelope.Service
 	s := &routing.Service{
 		Name: name, Revision: f.envelope.Revision, Document: f.parsed,
@@ -135,7 +134,7 @@
 	if !s.Served {
 		return s
 	}
-	part := l.shareOf(f, present)
+	part := l.shareOf(f)
 	views := make(map[string]health.View, len(f.parsed.Upstreams))
 	for _, v := range l.engine.Views(name) {
 		views[v.Upstream.Upstream] = v
@@ -154,8 +153,9 @@
 
 // shareOf returns this instance's part of the upstreams. It is computed again
 // only when the document or the members changed.
-func (l *Loop) shareOf(f *inForce, present []string) share {
+func (l *Loop) shareOf(f *inForce) share {
 	name := f.envelope.Service
+	present := l.publisher.present
 	if s, ok := l.publisher.shares[name]; ok && s.revision == f.envelope.Revision {
 		return s
 	}
--- a/internal/instance/control/trace.go
+++ b/internal/instance/control/trace.go
@@ -30,6 +30,14 @@
 
 func (e traceStarted) apply(l *Loop, _ time.Time) { l.traces = append(l.traces, e.trace) }
 
+// closeTraces ends all readers when the loop ends.
+func (l *Loop) closeTraces() {
+	for _, t := range l.traces {
+		close(t.events)
+	}
+	l.traces = nil
+}
+
 func (l *Loop) traceEvent(now time.Time, e health.Event) {
 	if len(l.traces) == 0 {
 		return
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -1,7 +1,7 @@
 package member
 
 import (
-	"cmp"
+	"iter"
 	"slices"
 	"time"
 )
@@ -15,9 +15,12 @@
 
 // The presences.
 const (
-	Known Presence = "known" // listed, not heard from yet
-	Live  Presence = "live"  // heard from within the timeout
-	Lost  Presence = "lost"  // not heard from for the timeout
+	// Known is a listed member that was not heard from yet and was found less
+	// than the timeout ago. It takes part in the division of slots and
+	// connections, so that a starting instance does not claim all of them.
+	Known Presence = "known"
+	Live  Presence = "live" // heard from within the timeout
+	Lost  Presence = "lost" // not heard from for the timeout
 )
 
 // Transition is a change of a member's presence or announced state.
@@ -43,16 +46,23 @@
 	self    string
 	timeout time.Duration
 	rows    map[string]*Row
+	order   []string // the keys of rows, sorted
 }
 
 // NewTable returns a table that holds only the given instance. A peer counts
 // as lost after timeout without a message.
 func NewTable(self Info, timeout time.Duration, now time.Time) *Table {
 	t := &Table{self: self.ID, timeout: timeout, rows: make(map[string]*Row)}
-	t.rows[self.ID] = &Row{Info: self, Presence: Live, Heard: now, Found: now}
+	t.insert(&Row{Info: self, Presence: Live, Heard: now, Found: now})
 	return t
 }
 
+func (t *Table) insert(row *Row) {
+	t.rows[row.ID] = row
+	at, _ := slices.BinarySearch(t.order, row.ID)
+	t.order = slices.Insert(t.order, at, row.ID)
+}
+
 // SetSelf replaces what this instance says of itself.
 func (t *Table) SetSelf(info Info) { t.rows[t.self].Info = info }
 
@@ -72,8 +82,8 @@
 	}
 	row, ok := t.rows[info.ID]
 	if !ok {
-		row = &Row{Presence: Known, Found: now}
-		t.rows[info.ID] = row
+		row = &Row{Info: Info{ID: info.ID}, Presence: Known, Found: now}
+		t.insert(row)
 	}
 	if info.Boot < row.Boot {
 		return nil
@@ -111,40 +121,73 @@
 		if !ok {
 			info.Boot, info.Sequence = 0, 0
 			row = &Row{Info: info, Presence: Known, Found: now}
-			t.rows[info.ID] = row
+			t.insert(row)
 		}
 		row.Listed = true
-		if row.Presence != Live && info.PeerAddress != "" {
-			row.PeerAddress = info.PeerAddress
+		if row.Presence != Live {
+			row.follow(info)
 		}
 	}
 	t.prune()
 }
 
+// follow takes over what the list says of a member that does not speak for
+// itself. A replaced member may have other addresses.
+func (r *Row) follow(info Info) {
+	boot, sequence := r.Boot, r.Sequence
+	r.Info = info
+	r.Boot, r.Sequence = boot, sequence
+}
+
 // Expire marks members that were not heard from for the timeout as lost and
-// forgets those that are not listed either.
+// forgets those that are not listed either. Transitions are in the order of
+// the members' IDs.
 func (t *Table) Expire(now time.Time) []Transition {
 	var out []Transition
-	for id, row := range t.rows {
-		if id == t.self || row.Presence != Live || now.Sub(row.Heard) < t.timeout {
+	for _, id := range t.order {
+		row := t.rows[id]
+		if id == t.self || row.Presence == Lost || now.Sub(row.since()) < t.timeout {
 			continue
 		}
+		out = append(out, Transition{Member: row.Info, From: row.Presence, To: Lost, State: row.State})
 		row.Presence = Lost
-		out = append(out, Transition{Member: row.Info, From: Live, To: Lost, State: row.State})
 	}
-	t.prune()
-	slices.SortFunc(out, func(a, b Transition) int { return cmp.Compare(a.Member.ID, b.Member.ID) })
+	if len(out) > 0 {
+		t.prune()
+	}
 	return out
 }
 
-func (t *Table) prune() {
-	for id, row := range t.rows {
-		if id != t.self && row.Presence != Live && !row.Listed {
-			delete(t.rows, id)
+// Resume makes up for a pause of this process, in which nothing could be heard:
+// it moves the last signs of life on by the pause's length.
+func (t *Table) Resume(pause time.Duration) {
+	for _, row := range t.rows {
+		row.Found = row.Found.Add(pause)
+		if !row.Heard.IsZero() {
+			row.Heard = row.Heard.Add(pause)
 		}
 	}
 }
 
+// since returns the time from which the timeout counts.
+func (r *Row) since() time.Time {
+	if r.Heard.IsZero() {
+		return r.Found
+	}
+	return r.Heard
+}
+
+func (t *Table) prune() {
+	t.order = slices.DeleteFunc(t.order, func(id string) bool {
+		row := t.rows[id]
+		if id == t.self || row.Presence == Live || row.Listed {
+			return false
+		}
+		delete(t.rows, id)
+		return true
+	})
+}
+
 // Row returns the member's row.
 func (t *Table) Row(id string) (Row, bool) {
 	row, ok := t.rows[id]
@@ -154,24 +197,21 @@
 	return *row, true
 }
 
-// Rows returns all members that are listed or live, this instance included,
-// in the order of their IDs.
-func (t *Table) Rows() []Row {
-	out := make([]Row, 0, len(t.rows))
-	for _, row := range t.rows {
-		out = append(out, *row)
+// All returns all members that are listed or live, this instance included, in
+// the order of their IDs. The table must not be changed meanwhile.
+func (t *Table) All() iter.Seq[Row] {
+	return func(yield func(Row) bool) {
+		for _, id := range t.order {
+			if !yield(*t.rows[id]) {
+				return
+			}
+		}
 	}
-	slices.SortFunc(out, func(a, b Row) int { return cmp.Compare(a.ID, b.ID) })
-	return out
 }
 
+// Len returns the number of members.
+func (t *Table) Len() int { return len(t.order) }
+
 // Shards returns the number of shards. It counts listed and live members alike,
 // so that an outage of a region does not merge shards.
 func (t *Table) Shards() int { return Shards(len(t.rows)) }
-
-// Present reports whether the member takes part in the division of slots and
-// connections: it is live, or was found less than the timeout ago. The second
-// rule keeps a starting instance from claiming every slot for itself.
-func (t *Table) Present(row Row, now time.Time) bool {
-	return row.Presence == Live || row.Presence == Known && now.Sub(row.Found) < t.timeout
-}
--- /dev/null
+++ b/internal/member/table_test.go
@@ -0,0 +1,128 @@
+package member
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func newTestTable() *Table {
+	return NewTable(Info{ID: "self", Boot: 1, State: Active}, Timeout, start)
+}
+
+// Guards against members that disagree on the newest information because it
+// reached them in another order or more than once.
+func TestMergeIsIndependentOfOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		infos := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Info {
+			boot := rapid.Uint64Range(1, 3).Draw(t, "boot")
+			sequence := rapid.Uint64Range(1, 4).Draw(t, "sequence")
+			return Info{ID: "peer", Boot: boot, Sequence: sequence, EntryAddress: fmt.Sprintf("%d/%d", boot, sequence)}
+		}), 1, 12).Draw(t, "infos")
+		shuffled := rapid.Permutation(infos).Draw(t, "shuffled")
+		a, b := newTestTable(), newTestTable()
+		for i := range infos {
+			a.Merge(infos[i], start)
+			b.Merge(shuffled[i], start)
+		}
+		rowA, _ := a.Row("peer")
+		rowB, _ := b.Row("peer")
+		if diff := cmp.Diff(rowA.Info, rowB.Info); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+// Guards against a member that stays live after it went silent, and against
+// one that an old message of an earlier process brings back.
+func TestSilentMemberIsLost(t *testing.T) {
+	table := newTestTable()
+	table.Merge(Info{ID: "peer", Boot: 5, Sequence: 1, State: Active}, start)
+	if lost := table.Expire(start.Add(Timeout - 1)); len(lost) != 0 {
+		t.Fatalf("lost too early: %v", lost)
+	}
+	table.Touch("peer", 5, start.Add(time.Second))
+	if lost := table.Expire(start.Add(Timeout)); len(lost) != 0 {
+		t.Fatalf("a message did not count as a sign of life: %v", lost)
+	}
+	table.Listed([]Info{{ID: "peer"}}, start)
+	lost := table.Expire(start.Add(Timeout + time.Second))
+	if len(lost) != 1 || lost[0].To != Lost {
+		t.Fatalf("got transitions %v, want one to lost", lost)
+	}
+	if got := table.Merge(Info{ID: "peer", Boot: 4, Sequence: 9}, start.Add(5*time.Second)); got != nil {
+		t.Fatalf("an earlier boot brought the member back: %v", got)
+	}
+	if row, _ := table.Row("peer"); row.Presence != Lost {
+		t.Fatalf("presence %s, want lost", row.Presence)
+	}
+}
+
+// Guards against a list that is wrong in either direction: a listed member that
+// was never heard from must not stay in the division of slots, and an unlisted
+// one must stay while it is heard from.
+func TestWrongListDoesNotDecideLiveness(t *testing.T) {
+	table := newTestTable()
+	table.Listed([]Info{{ID: "ghost", PeerAddress: "10.0.0.1:1"}}, start)
+	table.Merge(Info{ID: "unlisted", Boot: 1, Sequence: 1}, start.Add(2*time.Second))
+	table.Expire(start.Add(Timeout))
+	table.Listed([]Info{{ID: "ghost"}}, start.Add(Timeout))
+	ghost, _ := table.Row("ghost")
+	unlisted, ok := table.Row("unlisted")
+	if ghost.Presence != Lost || !ok || unlisted.Presence != Live {
+		t.Fatalf("ghost %s, unlisted %s (%v)", ghost.Presence, unlisted.Presence, ok)
+	}
+	table.Listed(nil, start.Add(Timeout))
+	if _, ok := table.Row("ghost"); ok {
+		t.Fatal("a member that is neither listed nor live was kept")
+	}
+}
+
+// Guards against a pause of this process being taken for the silence of peers.
+func TestResumeForgivesOwnPause(t *testing.T) {
+	table := newTestTable()
+	table.Merge(Info{ID: "peer", Boot: 1, Sequence: 1}, start)
+	table.Resume(10 * time.Second)
+	if lost := table.Expire(start.Add(11 * time.Second)); len(lost) != 0 {
+		t.Fatalf("lost after the own pause: %v", lost)
+	}
+}
+
+// Guards against an order of members that differs between instances, on which
+// the assignment of home slots depends.
+func TestAllIsOrdered(t *testing.T) {
+	table := newTestTable()
+	for _, id := range []string{"z", "a", "m", "t"} {
+		table.Merge(Info{ID: id, Boot: 1, Sequence: 1}, start)
+	}
+	var ids []string
+	for row := range table.All() {
+		ids = append(ids, row.ID)
+	}
+	if want := []string{"a", "m", "self", "t", "z"}; !slices.Equal(ids, want) {
+		t.Fatalf("got %v, want %v", ids, want)
+	}
+}
+
+// Guards against a growing fleet that moves services between shards other than
+// by splitting, and against shards outside the design's sizes.
+func TestShardsSplitOnly(t *testing.T) {
+	for n, want := range map[int]int{1: 1, 32: 1, 63: 1, 64: 2, 127: 2, 128: 4, 2800: 64} {
+		if got := Shards(n); got != want {
+			t.Errorf("Shards(%d) = %d, want %d", n, got, want)
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		name := rapid.String().Draw(t, "name")
+		shards := 1 << rapid.IntRange(0, 8).Draw(t, "bits")
+		if before, after := ShardOf(name, shards), ShardOf(name, 2*shards); after%shards != before {
+			t.Fatalf("shard %d of %d became %d of %d", before, shards, after, 2*shards)
+		}
+	})
+}
