Test the control loop with a fleet in memory

The fleet delivers messages in a random order, loses them and cuts links, so that anti-entropy and the rule against reverting documents are tested together.

--- /dev/null
+++ b/internal/instance/control/documents_test.go
@@ -0,0 +1,123 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/instance/platform"
+)
+
+// Guards against a push that reaches only part of the fleet at once.
+func TestPutReachesAllLinkedPeersAtOnce(t *testing.T) {
+	f := newFleet(t, 1, 8)
+	f.settle()
+	f.put(f.nodes["i03"], envelope("entries", 1, "a"), platform.SourcePut)
+	f.settle()
+	for id, n := range f.nodes {
+		if n.revision("entries") != 1 {
+			t.Errorf("%s has revision %d", id, n.revision("entries"))
+		}
+	}
+}
+
+// Guards against an older, a conflicting or an invalid document replacing the
+// one in force, whatever its source.
+func TestDocumentInForceStays(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	n := f.nodes["i00"]
+	f.put(n, envelope("entries", 5, "a"), platform.SourcePut)
+	for _, source := range []platform.DocumentSource{platform.SourcePut, platform.SourceStore, platform.SourcePeer} {
+		if got := f.put(n, envelope("entries", 4, "old"), source); got.revision != 5 || got.err != nil {
+			t.Errorf("%s: older revision gave %+v", source, got)
+		}
+		if got := f.put(n, envelope("entries", 5, "other"), source); got.revision != 5 || n.documents.byService["entries"].envelope.Text != "a" {
+			t.Errorf("%s: conflicting text gave %+v", source, got)
+		}
+		if got := f.put(n, envelope("entries", 6, "bad"), source); got.revision != 5 || errkind.Of(got.err) != errkind.InvalidDocument {
+			t.Errorf("%s: invalid document gave %+v", source, got)
+		}
+	}
+	if got := n.Snapshot().Services["entries"]; got.Revision != 5 || len(got.Document.Upstreams) != 2 {
+		t.Errorf("snapshot has %+v", got)
+	}
+}
+
+// Guards against documents that stay different after a partition heals or a
+// push was lost, and against revisions that go back anywhere on the way.
+func TestAntiEntropyConvergesWithoutReverting(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFleet(t, rapid.Uint64().Draw(rt, "seed"), 6)
+		stored := make(map[string]uint64) // compare-and-swap gives each revision once
+		for range rapid.IntRange(1, 20).Draw(rt, "steps") {
+			n := f.nodes[rapid.SampledFrom(f.ids()).Draw(rt, "node")]
+			service := rapid.SampledFrom([]string{"schedules", "entries", "photos"}).Draw(rt, "service")
+			split := rapid.IntRange(1, 5).Draw(rt, "split")
+			switch rapid.SampledFrom([]string{"put", "old", "cut", "heal", "restart", "lose"}).Draw(rt, "step") {
+			case "put":
+				stored[service]++
+				f.put(n, envelope(service, stored[service], fmt.Sprint(stored[service])), platform.SourcePut)
+			case "old":
+				if r := stored[service]; r > 0 {
+					r = rapid.Uint64Range(1, r).Draw(rt, "revision")
+					f.put(n, envelope(service, r, fmt.Sprint(r)), platform.SourceStore)
+				}
+			case "cut":
+				f.partition(f.ids()[:split], f.ids()[split:], true)
+			case "heal":
+				f.partition(f.ids()[:split], f.ids()[split:], false)
+			case "restart":
+				// Two instances must not be lost at once with the only copy.
+				f.partition(f.ids()[:split], f.ids()[split:], false)
+				f.run(2 * time.Second)
+				for _, id := range f.ids() {
+					if id != n.id {
+						f.nodes[id].handle(linkDown{n.id})
+					}
+				}
+				f.start(n.id)
+			case "lose":
+				f.queue = nil
+			}
+			f.run(300 * time.Millisecond)
+		}
+		for a := range f.cut {
+			if f.cut[a] {
+				f.partition([]string{a[0]}, []string{a[1]}, false)
+			}
+		}
+		f.run(10 * time.Second)
+		for service, revision := range stored {
+			for _, id := range f.ids() {
+				if got := f.nodes[id].revision(service); got != revision {
+					rt.Fatalf("%s: service %s at revision %d, want %d", id, service, got, revision)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a digest that differs for the same revisions, which would
+// exchange vectors each second for ever.
+func TestDigestDependsOnRevisionsOnly(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	a, b := f.nodes["i00"], f.nodes["i01"]
+	f.queue = nil
+	f.partition([]string{"i00"}, []string{"i01"}, true)
+	for r := uint64(1); r <= 3; r++ {
+		f.put(a, envelope("entries", r, "x"), platform.SourceStore)
+	}
+	f.put(a, envelope("photos", 1, "x"), platform.SourceStore)
+	f.put(b, envelope("photos", 1, "x"), platform.SourceStore)
+	f.put(b, envelope("entries", 3, "x"), platform.SourceStore)
+	if a.documents.digest != b.documents.digest {
+		t.Error("digests differ for equal revisions")
+	}
+	f.put(b, envelope("entries", 4, "x"), platform.SourceStore)
+	if a.documents.digest == b.documents.digest {
+		t.Error("digests are equal for different revisions")
+	}
+}
--- /dev/null
+++ b/internal/instance/control/fleet_test.go
@@ -0,0 +1,271 @@
+package control
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"knapweedreel/internal/document"
+	"knapweedreel/internal/health"
+	"knapweedreel/internal/instance/platform"
+	"knapweedreel/internal/member"
+	"knapweedreel/internal/wire"
+)
+
+// fakeClock is a clock that only the test moves.
+type fakeClock struct{ now time.Time }
+
+func (c *fakeClock) Now() time.Time                                { return c.now }
+func (c *fakeClock) Tick(time.Duration) (<-chan time.Time, func()) { return nil, func() {} }
+func (c *fakeClock) After(time.Duration) <-chan time.Time          { return nil }
+
+// fakeEngine ejects at the first failure and remembers what it was given.
+type fakeEngine struct {
+	states  map[health.Key]health.State
+	events  []health.Event
+	untold  []health.Key
+	due     []health.Evidence
+	service map[string]*document.Document
+}
+
+func newFakeEngine() *fakeEngine {
+	return &fakeEngine{states: make(map[health.Key]health.State), service: make(map[string]*document.Document)}
+}
+
+func (e *fakeEngine) Apply(now time.Time, ev health.Event) []health.Change {
+	e.events = append(e.events, ev)
+	set := func(key health.Key, to health.State, rule health.Rule) []health.Change {
+		from := e.states[key]
+		e.states[key] = to
+		return []health.Change{{Time: now, Upstream: key, From: from, To: to, Rule: rule}}
+	}
+	switch {
+	case ev.Document != nil:
+		e.service[ev.Document.Service] = ev.Document.Document
+	case ev.Outcome != nil && ev.Outcome.Class == health.Failed:
+		e.due = append(e.due, health.Evidence{Upstream: ev.Outcome.Upstream, Failures: 1})
+		return set(ev.Outcome.Upstream, health.Ejected, health.RuleEvidence)
+	case ev.Leaving != nil && ev.Leaving.Gone && e.states[ev.Leaving.Upstream] != health.Leaves:
+		if ev.Leaving.Source != health.LeavingPeer {
+			e.untold = append(e.untold, ev.Leaving.Upstream)
+		}
+		return set(ev.Leaving.Upstream, health.Leaves, health.RuleLeaving)
+	}
+	return nil
+}
+
+func (e *fakeEngine) Outgoing(time.Time) []health.Evidence {
+	due := e.due
+	e.due = nil
+	return due
+}
+
+func (e *fakeEngine) Leaving() []health.Key {
+	untold := e.untold
+	e.untold = nil
+	return untold
+}
+
+func (e *fakeEngine) Views(service string) []health.View {
+	var out []health.View
+	if d := e.service[service]; d != nil {
+		for _, u := range d.Upstreams {
+			key := health.Key{Service: service, Upstream: u.ID}
+			state := e.states[key]
+			if state == "" {
+				state = health.InService
+			}
+			out = append(out, health.View{Upstream: key, State: state, Weight: 1})
+		}
+	}
+	return out
+}
+
+// parseFake accepts "<service> <anything>"; a text with "bad" has mistakes.
+func parseFake(name string, text []byte) (*document.Document, error) {
+	if strings.Contains(string(text), "bad") {
+		return nil, errors.New("mistake")
+	}
+	return &document.Document{
+		Service: name, Hosts: []string{name + ".example"},
+		Upstreams: []document.Upstream{{ID: "u1", Slots: 6, Connections: 330}, {ID: "u2", Slots: 6, Connections: 330}},
+	}, nil
+}
+
+// fleet is a set of loops on one thread, joined by links in memory. Every
+// message that is sent is delivered by settle, in an order that random draws.
+type fleet struct {
+	t       testing.TB
+	clock   *fakeClock
+	random  *rand.Rand
+	nodes   map[string]*node
+	queue   []delivery
+	cut     map[[2]string]bool // directions in which messages are lost
+	history map[string]map[string]uint64
+}
+
+type node struct {
+	*Loop
+	fleet  *fleet
+	id     string
+	engine *fakeEngine
+	sent   []wire.Message
+	wanted []string
+}
+
+type delivery struct {
+	from, to string
+	boot     uint64 // of the receiver when the message was sent
+	message  wire.Message
+}
+
+func (n *node) Send(id string, m wire.Message) {
+	n.sent = append(n.sent, m)
+	if to, ok := n.fleet.nodes[id]; ok {
+		n.fleet.queue = append(n.fleet.queue, delivery{n.id, id, to.self.Boot, m})
+	}
+}
+
+func (n *node) Connect(members []member.Info) {
+	n.wanted = n.wanted[:0]
+	for _, m := range members {
+		n.wanted = append(n.wanted, m.ID)
+	}
+}
+
+func newFleet(t testing.TB, seed uint64, size int) *fleet {
+	f := &fleet{
+		t: t, clock: &fakeClock{now: time.Unix(1_700_000_000, 0)}, random: rand.New(rand.NewPCG(seed, 1)),
+		nodes: make(map[string]*node), cut: make(map[[2]string]bool), history: make(map[string]map[string]uint64),
+	}
+	for i := range size {
+		f.start(fmt.Sprintf("i%02d", i))
+	}
+	return f
+}
+
+// start starts or restarts an instance and links it to all others.
+func (f *fleet) start(id string) *node {
+	n := &node{fleet: f, id: id, engine: newFakeEngine()}
+	n.Loop = New(Config{
+		Self: member.Info{
+			ID: id, Boot: uint64(f.clock.now.UnixNano()), PeerAddress: "127.0.0.1:1",
+			Region: "south", State: member.Starting,
+		},
+		NewEngine: func() Engine { return n.engine },
+		Parse:     parseFake,
+		HomeSlots: func(_ string, members []string, upstreams []document.Upstream) map[string]int {
+			out := make(map[string]int)
+			for _, u := range upstreams {
+				out[u.ID] = u.Slots / len(members)
+			}
+			return out
+		},
+		Peers: n, Heartbeat: time.Second, PeerTimeout: 3 * time.Second, HolderTimeout: 15 * time.Second,
+		Explanations: 16, Clock: f.clock, Random: rand.New(rand.NewPCG(f.random.Uint64(), 1)),
+		Log: zap.NewNop(), Scope: tally.NoopScope,
+	})
+	n.pause = newPauseDetector(0, f.clock.now)
+	f.nodes[id] = n
+	f.history[id] = make(map[string]uint64)
+	for _, other := range f.ids() {
+		if other != id {
+			f.link(id, other)
+		}
+	}
+	return n
+}
+
+func (f *fleet) ids() []string {
+	var out []string
+	for id := range f.nodes {
+		out = append(out, id)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (f *fleet) link(a, b string) {
+	f.nodes[a].handle(linkUp{f.nodes[b].self})
+	f.nodes[b].handle(linkUp{f.nodes[a].self})
+}
+
+// partition cuts the links between both groups, or restores them.
+func (f *fleet) partition(a, b []string, cut bool) {
+	for _, x := range a {
+		for _, y := range b {
+			f.cut[[2]string{x, y}], f.cut[[2]string{y, x}] = cut, cut
+			if cut {
+				f.nodes[x].handle(linkDown{y})
+				f.nodes[y].handle(linkDown{x})
+			} else {
+				f.link(x, y)
+			}
+		}
+	}
+}
+
+// settle delivers messages until none is left.
+func (f *fleet) settle() {
+	for len(f.queue) > 0 {
+		i := f.random.IntN(len(f.queue))
+		d := f.queue[i]
+		f.queue = slices.Delete(f.queue, i, i+1)
+		to := f.nodes[d.to]
+		if f.cut[[2]string{d.from, d.to}] || to.self.Boot != d.boot {
+			continue
+		}
+		to.handle(received{d.from, d.message})
+		f.checkRevisions(to)
+	}
+}
+
+// run lets time pass in ticks.
+func (f *fleet) run(d time.Duration) {
+	for end := f.clock.now.Add(d); f.clock.now.Before(end); {
+		f.clock.now = f.clock.now.Add(health.TickInterval)
+		for _, id := range f.ids() {
+			f.nodes[id].handle(tickEvent{})
+		}
+		f.settle()
+	}
+}
+
+// checkRevisions fails the test when a snapshot shows a lower revision than an
+// earlier one of the same process.
+func (f *fleet) checkRevisions(n *node) {
+	f.t.Helper()
+	seen := f.history[n.id]
+	for name, s := range n.Snapshot().Services {
+		if s.Revision < seen[name] {
+			f.t.Fatalf("%s: service %s went from revision %d to %d", n.id, name, seen[name], s.Revision)
+		}
+		seen[name] = s.Revision
+	}
+}
+
+func envelope(service string, revision uint64, text string) document.Envelope {
+	return document.Envelope{Service: service, Revision: revision, Text: text}
+}
+
+// put puts an envelope in force at a node, as the platform child does.
+func (f *fleet) put(n *node, e document.Envelope, source platform.DocumentSource) offerResult {
+	reply := make(chan offerResult, 1)
+	n.handle(offerEvent{e, source, reply})
+	f.checkRevisions(n)
+	return <-reply
+}
+
+func (n *node) revision(service string) uint64 {
+	if s, ok := n.Snapshot().Services[service]; ok {
+		return s.Revision
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/instance/control/loop_test.go
@@ -0,0 +1,312 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"knapweedreel/internal/audit"
+	"knapweedreel/internal/health"
+	"knapweedreel/internal/instance/platform"
+	"knapweedreel/internal/member"
+	"knapweedreel/internal/routing"
+	"knapweedreel/internal/store"
+	"knapweedreel/internal/wire"
+)
+
+var u1 = health.Key{Service: "entries", Upstream: "u1"}
+
+func failure(key health.Key) health.Outcome {
+	return health.Outcome{Upstream: key, Class: health.Failed}
+}
+
+func upstream(t *testing.T, n *node, key health.Key) routing.Upstream {
+	t.Helper()
+	for _, u := range n.Snapshot().Services[key.Service].Upstreams {
+		if u.ID == key.Upstream {
+			return u
+		}
+	}
+	t.Fatalf("%s: no upstream %v", n.id, key)
+	return routing.Upstream{}
+}
+
+// Guards against an ejection that waits for the next regular snapshot.
+func TestEjectionIsPublishedAtOnce(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	n := f.nodes["i00"]
+	f.put(n, envelope("entries", 1, "a"), platform.SourcePut)
+	n.handle(outcomeEvent{failure(u1)})
+	if got := upstream(t, n, u1).State; got != health.Ejected {
+		t.Fatalf("state %s in the snapshot", got)
+	}
+}
+
+// Guards against snapshots that change after they were published, and against
+// sequences that repeat.
+func TestPublishedSnapshotDoesNotChange(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	n := f.nodes["i00"]
+	f.put(n, envelope("entries", 1, "a"), platform.SourcePut)
+	before := n.Snapshot()
+	n.handle(outcomeEvent{failure(u1)})
+	after := n.Snapshot()
+	if after.Sequence <= before.Sequence {
+		t.Errorf("sequence %d after %d", after.Sequence, before.Sequence)
+	}
+	if got := before.Services["entries"].Upstreams[0].State; got != health.InService {
+		t.Errorf("the earlier snapshot now shows %s", got)
+	}
+	if before.Hosts["entries.example"] != before.Services["entries"] || after.Hosts["entries.example"] != after.Services["entries"] {
+		t.Error("hosts and services of a snapshot differ")
+	}
+}
+
+// Guards against a snapshot for every small change, which would cost the
+// control budget, and against a change that is never published.
+func TestSmallChangesArePublishedTogether(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	n := f.nodes["i00"]
+	f.put(n, envelope("entries", 1, "a"), platform.SourcePut)
+	sequence := n.Snapshot().Sequence
+	for range 5 {
+		n.publisher.service("entries", false)
+		n.handle(publishEvent{})
+	}
+	if got := n.Snapshot().Sequence; got != sequence {
+		t.Errorf("published %d times within the interval", got-sequence)
+	}
+	f.clock.now = f.clock.now.Add(PublishInterval)
+	n.handle(publishEvent{})
+	if got := n.Snapshot().Sequence; got != sequence+1 {
+		t.Errorf("published %d times after the interval", got-sequence)
+	}
+}
+
+// Guards against traffic that blocks on a control goroutine that does not keep
+// up, and against drops that nobody sees.
+func TestReportOutcomeNeverBlocks(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	f := newFleet(t, 1, 1)
+	n := f.nodes["i00"]
+	n.metrics = newMetrics(scope)
+	for range OutcomeQueue + 3 {
+		n.ReportOutcome(failure(u1))
+	}
+	if got := scope.Snapshot().Counters()["outcomes_dropped+"].Value(); got != 3 {
+		t.Errorf("%d drops counted, want 3", got)
+	}
+}
+
+// Guards against evidence and leavings that stay with the instance that saw
+// them.
+func TestEvidenceAndLeavingsReachTheShard(t *testing.T) {
+	f := newFleet(t, 1, 4)
+	n := f.nodes["i00"]
+	f.put(n, envelope("entries", 1, "a"), platform.SourcePut)
+	f.settle()
+	n.handle(outcomeEvent{failure(u1)})
+	u2 := health.Key{Service: "entries", Upstream: "u2"}
+	n.handle(listed{[]store.Instance{{ID: "u2", Service: "entries", Role: store.RoleUpstream, State: store.StateLeaving}}})
+	f.settle()
+	for _, id := range []string{"i01", "i02", "i03"} {
+		if got := upstream(t, f.nodes[id], u2).State; got != health.Leaves {
+			t.Errorf("%s: u2 is %s before any tick", id, got)
+		}
+	}
+	f.run(health.TickInterval)
+	for _, id := range []string{"i01", "i02", "i03"} {
+		heard := slices.ContainsFunc(f.nodes[id].engine.events, func(e health.Event) bool {
+			return e.Peer != nil && e.Peer.Reporter == "i00" && e.Peer.Evidence[0].Upstream == u1
+		})
+		if !heard {
+			t.Errorf("%s: no evidence after a tick", id)
+		}
+	}
+}
+
+// Guards against an instance that serves with documents that nobody compared,
+// at the start and after a long pause.
+func TestReadyNeedsStoreOrPeer(t *testing.T) {
+	f := newFleet(t, 1, 3)
+	f.run(3 * time.Second)
+	for id, n := range f.nodes {
+		if n.Snapshot().Ready {
+			t.Fatalf("%s is ready, but no instance has documents", id)
+		}
+	}
+	f.nodes["i00"].handle(readyEvent{})
+	f.put(f.nodes["i00"], envelope("entries", 1, "a"), platform.SourceStore)
+	f.run(3 * time.Second)
+	for id, n := range f.nodes {
+		if s := n.Snapshot(); !s.Ready || s.Self.State != member.Active {
+			t.Errorf("%s: ready %v, state %s", id, s.Ready, s.Self.State)
+		}
+	}
+
+	n := f.nodes["i02"]
+	f.partition([]string{"i02"}, []string{"i00", "i01"}, true)
+	f.clock.now = f.clock.now.Add(RecheckLimit + time.Second)
+	n.handle(tickEvent{})
+	if n.Snapshot().Ready {
+		t.Error("ready after a long pause without a check")
+	}
+	f.partition([]string{"i02"}, []string{"i00", "i01"}, false)
+	f.run(2 * time.Second)
+	if !n.Snapshot().Ready {
+		t.Error("not ready after peers answered")
+	}
+}
+
+// Guards against evidence of a paused process that counts, and against peers
+// that are called lost because this process did not run.
+func TestPauseIsReportedAndForgiven(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	f.run(2 * time.Second)
+	n := f.nodes["i00"]
+	n.engine.events = nil
+	f.clock.now = f.clock.now.Add(5 * time.Second)
+	n.handle(outcomeEvent{failure(u1)})
+	if first := n.engine.events[0]; first.Paused == nil || first.Paused.Duration < 5*time.Second {
+		t.Errorf("first event after the pause is %+v", first)
+	}
+	n.handle(tickEvent{})
+	if row, _ := n.table.Row("i01"); row.Presence != member.Live {
+		t.Errorf("peer is %s after the own pause", row.Presence)
+	}
+}
+
+// Guards against a pause that one of the clocks does not show.
+func TestPauseDetectorUsesBothClocks(t *testing.T) {
+	wall := time.Unix(0, 0)
+	p := newPauseDetector(0, wall)
+	if got := p.observe(100*time.Millisecond, wall.Add(100*time.Millisecond)); got != 0 {
+		t.Errorf("regular tick: %v", got)
+	}
+	if got := p.observe(200*time.Millisecond, wall.Add(2*time.Second)); got != 1900*time.Millisecond {
+		t.Errorf("suspended machine: %v", got)
+	}
+	if got := p.observe(2200*time.Millisecond, wall.Add(time.Second)); got != 2*time.Second {
+		t.Errorf("wall clock set back during a pause: %v", got)
+	}
+}
+
+// Guards against slots and address answers that still count a lost peer.
+func TestLostPeerGivesUpItsSlots(t *testing.T) {
+	f := newFleet(t, 1, 3)
+	f.put(f.nodes["i00"], envelope("entries", 1, "a"), platform.SourcePut)
+	f.run(time.Second)
+	if got := upstream(t, f.nodes["i00"], u1); got.HomeSlots != 2 || got.MaxConnections != 110 {
+		t.Fatalf("with 3 members: %d slots, %d connections", got.HomeSlots, got.MaxConnections)
+	}
+	delete(f.nodes, "i02")
+	f.run(4 * time.Second)
+	if got := upstream(t, f.nodes["i00"], u1); got.HomeSlots != 3 || got.MaxConnections != 165 {
+		t.Errorf("with 2 members: %d slots, %d connections", got.HomeSlots, got.MaxConnections)
+	}
+	if got := len(f.nodes["i00"].Snapshot().Members); got != 2 {
+		t.Errorf("%d members in the snapshot", got)
+	}
+}
+
+// Guards against a planned stop that peers learn of only by silence.
+func TestLeaveIsAnnouncedAtOnce(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	f.run(time.Second)
+	done := make(chan struct{})
+	f.nodes["i00"].handle(leaveEvent{done})
+	<-done
+	f.settle()
+	f.clock.now = f.clock.now.Add(PublishInterval)
+	f.nodes["i01"].handle(publishEvent{})
+	if got := f.nodes["i01"].Snapshot().Members[0]; got.ID != "i00" || got.State != member.Leaving {
+		t.Errorf("peer sees %s as %s", got.ID, got.State)
+	}
+	f.nodes["i00"].handle(readyEvent{})
+	if got := f.nodes["i00"].Snapshot().Self.State; got != member.Leaving {
+		t.Errorf("state %s after a late read of the store", got)
+	}
+}
+
+// Guards against audit records that do not reach the holder, and against a
+// former holder that still counts.
+func TestAuditRecordsReachTheHolder(t *testing.T) {
+	f := newFleet(t, 1, 3)
+	f.put(f.nodes["i01"], envelope("entries", 1, "a"), platform.SourcePut)
+	f.nodes["i01"].handle(outcomeEvent{failure(u1)})
+	f.run(time.Second)
+	f.nodes["i00"].handle(ownHolder{&wire.Holder{Instance: "i00", Fence: 3}})
+	f.settle()
+	f.run(time.Second)
+	ejections := 0
+	for len(f.nodes["i00"].audited) > 0 {
+		if r := <-f.nodes["i00"].audited; r.Kind == audit.KindUpstream && r.Instance == "i01" && r.Action == "ejected" {
+			ejections++
+		}
+	}
+	if ejections != 1 {
+		t.Errorf("holder has %d ejections of i01, want 1", ejections)
+	}
+	f.nodes["i02"].handle(ownHolder{&wire.Holder{Instance: "i02", Fence: 4}})
+	f.settle()
+	if h := f.nodes["i01"].Holder(); h == nil || h.Instance != "i02" {
+		t.Errorf("holder is %+v, want i02", h)
+	}
+	f.nodes["i02"].handle(ownHolder{nil})
+	f.settle()
+	if h := f.nodes["i01"].Holder(); h != nil && h.Instance == "i02" {
+		t.Errorf("holder is %+v after it gave the lease up", h)
+	}
+}
+
+// Guards against a queue of records that grows without bound while no holder is
+// known.
+func TestAuditQueueDropsTheOldest(t *testing.T) {
+	var q auditQueue
+	for i := range AuditQueue + 2 {
+		q.add(audit.Record{Revision: uint64(i)})
+	}
+	if len(q.records) != AuditQueue || q.records[0].Revision != 2 {
+		t.Errorf("%d records, first %d", len(q.records), q.records[0].Revision)
+	}
+}
+
+// Guards against calls that hang or a loop that does not end.
+func TestRunServesCallsUntilItEnds(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	n := f.nodes["i00"]
+	n.cfg.Clock = SystemClock{}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	runCtx, stop := context.WithCancel(ctx)
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(runCtx) }()
+	if _, err := n.Offer(ctx, envelope("entries", 1, "a"), platform.SourcePut); err != nil {
+		t.Fatal(err)
+	}
+	events, err := n.Trace(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.ReportOutcome(failure(u1))
+	for e := range events {
+		if e.Event.Outcome != nil {
+			break
+		}
+	}
+	view, changes, err := n.ExplainUpstream(ctx, u1)
+	if err != nil || view.State != health.Ejected || len(changes) != 1 {
+		t.Errorf("explain: %v, %v, %v", view, changes, err)
+	}
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	n.Stop()
+	if _, _, err := n.Envelope(ctx, "entries"); err == nil {
+		t.Error("a call after the end did not fail")
+	}
+}
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -40,7 +40,9 @@
 			m.DocumentPush = &DocumentPush{document.Envelope{Service: "entries", Revision: 2, Text: strings.Repeat("x", 900<<10),
 				History: []document.Change{{Revision: 2, ChangeID: "c", Time: at}}}}
 		}),
-		with(func(m *Message) { m.RevisionVector = &RevisionVector{Revisions: map[string]uint64{"entries": 2}, Reply: true} }),
+		with(func(m *Message) {
+			m.RevisionVector = &RevisionVector{Revisions: map[string]uint64{"entries": 2}, Reply: true}
+		}),
 		with(func(m *Message) {
 			m.AuditEvents = &AuditEvents{[]audit.Record{{Time: at, Kind: audit.KindMember, Subject: "i2"}}}
 		}),
