--- /dev/null
+++ b/internal/member/table.go
@@ -0,0 +1,217 @@
+package member
+
+import (
+	"iter"
+	"slices"
+	"time"
+)
+
+// Timeout is the default time without a message after which a member counts as
+// lost.
+const Timeout = 3 * time.Second
+
+// Presence is how this instance sees a member.
+type Presence string
+
+// The presences.
+const (
+	// Known is a listed member that was not heard from yet and was found less
+	// than the timeout ago. It takes part in the division of slots and
+	// connections, so that a starting instance does not claim all of them.
+	Known Presence = "known"
+	Live  Presence = "live" // heard from within the timeout
+	Lost  Presence = "lost" // not heard from for the timeout
+)
+
+// Transition is a change of a member's presence or announced state.
+type Transition struct {
+	Member Info
+	From   Presence
+	To     Presence
+	State  State // announced state after the transition
+}
+
+// Row is a member as the table knows it.
+type Row struct {
+	Info
+	Presence Presence
+	Listed   bool
+	Heard    time.Time // last message, zero for none
+	Found    time.Time // first listed or heard
+}
+
+// Table is the fleet as one instance sees it. It is a pure function of its
+// inputs and their times. It is not safe for concurrent use.
+type Table struct {
+	self    string
+	timeout time.Duration
+	rows    map[string]*Row
+	order   []string // the keys of rows, sorted
+}
+
+// NewTable returns a table that holds only the given instance. A peer counts
+// as lost after timeout without a message.
+func NewTable(self Info, timeout time.Duration, now time.Time) *Table {
+	t := &Table{self: self.ID, timeout: timeout, rows: make(map[string]*Row)}
+	t.insert(&Row{Info: self, Presence: Live, Heard: now, Found: now})
+	return t
+}
+
+func (t *Table) insert(row *Row) {
+	t.rows[row.ID] = row
+	at, _ := slices.BinarySearch(t.order, row.ID)
+	t.order = slices.Insert(t.order, at, row.ID)
+}
+
+// SetSelf replaces what this instance says of itself.
+func (t *Table) SetSelf(info Info) { t.rows[t.self].Info = info }
+
+// Newer reports whether a is newer information than b of the same member.
+func Newer(a, b Info) bool {
+	if a.Boot != b.Boot {
+		return a.Boot > b.Boot
+	}
+	return a.Sequence > b.Sequence
+}
+
+// Merge takes in what a member said of itself on a link at the given time. Old
+// information is ignored, also as a sign of life when it is of an earlier boot.
+func (t *Table) Merge(info Info, now time.Time) []Transition {
+	if info.ID == t.self || info.ID == "" {
+		return nil
+	}
+	row, ok := t.rows[info.ID]
+	if !ok {
+		row = &Row{Info: Info{ID: info.ID}, Presence: Known, Found: now}
+		t.insert(row)
+	}
+	if info.Boot < row.Boot {
+		return nil
+	}
+	previous, presence := row.Info, row.Presence
+	if Newer(info, row.Info) {
+		row.Info = info
+	}
+	row.Heard = now
+	row.Presence = Live
+	if presence == Live && previous.Boot == row.Boot && previous.State == row.State {
+		return nil
+	}
+	return []Transition{{Member: row.Info, From: presence, To: Live, State: row.State}}
+}
+
+// Touch notes a message of a member that carried no Info.
+func (t *Table) Touch(id string, boot uint64, now time.Time) {
+	if row, ok := t.rows[id]; ok && id != t.self && row.Boot == boot && row.Presence == Live {
+		row.Heard = now
+	}
+}
+
+// Listed takes in the members that the platform's list names. Members that it
+// no longer names are kept while they are heard from.
+func (t *Table) Listed(members []Info, now time.Time) {
+	for _, row := range t.rows {
+		row.Listed = false
+	}
+	for _, info := range members {
+		if info.ID == "" {
+			continue
+		}
+		row, ok := t.rows[info.ID]
+		if !ok {
+			info.Boot, info.Sequence = 0, 0
+			row = &Row{Info: info, Presence: Known, Found: now}
+			t.insert(row)
+		}
+		row.Listed = true
+		if row.Presence != Live {
+			row.follow(info)
+		}
+	}
+	t.prune()
+}
+
+// follow takes over what the list says of a member that does not speak for
+// itself. A replaced member may have other addresses.
+func (r *Row) follow(info Info) {
+	boot, sequence := r.Boot, r.Sequence
+	r.Info = info
+	r.Boot, r.Sequence = boot, sequence
+}
+
+// Expire marks members that were not heard from for the timeout as lost and
+// forgets those that are not listed either. Transitions are in the order of
+// the members' IDs.
+func (t *Table) Expire(now time.Time) []Transition {
+	var out []Transition
+	for _, id := range t.order {
+		row := t.rows[id]
+		if id == t.self || row.Presence == Lost || now.Sub(row.since()) < t.timeout {
+			continue
+		}
+		out = append(out, Transition{Member: row.Info, From: row.Presence, To: Lost, State: row.State})
+		row.Presence = Lost
+	}
+	if len(out) > 0 {
+		t.prune()
+	}
+	return out
+}
+
+// Resume makes up for a pause of this process, in which nothing could be heard:
+// it moves the last signs of life on by the pause's length.
+func (t *Table) Resume(pause time.Duration) {
+	for _, row := range t.rows {
+		row.Found = row.Found.Add(pause)
+		if !row.Heard.IsZero() {
+			row.Heard = row.Heard.Add(pause)
+		}
+	}
+}
+
+// since returns the time from which the timeout counts.
+func (r *Row) since() time.Time {
+	if r.Heard.IsZero() {
+		return r.Found
+	}
+	return r.Heard
+}
+
+func (t *Table) prune() {
+	t.order = slices.DeleteFunc(t.order, func(id string) bool {
+		row := t.rows[id]
+		if id == t.self || row.Presence == Live || row.Listed {
+			return false
+		}
+		delete(t.rows, id)
+		return true
+	})
+}
+
+// Row returns the member's row.
+func (t *Table) Row(id string) (Row, bool) {
+	row, ok := t.rows[id]
+	if !ok {
+		return Row{}, false
+	}
+	return *row, true
+}
+
+// All returns all members that are listed or live, this instance included, in
+// the order of their IDs. The table must not be changed meanwhile.
+func (t *Table) All() iter.Seq[Row] {
+	return func(yield func(Row) bool) {
+		for _, id := range t.order {
+			if !yield(*t.rows[id]) {
+				return
+			}
+		}
+	}
+}
+
+// Len returns the number of members.
+func (t *Table) Len() int { return len(t.order) }
+
+// Shards returns the number of shards. It counts listed and live members alike,
+// so that an outage of a region does not merge shards.
+func (t *Table) Shards() int { return Shards(len(t.rows)) }
