--- a/internal/cli/table.go
+++ b/internal/cli/table.go
@@ -33,7 +33,18 @@
 		settingsCheckCommand(),
 		settingsPrintCommand(),
 		documentCheckCommand(),
+		documentPutCommand(),
+		documentGetCommand(),
+		documentDiffCommand(),
+		documentHistoryCommand(),
+		documentStatusCommand(),
 		locateCommand(),
+		explainUpstreamCommand(),
+		explainRequestCommand(),
+		auditCommand(),
+		keysAuthorityCommand(),
+		keysInstanceCommand(),
+		keysOperatorCommand(),
 		versionCommand(),
 	}
 }
--- a/internal/jsonc/check.go
+++ b/internal/jsonc/check.go
@@ -19,6 +19,8 @@
 	switch {
 	case name == "":
 		p.Add(field, "is missing")
+	case name == "." || name == "..": // would be lost in the paths of URLs
+		p.Add(field, "is %q, want a letter or digit too", name)
 	case !namePattern.MatchString(name):
 		p.Add(field, "is %q, want only a-z, 0-9, \".\", \"_\" and \"-\"", name)
 	case len(name) > MaxNameBytes:
--- a/internal/standin/caller/runs.go
+++ b/internal/standin/caller/runs.go
@@ -48,7 +48,8 @@
 		return runs, err
 	}
 	defer answer.Body.Close()
-	return runs, json.NewDecoder(answer.Body).Decode(&runs)
+	err = json.NewDecoder(answer.Body).Decode(&runs)
+	return runs, err
 }
 
 func compareRuns(outcomes map[string]Outcome, runs map[string]int, once bool) RunCheck {
