--- /dev/null
+++ b/internal/adminclient/client_test.go
@@ -0,0 +1,358 @@
+package adminclient_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"knapweedreel/internal/adminclient"
+	"knapweedreel/internal/audit"
+	"knapweedreel/internal/document"
+	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/health"
+	"knapweedreel/internal/instance/admin"
+	"knapweedreel/internal/instance/platform"
+	"knapweedreel/internal/keys"
+	"knapweedreel/internal/member"
+	"knapweedreel/internal/routing"
+	"knapweedreel/internal/settings"
+	"knapweedreel/internal/standin/storeserver"
+	"knapweedreel/internal/store"
+	"knapweedreel/internal/wire"
+)
+
+// fakeControl is a control goroutine with one upstream.
+type fakeControl struct {
+	platform.Control // the methods that the Putter does not call
+
+	mu        sync.Mutex
+	envelopes map[string]document.Envelope
+	traced    chan admin.TracedEvent
+}
+
+func (c *fakeControl) Snapshot() *routing.Snapshot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := &routing.Snapshot{
+		Sequence: 7, Built: time.Now(), Self: member.Info{ID: "i1"}, Ready: true, Shards: 1,
+		Services: map[string]*routing.Service{},
+		Members:  []routing.Member{{Info: member.Info{ID: "i2", AdminAddress: "127.0.0.1:2"}}, {Info: member.Info{ID: "i1"}, Live: true}},
+	}
+	for name, e := range c.envelopes {
+		s.Services[name] = &routing.Service{Name: name, Revision: e.Revision, Served: true, Upstreams: []routing.Upstream{
+			{Upstream: document.Upstream{ID: "u1", Slots: 6}, State: health.InService, Weight: 1},
+			{Upstream: document.Upstream{ID: "u2", Slots: 6}, State: health.Ejected},
+		}}
+	}
+	return s
+}
+
+func (c *fakeControl) Offer(_ context.Context, e document.Envelope, _ platform.DocumentSource) (uint64, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.envelopes[e.Service] = e
+	return e.Revision, nil
+}
+
+func (c *fakeControl) Envelope(_ context.Context, service string) (document.Envelope, bool, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.envelopes[service]
+	return e, ok, nil
+}
+
+func (c *fakeControl) Holder() *wire.Holder { return &wire.Holder{Instance: "i2", Fence: 3} }
+
+func (c *fakeControl) ExplainUpstream(_ context.Context, key health.Key) (health.View, []health.Change, error) {
+	if key.Upstream != "u1" {
+		return health.View{}, nil, errkind.New(errkind.NotFound, "no upstream %s", key.Upstream)
+	}
+	return health.View{Upstream: key, State: health.InService}, []health.Change{{Upstream: key, Rule: health.RuleEvidence}}, nil
+}
+
+func (c *fakeControl) Trace(context.Context) (<-chan admin.TracedEvent, error) { return c.traced, nil }
+
+func (c *fakeControl) ExplainRequest(id string) (admin.RequestExplanation, bool) {
+	return admin.RequestExplanation{RequestID: id, Status: 200}, id == "r1"
+}
+
+// bench is a running server with clients of both roles.
+type bench struct {
+	control  *fakeControl
+	store    *storeserver.Memory
+	material map[string]*keys.Material
+	address  string
+	stop     func()
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	b := &bench{
+		control:  &fakeControl{envelopes: map[string]document.Envelope{}, traced: make(chan admin.TracedEvent, 4)},
+		store:    storeserver.NewMemory(),
+		material: loadMaterial(t),
+	}
+	counter := store.NewCounter(nil)
+	s := counter.Store(b.store)
+	listening := make(chan string, 1)
+	metrics := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("knapweedreel_x 1\n")) })
+	server := admin.New(admin.Config{
+		Address: "127.0.0.1:0", TLS: b.material["i1"].AdminServer(), Metrics: metrics, Counter: counter,
+		Listening: func(a net.Addr) { listening <- a.String() },
+	}, b.control, platform.NewPutter(platform.PutterConfig{Instance: "i1"}, b.control, s), b.control, s)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- server.Run(ctx) }()
+	b.stop = sync.OnceFunc(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Errorf("Run: %v", err)
+		}
+	})
+	t.Cleanup(b.stop)
+	select {
+	case b.address = <-listening:
+	case err := <-done:
+		t.Fatal(err)
+	}
+	return b
+}
+
+func loadMaterial(t *testing.T) map[string]*keys.Material {
+	t.Helper()
+	dir := t.TempDir()
+	files := func(name string) keys.Files {
+		return keys.Files{CertificateFile: filepath.Join(dir, name+".pem"), KeyFile: filepath.Join(dir, name+".key")}
+	}
+	if err := keys.CreateAuthority(files("ca"), "ca", time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	m := map[string]*keys.Material{}
+	for name, role := range map[string]keys.Role{"i1": keys.RoleInstance, "i2": keys.RoleInstance, "anna": keys.RoleOperator} {
+		if err := keys.CreateCertificate(files("ca"), files(name), name, role, time.Hour); err != nil {
+			t.Fatal(err)
+		}
+		var err error
+		m[name], err = keys.LoadTLS(settings.Keys{
+			CertificateFile: files(name).CertificateFile, KeyFile: files(name).KeyFile, AuthorityFile: files("ca").CertificateFile,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return m
+}
+
+func (b *bench) client(name string) *adminclient.Client {
+	return adminclient.New(b.address, b.material[name].AdminClient())
+}
+
+const text = `{"service": "entries", "hosts": ["entries.example"], // comment
+	"upstreams": [{"id": "u1", "address": "127.0.0.1:9001", "region": "south", "failure_domain": "s1", "slots": 6, "connections": 330}],
+	"routes": [{"method": "POST", "path": "/entries", "idempotent": false, "deadline_ms": 2000, "max_body_bytes": 65536}]}`
+
+// Guards against an author that the client can choose, a text that is changed
+// on its way, and a conflict that comes without who made it.
+func TestPutAndRead(t *testing.T) {
+	ctx := t.Context()
+	b := newBench(t)
+	anna := b.client("anna")
+	r, err := anna.Put(ctx, "entries", []byte(text), 0, "c1")
+	if err != nil || r.Outcome != platform.Accepted || r.Revision != 1 {
+		t.Fatalf("Put = %+v, %v", r, err)
+	}
+	e, err := anna.Document(ctx, "entries")
+	if err != nil || e.Text != text || e.Latest().Author != "anna" {
+		t.Errorf("Document = %+v, %v", e, err)
+	}
+	r, err = anna.Put(ctx, "entries", []byte(text), 0, "c2")
+	if err != nil || r.Outcome != platform.NotAccepted || r.Kind != errkind.Conflict || r.Other.ChangeID != "c1" {
+		t.Errorf("conflicting Put = %+v, %v", r, err)
+	}
+	r, err = anna.Put(ctx, "entries", []byte("{"), 1, "c3")
+	if err != nil || r.Outcome != platform.NotAccepted || r.Kind != errkind.InvalidDocument {
+		t.Errorf("invalid Put = %+v, %v", r, err)
+	}
+	h, err := anna.History(ctx, "entries")
+	if err != nil || h.Revision != 1 || len(h.Changes) != 1 {
+		t.Errorf("History = %+v, %v", h, err)
+	}
+	if r, err = anna.ChangeResult(ctx, "entries", "c1"); err != nil || r.Outcome != platform.Accepted {
+		t.Errorf("ChangeResult = %+v, %v", r, err)
+	}
+	if r, err = anna.ChangeResult(ctx, "entries", "c2"); err != nil || r.Outcome != platform.Unknown || r.Kind != errkind.NotFound {
+		t.Errorf("ChangeResult of an absent change = %+v, %v", r, err)
+	}
+}
+
+// Guards against a change by an instance's certificate, and against a request
+// without limits or with broken parameters that reaches the store.
+func TestRefusals(t *testing.T) {
+	ctx := t.Context()
+	b := newBench(t)
+	for name, c := range map[string]struct {
+		client, change string
+		text           string
+		want           errkind.Kind
+	}{
+		"role":      {"i2", "c1", text, errkind.Unauthorized},
+		"no change": {"anna", "", text, errkind.BadRequest},
+		"too large": {"anna", "c1", strings.Repeat("x", store.MaxValueBytes+1), errkind.BodyTooLarge},
+	} {
+		_, err := b.client(c.client).Put(ctx, "entries", []byte(c.text), 0, c.change)
+		if errkind.Of(err) != c.want {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	i2 := b.client("i2")
+	if _, err := i2.Document(ctx, "absent"); errkind.Of(err) != errkind.NotFound || strings.Count(err.Error(), "not-found") != 1 {
+		t.Errorf("absent document: %v", err)
+	}
+	if _, err := i2.ExplainRequest(ctx, "r2"); errkind.Of(err) != errkind.NotFound {
+		t.Errorf("absent request: %v", err)
+	}
+	if _, err := i2.ExplainUpstream(ctx, "entries", "u9"); errkind.Of(err) != errkind.NotFound {
+		t.Errorf("absent upstream: %v", err)
+	}
+	if kvs, err := b.store.List(ctx, ""); err != nil || len(kvs) != 0 {
+		t.Errorf("store holds %v, %v", kvs, err)
+	}
+}
+
+// Guards against a status that leaves out what operators decide by.
+func TestStatusAndExplanations(t *testing.T) {
+	ctx := t.Context()
+	b := newBench(t)
+	if r, err := b.client("anna").Put(ctx, "entries", []byte(text), 0, "c1"); err != nil || r.Outcome != platform.Accepted {
+		t.Fatal(r, err)
+	}
+	c := b.client("i2")
+	s, err := c.Status(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []admin.ServiceStatus{{Name: "entries", Revision: 1, Served: true, HealthySlots: 6, Upstreams: []admin.UpstreamStatus{
+		{ID: "u1", State: health.InService, Weight: 1, Slots: 6}, {ID: "u2", State: health.Ejected, Slots: 6},
+	}}}
+	if diff := cmp.Diff(want, s.Services); diff != "" {
+		t.Error(diff)
+	}
+	if !s.Ready || s.Self.ID != "i1" || s.Holder == nil || s.Holder.Instance != "i2" || s.PlatformCalls[store.CallPut].Calls != 1 {
+		t.Errorf("Status = %+v", s)
+	}
+	if len(s.Members) != 2 || !s.Members[0].Live || s.Members[1].AdminAddress != "127.0.0.1:2" {
+		t.Errorf("Members = %+v", s.Members)
+	}
+	if e, err := c.ExplainUpstream(ctx, "entries", "u1"); err != nil || len(e.Changes) != 1 {
+		t.Errorf("ExplainUpstream = %+v, %v", e, err)
+	}
+	if e, err := c.ExplainRequest(ctx, "r1"); err != nil || e.Status != 200 {
+		t.Errorf("ExplainRequest = %+v, %v", e, err)
+	}
+	if m, err := c.Metrics(ctx); err != nil || !strings.Contains(string(m), "knapweedreel_x") {
+		t.Errorf("Metrics = %q, %v", m, err)
+	}
+}
+
+// Guards against audit records of other services, kinds or times in an answer,
+// and against an answer that is not bounded.
+func TestAuditQuery(t *testing.T) {
+	ctx := t.Context()
+	b := newBench(t)
+	l, err := b.store.AcquireLease(ctx, "leases/shard-0", "i1", time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := time.Date(2026, 5, 1, 8, 0, 0, 0, time.UTC)
+	records := []audit.Record{
+		{Time: at.Add(2 * time.Second), Kind: audit.KindUpstream, Service: "entries", Subject: "late"},
+		{Time: at, Kind: audit.KindUpstream, Service: "entries", Subject: "early"},
+		{Time: at.Add(time.Second), Kind: audit.KindUpstream, Service: "photos", Subject: "other"},
+		{Time: at.Add(time.Second), Kind: audit.KindDocument, Service: "entries", Subject: "document"},
+	}
+	if _, err := audit.NewWriter(b.store, 0, l).Append(ctx, records); err != nil {
+		t.Fatal(err)
+	}
+	for want, q := range map[string]admin.AuditQuery{
+		"early document other late": {},
+		"early document late":       {Service: "entries"},
+		"early late":                {Service: "entries", Kind: audit.KindUpstream},
+		"document other late":       {Since: at.Add(time.Second)},
+		"late":                      {Limit: 1},
+		"":                          {Shard: new(5)},
+	} {
+		got, err := b.client("i2").Audit(ctx, q)
+		var subjects []string
+		for _, r := range got {
+			subjects = append(subjects, r.Subject)
+		}
+		sorted := strings.Join(subjects, " ")
+		sorted = strings.ReplaceAll(sorted, "other document", "document other")
+		if err != nil || sorted != want {
+			t.Errorf("%+v: got %q, %v; want %q", q, sorted, err, want)
+		}
+	}
+}
+
+// Guards against a trace that is cut off while events come, and against a stop
+// that waits for one.
+func TestTraceEndsWithServer(t *testing.T) {
+	b := newBench(t)
+	b.control.traced <- admin.TracedEvent{Event: health.Event{Tick: &health.Tick{}}}
+	seen := make(chan admin.TracedEvent, 1)
+	ended := make(chan error, 1)
+	go func() {
+		ended <- b.client("i2").Trace(t.Context(), func(e admin.TracedEvent) error {
+			seen <- e
+			return nil
+		})
+	}()
+	select {
+	case e := <-seen:
+		if e.Event.Tick == nil {
+			t.Errorf("event %+v", e)
+		}
+	case err := <-ended:
+		t.Fatalf("trace ended: %v", err)
+	}
+	b.stop()
+	if err := <-ended; err != nil {
+		t.Errorf("trace: %v", err)
+	}
+}
+
+// Guards against a lost answer that the client reports as a failure, and
+// against an unreachable instance that it reports as an unknown result.
+func TestPutWithoutAnswer(t *testing.T) {
+	ctx := t.Context()
+	m := loadMaterial(t)
+	var puts int
+	hs := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		puts++
+		panic(http.ErrAbortHandler)
+	}))
+	hs.TLS = m["i1"].AdminServer()
+	hs.StartTLS()
+	address := hs.Listener.Addr().String()
+	c := adminclient.New(address, m["anna"].AdminClient())
+	r, err := c.Put(ctx, "entries", []byte(text), 0, "c1")
+	if err != nil || r.Outcome != platform.Unknown || !strings.Contains(r.Message, "c1") {
+		t.Errorf("lost answer: %+v, %v", r, err)
+	}
+	hs.Close()
+	if puts != 1 {
+		t.Errorf("the put was sent %d times", puts)
+	}
+	if _, err = c.Put(ctx, "entries", []byte(text), 0, "c1"); !errors.Is(err, adminclient.ErrUnreachable) {
+		t.Errorf("closed address: %v", err)
+	}
+}
--- a/internal/instance/platform/parse.go
+++ b/internal/instance/platform/parse.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"github.com/cockroachdb/errors"
+	"github.com/tailscale/hujson"
 
 	"knapweedreel/internal/document"
 )
@@ -11,8 +12,12 @@
 // parseDocument reads and validates a document. It only decodes JSON until
 // document.Parse is available.
 var parseDocument = func(name string, text []byte) (*document.Document, error) {
+	standard, err := hujson.Standardize(text)
+	if err != nil {
+		return nil, errors.Wrap(err, name)
+	}
 	var d document.Document
-	if err := json.Unmarshal(text, &d); err != nil {
+	if err := json.Unmarshal(standard, &d); err != nil {
 		return nil, errors.Wrap(err, name)
 	}
 	return &d, nil
