--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -20,7 +20,11 @@
 
 func main() {
 	commands := []command{
+		callerCommand(),
+		portsCommand(),
+		proxyCommand(),
 		storeCommand(),
+		upstreamCommand(),
 	}
 	parser := flaggy.NewParser("standin")
 	parser.Description = "Stand-ins for the platform and for upstreams."
