--- a/internal/instance/platform/attempt.go
+++ b/internal/instance/platform/attempt.go
@@ -182,11 +182,11 @@
 	if stored.Revision == 0 {
 		return "new document"
 	}
-	old, err := parseDocument(stored.Service, []byte(stored.Text))
+	old, err := document.Parse(stored.Service, []byte(stored.Text))
 	if err != nil {
 		return "replaced a document that this version cannot read"
 	}
-	lines := diffDocuments(old, next)
+	lines := document.Diff(old, next)
 	if len(lines) == 0 {
 		return "no change of meaning"
 	}
--- a/internal/instance/platform/child.go
+++ b/internal/instance/platform/child.go
@@ -27,7 +27,8 @@
 	// LeaseTTL is the time of the shard's lease. It is renewed after a third of
 	// it. Default DefaultLeaseTTL.
 	LeaseTTL time.Duration
-	// Random gives the jitter of all waits. Default: seeded by the runtime.
+	// Random gives the jitter of all waits. It must be given to nothing else,
+	// because it is not safe for several goroutines. Default: a random seed.
 	Random *rand.Rand
 	// Log receives one line for each event. Default: none.
 	Log *zap.Logger
--- a/internal/instance/platform/lease.go
+++ b/internal/instance/platform/lease.go
@@ -40,11 +40,14 @@
 
 // held returns the holding if it is in force. It compares the monotonic clock
 // with the lease's time, so that a process that was paused finds its lease
-// over before it uses it. The margin of a fifteenth of the lease's time covers
-// the difference in rate of two clocks and a write's way to the store.
+// over before it uses it. The wall clock is compared too, because the monotonic
+// clock stands still while a machine is suspended. The margin of a fifteenth of
+// the lease's time covers the difference in rate of two clocks and a write's way
+// to the store.
 func (c *Child) held() *holding {
 	h := c.holding.Load()
-	if h == nil || !time.Now().Before(h.end()) {
+	now := time.Now()
+	if h == nil || !now.Before(h.end()) || !now.Round(0).Before(h.end().Round(0)) {
 		return nil
 	}
 	return h
--- a/internal/instance/platform/put.go
+++ b/internal/instance/platform/put.go
@@ -30,7 +30,9 @@
 
 // The outcomes.
 const (
-	Accepted    Outcome = "accepted"
+	Accepted Outcome = "accepted"
+	// NotAccepted means that this put has changed nothing and will not. An
+	// earlier put of the same change ID may still take effect.
 	NotAccepted Outcome = "not-accepted"
 	Unknown     Outcome = "unknown"
 )
@@ -57,8 +59,8 @@
 type PutterConfig struct {
 	// Instance is the name of this instance, for the history.
 	Instance string
-	// Random gives the jitter of waits. It must be safe for several goroutines
-	// or be given to nothing else; the Putter locks it.
+	// Random gives the jitter of waits. It must be given to nothing else,
+	// because it is not safe for several goroutines. Default: a random seed.
 	Random *rand.Rand
 	// Log receives one line for each put.
 	Log *zap.Logger
@@ -121,13 +123,10 @@
 	if r.Author == "" {
 		return nil, errors.New("author is missing")
 	}
-	if len(r.Text) > store.MaxValueBytes {
-		return nil, errors.Newf("document has %d bytes, limit %d", len(r.Text), store.MaxValueBytes)
-	}
 	if !utf8.ValidString(r.Text) {
 		return nil, errors.New("document is not UTF-8")
 	}
-	doc, err := parseDocument(r.Service, []byte(r.Text))
+	doc, err := document.Parse(r.Service, []byte(r.Text))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/instance/platform/put_test.go
+++ b/internal/instance/platform/put_test.go
@@ -126,6 +126,25 @@
 	}
 }
 
+// Guards against a history that does not tell what a change was.
+func TestPutSummarizesChange(t *testing.T) {
+	b := newBench()
+	r := request(0, "anna", "c1")
+	b.putter.Put(t.Context(), r)
+	r = request(1, "anna", "c2")
+	r.Text = strings.Replace(r.Text, `"slots": 6`, `"slots": 4`, 1)
+	b.putter.Put(t.Context(), r)
+	r = request(2, "anna", "c3")
+	r.Text = strings.Replace(r.Text, `"slots": 6`, `"slots": 4`, 1)
+	b.putter.Put(t.Context(), r)
+	e := b.stored(t)
+	for i, want := range []string{"new document", "slots", "no change of meaning"} {
+		if !strings.Contains(e.History[i].Summary, want) {
+			t.Errorf("summary of revision %d is %q, want %q in it", i+1, e.History[i].Summary, want)
+		}
+	}
+}
+
 // Guards against two operators who are both told that they made a revision, and
 // against a loser who is not told by whom and how the document was changed.
 func TestPutRace(t *testing.T) {
@@ -229,9 +248,9 @@
 		"not JSON":        func(r *PutRequest) { r.Text = "{" },
 		"another service": func(r *PutRequest) { r.Service = "photos" },
 		"not UTF-8":       func(r *PutRequest) { r.Text = text("\xff") },
-		"over the limit":  func(r *PutRequest) { r.Text = text(strings.Repeat("x", store.MaxValueBytes)) },
-		"too large with its history": func(r *PutRequest) {
-			r.Text = text(strings.Repeat("x", store.MaxValueBytes-len(text(""))))
+		"over the limit":  func(r *PutRequest) { r.Text = text(strings.Repeat("x", document.MaxTextBytes)) },
+		"over the limit when encoded": func(r *PutRequest) {
+			r.Text = text(strings.Repeat("\x01", store.MaxValueBytes/6)) // each is encoded in six bytes
 		},
 	} {
 		r := valid
@@ -241,7 +260,7 @@
 		}
 	}
 	if e := b.stored(t); e.Revision != 0 {
-		t.Errorf("stored %+v", e)
+		t.Errorf("stored revision %d", e.Revision)
 	}
 }
 
@@ -259,7 +278,7 @@
 		t.Errorf("%d changes, latest %+v", len(e.History), e.Latest())
 	}
 	r := request(e.Revision, "anna", "large")
-	r.Text = text(strings.Repeat("x", store.MaxValueBytes-2000))
+	r.Text = text(strings.Repeat("\\", store.MaxValueBytes/2-1200)) // each is encoded in two bytes
 	if got := b.putter.Put(t.Context(), r); got.Outcome != Accepted {
 		t.Fatal(got)
 	}
