--- a/internal/instance/entry/drain.go
+++ b/internal/instance/entry/drain.go
@@ -2,29 +2,114 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
+// quietTime is the time for which no caller may have been active before a
+// planned stop ends. A request that is already on its way when a connection is
+// closed would be lost.
+const quietTime = 250 * time.Millisecond
+
+// quietInterval is the time between looks at the callers' connections.
+const quietInterval = 20 * time.Millisecond
+
 // drainState is the state of a planned stop.
-type drainState struct{ started atomic.Bool }
+type drainState struct {
+	started atomic.Bool
+	ended   chan struct{} // closed when Drain returns
+	once    sync.Once
+}
 
-// Drain stops the server in a planned way. It goes on accepting requests for
-// the drain time, in which callers learn of other addresses, with answers that
-// close their connections. Then it stops accepting and waits until the requests
-// in flight have ended, for at most the stop limit. Requests that are still
-// running after that limit are cut off, and the error says so.
+// Drain stops the server in a planned way. For the drain time it goes on
+// accepting requests, because callers may keep its address for that long;
+// answers carry Connection: close. Then it waits until no request is in flight
+// and none arrives, and stops accepting. Requests that are still in flight when
+// the stop limit has passed after the drain time are cut off, and the error
+// says so. If ctx ends first, Drain returns its error and leaves the server
+// running.
+//
+// Run returns only when its own context ends.
 func (s *Server) Drain(ctx context.Context) error {
 	s.drain.started.Store(true)
-	s.http.SetKeepAlivesEnabled(false)
-	t := time.NewTimer(milliseconds(s.cfg.Times.DrainMS))
+	if err := pause(ctx, milliseconds(s.cfg.Times.DrainMS)); err != nil {
+		return err
+	}
+	limit, cancel := context.WithTimeout(ctx, milliseconds(s.cfg.Times.StopLimitMS))
+	defer cancel()
+	err := s.callers.waitQuiet(limit)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	server := s.server()
+	s.drain.once.Do(func() { close(s.drain.ended) })
+	if server == nil {
+		return nil
+	}
+	if err == nil {
+		// Requests that have just begun are still served to their end.
+		err = server.Shutdown(limit)
+	}
+	if err != nil {
+		_ = server.Close()
+		return errors.Mark(errors.Wrap(err, "planned stop"), errDrainLimit)
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
+		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	ctx, cancel := context.WithTimeout(ctx, milliseconds(s.cfg.Times.StopLimitMS))
-	defer cancel()
-	return s.http.Shutdown(ctx)
+}
+
+// callerTable knows which callers' connections have a request in flight.
+type callerTable struct {
+	mu     sync.Mutex
+	active map[net.Conn]struct{}
+	last   time.Time // when a connection last changed its state
+}
+
+// state is the ConnState hook of the HTTP server. A new connection counts as
+// active, because its first request is on its way.
+func (t *callerTable) state(c net.Conn, state http.ConnState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.last = time.Now()
+	if state == http.StateNew || state == http.StateActive {
+		t.active[c] = struct{}{}
+	} else {
+		delete(t.active, c)
+	}
+}
+
+func (t *callerTable) quiet(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.active) == 0 && now.Sub(t.last) >= quietTime
+}
+
+// waitQuiet waits until no request is in flight and none has been for
+// quietTime.
+func (t *callerTable) waitQuiet(ctx context.Context) error {
+	tick := time.NewTicker(quietInterval)
+	defer tick.Stop()
+	for !t.quiet(time.Now()) {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
 }
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -4,14 +4,12 @@
 package entry
 
 import (
-	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
@@ -40,8 +38,7 @@
 	Scope    tally.Scope // default: none
 	// Listener accepts callers instead of one opened at Address. Run closes it.
 	Listener net.Listener
-	// Rand chooses among equal upstreams. Default: a random seed. It is used
-	// under a lock.
+	// Rand seeds the choice among equal upstreams. Default: a random seed.
 	Rand *rand.Rand
 	// Upstreams changes how connections to upstreams are opened, for tests.
 	Upstreams upstream.Config
@@ -55,14 +52,15 @@
 	pools   *upstream.Pools
 	ring    *ring
 
+	buffers *bufferPool
+
 	mu       sync.Mutex
 	services map[string]*service
+	rand     *rand.Rand // seeds the services' random sources
+	http     *http.Server
 
-	randMu sync.Mutex
-	rand   *rand.Rand
-
-	http  *http.Server
-	drain drainState
+	drain   drainState
+	callers callerTable
 }
 
 // New returns a server. It accepts callers once Run is called.
@@ -89,16 +87,12 @@
 		log:      cfg.Log,
 		pools:    upstream.New(cfg.Upstreams),
 		ring:     newRing(cfg.Limits.Explanations),
+		buffers:  &bufferPool{size: cfg.Limits.BufferedAnswerBytes + 1},
 		services: make(map[string]*service),
 		rand:     cfg.Rand,
 	}
-	s.http = &http.Server{
-		Handler:           s,
-		ReadHeaderTimeout: milliseconds(cfg.Times.HeaderMS),
-		IdleTimeout:       milliseconds(cfg.Times.HeaderMS),
-		MaxHeaderBytes:    cfg.Limits.HeaderBytes,
-		ErrorLog:          zap.NewStdLog(cfg.Log),
-	}
+	s.callers.active = make(map[net.Conn]struct{})
+	s.drain.ended = make(chan struct{})
 	return s
 }
 
@@ -124,37 +118,3 @@
 }
 
 func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
-
-// Run serves callers until ctx is cancelled or Drain has ended. When ctx is
-// cancelled, the listener and all connections are closed at once and requests
-// in flight are cancelled; Run returns nil in both cases.
-func (s *Server) Run(ctx context.Context) error {
-	l := s.cfg.Listener
-	if l == nil {
-		var err error
-		if l, err = net.Listen("tcp", s.cfg.Address); err != nil {
-			return errors.Wrap(err, "listen for callers")
-		}
-	}
-	defer s.pools.Close()
-	served := make(chan error, 1)
-	go func() { served <- s.http.Serve(l) }()
-	select {
-	case <-ctx.Done():
-		_ = s.http.Close()
-		<-served
-		return nil
-	case err := <-served:
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return errors.Wrap(err, "serve callers")
-	}
-}
-
-// shuffle returns a random permutation of n indexes.
-func (s *Server) shuffle(n int) []int {
-	s.randMu.Lock()
-	defer s.randMu.Unlock()
-	return s.rand.Perm(n)
-}
--- a/internal/instance/entry/explain.go
+++ b/internal/instance/entry/explain.go
@@ -42,3 +42,11 @@
 
 // ExplainRequest returns the explanation of one of the latest requests.
 func (s *Server) ExplainRequest(id string) (admin.RequestExplanation, bool) { return s.ring.get(id) }
+
+// lastUpstream names the upstream of the last attempt.
+func lastUpstream(attempts []admin.Attempt) string {
+	if len(attempts) == 0 {
+		return ""
+	}
+	return attempts[len(attempts)-1].Upstream
+}
--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -3,58 +3,38 @@
 import (
 	"context"
 	"crypto/rand"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"net/url"
-	"strconv"
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
-	"knapweedreel/internal/document"
 	"knapweedreel/internal/errkind"
-	"knapweedreel/internal/health"
-	"knapweedreel/internal/instance/admin"
 	"knapweedreel/internal/instance/entry/upstream"
-	"knapweedreel/internal/routing"
 )
 
-// defaultDeadline is the document's default for the time of a request.
-const defaultDeadline = 10 * time.Second
-
-// exchange is one request with what is known of it so far.
-type exchange struct {
-	w           http.ResponseWriter
-	r           *http.Request
-	id          string
-	caller      string
-	started     time.Time
-	deadline    time.Time
-	svc         *routing.Service
-	route       *document.Route
-	explanation admin.RequestExplanation
-}
-
 // ServeHTTP serves one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if strings.HasPrefix(r.URL.Path, localPrefix) {
-		s.serveLocal(w, r)
-		return
+	e := &exchange{
+		s: s, w: w, rc: http.NewResponseController(w), r: r,
+		started: time.Now(), caller: callerOf(r),
 	}
-	e := &exchange{w: w, r: r, started: time.Now(), caller: callerOf(r), id: r.Header.Get(upstream.HeaderRequestID)}
-	if e.id == "" {
-		e.id = rand.Text()
+	if r.ContentLength != 0 {
+		// Answers may begin before the body has ended.
+		_ = e.rc.EnableFullDuplex()
+		e.body = newRequestBody(r, s.cfg.Limits.BufferedBodyBytes)
 	}
+	e.conn = callerConnOf(r)
+	e.setServing(true)
 	defer s.record(e)
+	defer e.after()
+	if strings.HasPrefix(r.URL.Path, localPrefix) {
+		s.serveLocal(e)
+		return
+	}
 	if err := s.serve(e); err != nil {
-		e.explanation.Kind = string(errkind.Of(err))
-		e.explanation.Run = string(errkind.Lookup(errkind.Of(err)).Run)
-		e.explanation.Status = errkind.Lookup(errkind.Of(err)).Status
-		errkind.WriteAnswer(w, errkind.Of(err), err.Error())
+		e.fail(err)
 	}
 }
 
@@ -70,10 +50,14 @@
 	return host
 }
 
+// serve matches the request and proxies it. An error means that nothing was
+// written to the caller.
 func (s *Server) serve(e *exchange) error {
-	snap := s.control.Snapshot()
+	if err := e.checkRequest(); err != nil {
+		return err
+	}
 	var err error
-	if e.svc, err = matchService(snap, e.r.Host); err != nil {
+	if e.svc, err = matchService(s.control.Snapshot(), e.r.Host); err != nil {
 		return err
 	}
 	if e.route, err = matchRoute(e.svc.Document, e.r); err != nil {
@@ -82,122 +66,81 @@
 	if e.deadline, err = e.deadlineOf(); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithDeadline(e.r.Context(), e.deadline)
-	defer cancel()
-	st := s.service(e.svc.Name)
-	c, err := st.acquire(e.svc, s.shuffle(len(e.svc.Upstreams)))
-	if err != nil {
-		return err
+	if limit := maxBody(e.route); e.r.ContentLength > limit {
+		return errkind.New(errkind.BodyTooLarge, "the body of %d bytes is over the route's limit of %d", e.r.ContentLength, limit)
 	}
-	defer st.release(c.upstream.ID)
-	return s.attempt(ctx, e, c)
-}
-
-// deadlineOf returns the smaller of the document's and the caller's deadline.
-func (e *exchange) deadlineOf() (time.Time, error) {
-	limit := defaultDeadline
-	if e.svc.Document.DeadlineMS > 0 {
-		limit = milliseconds(e.svc.Document.DeadlineMS)
-	}
-	if e.route.DeadlineMS > 0 {
-		limit = milliseconds(e.route.DeadlineMS)
-	}
-	if v := e.r.Header.Get(headerDeadline); v != "" {
-		ms, err := strconv.ParseInt(v, 10, 64)
-		if err != nil || ms < 0 {
-			return time.Time{}, errkind.New(errkind.BadRequest, "%s is not a number of milliseconds: %q", headerDeadline, v)
-		}
-		if ms < limit.Milliseconds() {
-			limit = time.Duration(ms) * time.Millisecond
-		}
+	if e.body != nil {
+		e.body.setLimit(maxBody(e.route))
 	}
-	return e.started.Add(limit), nil
+	var cancel context.CancelFunc
+	e.ctx, cancel = context.WithDeadline(e.r.Context(), e.deadline)
+	defer cancel()
+	return s.proxy(e)
 }
 
-// attempt makes one attempt at the chosen upstream and passes its answer on.
-func (s *Server) attempt(ctx context.Context, e *exchange, c choice) error {
-	req := e.outgoing(c.upstream.Address)
-	target := upstream.Target{
-		Key:            health.Key{Service: e.svc.Name, Upstream: c.upstream.ID},
-		Address:        c.upstream.Address,
-		MaxConnections: c.upstream.MaxConnections,
-		IdleTimeout:    idleTimeout(e.svc.Document),
-	}
-	ans, trace, err := s.pools.Do(ctx, upstream.Attempt{Target: target, Request: req, Idempotent: e.route.Idempotent})
-	out := health.Outcome{
-		Upstream: target.Key,
-		Route:    e.route.Method + " " + e.route.Path,
-		Caller:   xxhash.Sum64String(e.caller),
-		Latency:  trace.Latency,
-	}
-	a := admin.Attempt{Upstream: c.upstream.ID, Home: c.home, Fresh: trace.Fresh, BytesSent: trace.Sent}
-	if err != nil {
-		a.Result, out.Reason = string(errkind.Of(err)), string(errkind.Of(err))
-		out.Class = health.Failed
-		e.explanation.Attempts = append(e.explanation.Attempts, a)
-		s.control.ReportOutcome(out)
-		return err
+// maxRequestID is the largest length of a request identity, in bytes.
+const maxRequestID = 128
+
+// checkRequest refuses requests that cannot be proxied, and gives the request
+// an identity.
+func (e *exchange) checkRequest() error {
+	ids := e.r.Header[upstream.HeaderRequestID]
+	switch {
+	case len(ids) == 0 || len(ids) == 1 && ids[0] == "":
+		e.id = rand.Text()
+	case len(ids) > 1 || !validID(ids[0]):
+		e.id = rand.Text()
+		return errkind.New(errkind.BadRequest, "%s must be one value of at most %d visible characters", upstream.HeaderRequestID, maxRequestID)
+	default:
+		e.id = ids[0]
+	}
+	switch {
+	case e.r.Method == http.MethodConnect:
+		return errkind.New(errkind.BadRequest, "the method CONNECT is not proxied")
+	case e.r.Header.Get("Upgrade") != "":
+		return errkind.New(errkind.BadRequest, "protocol upgrades are not proxied")
+	case hasDotSegment(e.r.URL.Path):
+		return errkind.New(errkind.BadRequest, "the path has a . or .. segment")
 	}
-	defer func() { _ = ans.Body.Close() }()
-	a.Result = strconv.Itoa(ans.StatusCode)
-	out.Class, out.Reason = health.OK, a.Result
-	e.explanation.Attempts = append(e.explanation.Attempts, a)
-	s.control.ReportOutcome(out)
-	e.explanation.Status = ans.StatusCode
-	return passOn(e.w, ans)
+	return nil
 }
 
-func idleTimeout(doc *document.Document) time.Duration {
-	if doc.IdleTimeoutMS > 0 {
-		return milliseconds(doc.IdleTimeoutMS)
+func validID(id string) bool {
+	if len(id) > maxRequestID {
+		return false
 	}
-	return 10 * time.Second
+	for i := range len(id) {
+		if id[i] <= ' ' || id[i] > '~' {
+			return false
+		}
+	}
+	return true
 }
 
-// outgoing returns the request as it is sent to an upstream.
-func (e *exchange) outgoing(address string) *http.Request {
-	h := e.r.Header.Clone()
-	removeHopByHop(h)
-	h.Del("Expect")
-	h.Set(upstream.HeaderRequestID, e.id)
-	h.Set(headerDeadline, strconv.FormatInt(max(1, time.Until(e.deadline).Milliseconds()), 10))
-	if _, ok := h["User-Agent"]; !ok {
-		h["User-Agent"] = []string{""} // keeps net/http from adding its own
-	}
-	req := &http.Request{
-		Method: e.r.Method,
-		URL: &url.URL{
-			Scheme: "http", Host: address, Path: e.r.URL.Path, RawPath: e.r.URL.RawPath,
-			RawQuery: e.r.URL.RawQuery, ForceQuery: e.r.URL.ForceQuery,
-		},
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: h, Host: e.r.Host, Body: e.r.Body, ContentLength: e.r.ContentLength,
-	}
-	if e.r.ContentLength == 0 {
-		req.Body = http.NoBody
-	}
-	return req
+// hasDotSegment reports whether a path has a segment that an upstream may
+// resolve. The request would then be run under another path than the one by
+// which its route, and with it its idempotence, was chosen.
+func hasDotSegment(path string) bool {
+	for seg := range strings.FieldsFuncSeq(path, func(r rune) bool { return r == '/' || r == '\\' }) {
+		if seg == "." || seg == ".." {
+			return true
+		}
+	}
+	return false
 }
 
-// passOn writes an upstream's answer to the caller. An answer that ends early
-// aborts the caller's connection.
-func passOn(w http.ResponseWriter, ans *upstream.Answer) error {
-	h := w.Header()
-	for k, v := range ans.Header {
-		h[k] = v
-	}
-	removeHopByHop(h)
-	for _, name := range reserved {
-		h.Del(name)
-	}
-	w.WriteHeader(ans.StatusCode)
-	if _, err := io.Copy(w, ans.Body); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	return nil
+// fail answers the request with an error.
+func (e *exchange) fail(err error) {
+	answer := errkind.Lookup(errkind.Of(err))
+	e.explanation.Kind, e.explanation.Run, e.explanation.Status = string(answer.Kind), string(answer.Run), answer.Status
+	if e.id != "" {
+		e.w.Header().Set(upstream.HeaderRequestID, e.id)
+	}
+	e.beforeHeader(false)
+	errkind.WriteAnswer(e.w, answer.Kind, err.Error())
 }
 
-// record keeps the explanation of a request and writes its log line.
+// record keeps the explanation of a request, counts it and writes its log line.
 func (s *Server) record(e *exchange) {
 	x := &e.explanation
 	x.RequestID, x.Instance, x.Time, x.Caller = e.id, s.cfg.Instance, e.started, e.caller
@@ -206,10 +149,19 @@
 		x.Service, x.Revision = e.svc.Name, e.svc.Revision
 	}
 	if e.route != nil {
-		x.Route = fmt.Sprintf("%s %s", e.route.Method, e.route.Path)
+		x.Route = routeName(e.route)
 	}
 	s.ring.add(*x)
+	scope := s.cfg.Scope
+	if e.st != nil {
+		scope = e.st.metrics.scope
+		e.st.metrics.total.RecordDuration(x.Total)
+		e.st.metrics.queued.RecordDuration(x.Queued)
+		e.st.metrics.overhead.RecordDuration(max(0, x.Total-x.Queued-e.upstreamTime))
+	}
+	requestCounter(scope, x.Status, x.Kind).Inc(1)
 	s.log.Info("request", zap.String("request_id", x.RequestID), zap.String("service", x.Service),
 		zap.String("route", x.Route), zap.String("caller", x.Caller), zap.Int("status", x.Status),
-		zap.String("kind", x.Kind), zap.Int("attempts", len(x.Attempts)), zap.Duration("total", x.Total))
+		zap.String("kind", x.Kind), zap.String("run", x.Run), zap.Int("attempts", len(x.Attempts)),
+		zap.String("upstream", lastUpstream(x.Attempts)), zap.Duration("queued", x.Queued), zap.Duration("total", x.Total))
 }
--- a/internal/instance/entry/headers.go
+++ b/internal/instance/entry/headers.go
@@ -6,13 +6,13 @@
 	"strings"
 
 	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/instance/entry/upstream"
 )
 
 // Headers between callers, the fleet and upstreams.
 const (
 	headerCaller   = "Knapweedreel-Caller"
 	headerDeadline = "Knapweedreel-Deadline-Ms"
-	headerRefused  = "Knapweedreel-Refused"
 )
 
 // hopByHop are the headers that concern one connection only (RFC 9110,
@@ -24,7 +24,7 @@
 
 // reserved are the headers by which the fleet speaks for itself. An upstream's
 // answer does not carry them to the caller.
-var reserved = []string{errkind.HeaderError, errkind.HeaderRun, headerRefused}
+var reserved = []string{errkind.HeaderError, errkind.HeaderRun, upstream.HeaderRefused}
 
 // removeHopByHop removes the hop-by-hop headers and those that Connection
 // names.
--- a/internal/instance/entry/locate.go
+++ b/internal/instance/entry/locate.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -41,28 +42,36 @@
 	Revision  uint64     `json:"revision"`  // of the service's document
 }
 
-func (s *Server) serveLocal(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != locatePath {
-		errkind.WriteAnswer(w, errkind.NotFound, "no such page")
+// serveLocal answers a request to the entry itself.
+func (s *Server) serveLocal(e *exchange) {
+	data, err := s.localAnswer(e.r)
+	if err != nil {
+		e.fail(err)
 		return
 	}
+	e.explanation.Status = http.StatusOK
+	h := e.w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(data)))
+	e.beforeHeader(false)
+	e.w.WriteHeader(http.StatusOK)
+	_ = e.write(data)
+}
+
+func (s *Server) localAnswer(r *http.Request) ([]byte, error) {
+	if r.URL.Path != locatePath {
+		return nil, errkind.New(errkind.NotFound, "no such page: %s", r.URL.Path)
+	}
 	if r.Method != http.MethodGet && r.Method != http.MethodHead {
-		errkind.WriteAnswer(w, errkind.BadRequest, "locate accepts GET only")
-		return
+		return nil, errkind.New(errkind.BadRequest, "locate accepts GET only")
 	}
 	q := r.URL.Query()
 	answer, err := s.locate(s.control.Snapshot(), q.Get("service"), q.Get("region"))
 	if err != nil {
-		errkind.WriteAnswer(w, errkind.Of(err), err.Error())
-		return
+		return nil, err
 	}
 	data, err := json.Marshal(answer)
-	if err != nil {
-		errkind.WriteAnswer(w, errkind.Internal, err.Error())
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(append(data, '\n'))
+	return append(data, '\n'), errkind.Wrap(errkind.Internal, err, "encode the answer")
 }
 
 // locate chooses the addresses for a service and a caller's region.
--- /dev/null
+++ b/internal/instance/entry/pick.go
@@ -0,0 +1,150 @@
+package entry
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"knapweedreel/internal/health"
+	"knapweedreel/internal/routing"
+)
+
+// maxBorrows is the largest number of attempts of one request that use slots
+// of which this instance is not the home. Each may meet another instance's
+// request; more of them would turn overload into refusals.
+const maxBorrows = 2
+
+// want is what a request needs of an upstream.
+type want struct {
+	caller     string
+	route      string
+	idempotent bool
+	deadline   time.Time
+	tried      []string // upstreams that have failed or refused this request
+	borrowed   int      // attempts so far with borrowed slots
+	retry      bool     // not the first attempt
+}
+
+// choice is an upstream that was chosen for an attempt.
+type choice struct {
+	upstream routing.Upstream
+	home     bool // a home slot of this instance
+	probe    bool // the upstream is in probation
+	err      error
+}
+
+// candidate is an upstream that could be chosen.
+type candidate struct {
+	index  int
+	home   bool
+	remote bool    // in another region than this instance
+	load   float64 // known requests in flight per slot
+}
+
+// better reports whether c is to be preferred to d: home slots come before
+// borrowed ones. Among home slots the region decides before the load, because
+// a home slot is free whatever the load; among borrowed slots it is the other
+// way round.
+func (c candidate) better(d candidate) bool {
+	switch {
+	case c.home != d.home:
+		return c.home
+	case c.home && c.remote != d.remote:
+		return d.remote
+	case c.load != d.load:
+		return c.load < d.load
+	}
+	return !c.remote && d.remote
+}
+
+// pick chooses an upstream with a free slot. The caller holds st.mu.
+func (st *service) pick(snap *routing.Snapshot, svc *routing.Service, w *want, now time.Time) (choice, bool) {
+	if c, ok := st.pickProbation(svc, w, now); ok {
+		return c, true
+	}
+	var best candidate
+	found := false
+	again := st.triedAll(svc, w)
+	for _, i := range st.rand.Perm(len(svc.Upstreams)) {
+		u := &svc.Upstreams[i]
+		if u.State != health.InService || st.avoided(u.ID, now) || !again && slices.Contains(w.tried, u.ID) {
+			continue
+		}
+		c, ok := st.candidate(u, w)
+		if !ok {
+			continue
+		}
+		c.index, c.remote = i, u.Region != snap.Self.Region
+		if !found || c.better(best) {
+			best, found = c, true
+		}
+	}
+	if !found {
+		return choice{}, false
+	}
+	return choice{upstream: svc.Upstreams[best.index], home: best.home}, true
+}
+
+// candidate returns u as a candidate if it has a slot for w. An upstream whose
+// weight is below 1 takes part in that share of the choices, with that share of
+// its slots.
+func (st *service) candidate(u *routing.Upstream, w *want) (candidate, bool) {
+	own := st.inFlight[u.ID]
+	if own >= max(1, u.MaxConnections) || u.Weight < 1 && st.rand.Float64() >= u.Weight {
+		return candidate{}, false
+	}
+	weight := min(1, u.Weight)
+	c := candidate{
+		home: float64(own) < math.Ceil(float64(u.HomeSlots)*weight),
+		load: float64(own+u.PeerInFlight) / float64(max(1, u.Slots)),
+	}
+	mayBorrow := w.borrowed < maxBorrows && float64(own+u.PeerInFlight) < math.Ceil(float64(u.Slots)*weight)
+	return c, c.home || mayBorrow
+}
+
+// pickProbation chooses an upstream in probation for an idempotent request, as
+// often as the share for probes allows. Each carries one request at a time.
+func (st *service) pickProbation(svc *routing.Service, w *want, now time.Time) (choice, bool) {
+	if !w.idempotent || w.retry || st.probes.tokens < 1 {
+		return choice{}, false
+	}
+	n := len(svc.Upstreams)
+	if n == 0 {
+		return choice{}, false
+	}
+	first := st.rand.IntN(n)
+	for k := range n {
+		u := &svc.Upstreams[(first+k)%n]
+		if u.State == health.Probation && st.inFlight[u.ID] == 0 && !st.avoided(u.ID, now) {
+			st.probes.spend()
+			return choice{upstream: *u, probe: true}, true
+		}
+	}
+	return choice{}, false
+}
+
+// triedAll reports whether the request has tried every upstream in service, so
+// that only a second attempt at one of them is left.
+func (st *service) triedAll(svc *routing.Service, w *want) bool {
+	for i := range svc.Upstreams {
+		u := &svc.Upstreams[i]
+		if u.State == health.InService && !slices.Contains(w.tried, u.ID) {
+			return false
+		}
+	}
+	return true
+}
+
+// usable reports whether any upstream can take the request once it has a free
+// slot.
+func (st *service) usable(svc *routing.Service, w *want) bool {
+	for i := range svc.Upstreams {
+		u := &svc.Upstreams[i]
+		if u.State == health.InService && (w.borrowed < maxBorrows || u.HomeSlots > 0) {
+			return true
+		}
+	}
+	return false
+}
+
+func (st *service) avoided(id string, now time.Time) bool { return now.Before(st.avoid[id]) }
--- /dev/null
+++ b/internal/instance/entry/retry.go
@@ -0,0 +1,137 @@
+package entry
+
+import (
+	"slices"
+
+	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/instance/entry/upstream"
+)
+
+// defaultRetries is the document's default number of further attempts.
+const defaultRetries = 2
+
+// Causes of further attempts, for explanations.
+const (
+	causeRefused    = "refused"
+	causeNotSent    = "not-sent"
+	causeIdempotent = "idempotent"
+	causeLate       = "late"
+)
+
+// proxy makes the attempts of a request and answers it. An error means that
+// nothing was written to the caller.
+func (s *Server) proxy(e *exchange) error {
+	st := s.service(e.svc.Name)
+	e.st = st
+	st.arrive()
+	e.want = &want{caller: e.caller, route: routeName(e.route), idempotent: e.route.Idempotent, deadline: e.deadline}
+	c, err := e.acquire()
+	if err != nil {
+		return e.verdict(err)
+	}
+	var held *attempt // a whole answer with an unhealthy status
+	cause := ""
+	for n := 0; ; n++ {
+		a := &attempt{s: s, e: e, st: st, choice: c, cause: cause, number: n}
+		a.run(e.ctx)
+		if a.err == nil && !(a.unhealthy() && a.whole) {
+			held.drop()
+			return s.answer(e, a)
+		}
+		if a.err == nil {
+			held.drop()
+			held = a
+		}
+		var ok bool
+		if c, cause, ok = e.another(a); !ok {
+			return s.giveUp(e, a, held)
+		}
+		st.metrics.retries.Inc(1)
+	}
+}
+
+// giveUp answers with the last whole answer of an upstream, if there is one,
+// else with the error of the last attempt.
+func (s *Server) giveUp(e *exchange, last, held *attempt) error {
+	if held != nil {
+		return s.answer(e, held)
+	}
+	return e.verdict(last.err)
+}
+
+// drop gives back the buffer of an answer that is not passed on.
+func (a *attempt) drop() {
+	if a != nil && a.head != nil {
+		a.s.buffers.put(a.head)
+		a.head = nil
+	}
+}
+
+// retryLimit returns the largest number of further attempts.
+func (e *exchange) retryLimit() int {
+	if e.svc.Document.Retries != nil {
+		return *e.svc.Document.Retries
+	}
+	return defaultRetries
+}
+
+// mayRetry returns the cause for which another attempt is allowed, or "".
+func (e *exchange) mayRetry(a *attempt) string {
+	if a.number >= e.retryLimit() || e.ctx.Err() != nil || e.body != nil && !e.body.replayable() {
+		return ""
+	}
+	cause := ""
+	switch {
+	case a.refused != upstream.NotRefused:
+		cause = causeRefused
+	case a.err != nil && !a.trace.Sent:
+		cause = causeNotSent
+	case e.route.Idempotent:
+		cause = causeIdempotent
+	}
+	if cause == "" || !a.st.spend(cause != causeIdempotent) {
+		return ""
+	}
+	return cause
+}
+
+// another returns the slot and the cause of the attempt after a, or false when
+// there is to be none.
+func (e *exchange) another(a *attempt) (c choice, cause string, ok bool) {
+	if next := a.late.next; next != nil { // cutOff has spent the budget
+		e.tried(a)
+		return *next, causeLate, true
+	}
+	if cause = e.mayRetry(a); cause == "" {
+		return choice{}, "", false
+	}
+	c, ok = e.next(a)
+	return c, cause, ok
+}
+
+// next takes a slot for another attempt after a. While an answer is at hand,
+// it does not wait for one.
+func (e *exchange) next(a *attempt) (choice, bool) {
+	e.tried(a)
+	if a.err == nil {
+		return e.st.tryAcquire(e.want)
+	}
+	c, err := e.acquire()
+	return c, err == nil
+}
+
+// tried keeps the next attempt away from the upstream of a.
+func (e *exchange) tried(a *attempt) {
+	id, w := a.choice.upstream.ID, e.want
+	w.retry = true
+	if !a.choice.home && !a.choice.probe {
+		w.borrowed++
+	}
+	if a.err != nil && !a.trace.Fresh && !a.trace.Received && errkind.Of(a.err) == errkind.UpstreamReset {
+		// Only the pooled connection is known to be dead. A fresh one shows
+		// whether the upstream is.
+		e.deadPooled = append(e.deadPooled, id)
+	} else if !slices.Contains(w.tried, id) {
+		w.tried = append(w.tried, id)
+	}
+}
--- /dev/null
+++ b/internal/instance/entry/run.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"knapweedreel/internal/health"
+	"knapweedreel/internal/routing"
+)
+
+// tidyInterval is the time between removals of what is no longer in use.
+const tidyInterval = time.Second
+
+// Run serves callers until ctx is cancelled. Then it closes the listener and
+// all connections at once, which cancels the requests in flight, and returns
+// nil. After Drain it has nothing more to serve, and waits for ctx.
+func (s *Server) Run(ctx context.Context) error {
+	l, err := s.listen()
+	if err != nil {
+		return err
+	}
+	server := s.newHTTPServer()
+	s.mu.Lock()
+	s.http = server
+	s.mu.Unlock()
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(newListener(l, s.cfg.Limits.CallerConnections)) }()
+	tidied := make(chan struct{})
+	tidyCtx, stopTidying := context.WithCancel(ctx)
+	go func() {
+		defer close(tidied)
+		s.tidy(tidyCtx)
+	}()
+	defer func() {
+		stopTidying()
+		<-tidied
+		s.pools.Close()
+	}()
+	select {
+	case <-ctx.Done():
+	case err = <-served:
+		if errors.Is(err, http.ErrServerClosed) {
+			<-ctx.Done()
+			_ = server.Close()
+			return nil
+		}
+		_ = server.Close()
+		return errors.Wrap(err, "serve callers")
+	}
+	_ = server.Close()
+	<-served
+	return nil
+}
+
+func (s *Server) listen() (net.Listener, error) {
+	if s.cfg.Listener != nil {
+		return s.cfg.Listener, nil
+	}
+	l, err := net.Listen("tcp", s.cfg.Address)
+	return l, errors.Wrap(err, "listen for callers")
+}
+
+func (s *Server) newHTTPServer() *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &http.Server{
+		Handler:           s,
+		Protocols:         protocols,
+		ReadHeaderTimeout: milliseconds(s.cfg.Times.HeaderMS),
+		IdleTimeout:       milliseconds(s.cfg.Times.HeaderMS),
+		MaxHeaderBytes:    s.cfg.Limits.HeaderBytes,
+		ErrorLog:          zap.NewStdLog(s.log),
+		ConnContext:       withCallerConn,
+		ConnState:         s.callers.state,
+	}
+}
+
+// server returns the HTTP server of the current Run, nil before.
+func (s *Server) server() *http.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.http
+}
+
+// tidy closes idle connections and forgets services and upstreams that are no
+// longer in the documents.
+func (s *Server) tidy(ctx context.Context) {
+	t := time.NewTicker(tidyInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			s.tidyOnce(s.control.Snapshot(), now)
+		}
+	}
+}
+
+func (s *Server) tidyOnce(snap *routing.Snapshot, now time.Time) {
+	known := make(map[health.Key]time.Duration)
+	for _, svc := range snap.Services {
+		if svc.Document == nil {
+			continue
+		}
+		for i := range svc.Upstreams {
+			known[health.Key{Service: svc.Name, Upstream: svc.Upstreams[i].ID}] = idleTimeout(svc.Document)
+		}
+	}
+	s.pools.Tidy(known)
+	s.mu.Lock()
+	services := make([]*service, 0, len(s.services))
+	for _, st := range s.services {
+		services = append(services, st)
+	}
+	s.mu.Unlock()
+	for _, st := range services {
+		st.forget(snap.Services[st.name], now)
+	}
+}
--- a/internal/instance/entry/service.go
+++ b/internal/instance/entry/service.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
-	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/document"
 	"knapweedreel/internal/health"
 	"knapweedreel/internal/routing"
 	"knapweedreel/internal/wire"
@@ -14,10 +16,20 @@
 // service is what this instance knows of the requests of one service. It
 // outlives revisions of the document.
 type service struct {
-	name string
+	name    string
+	control Control
+	metrics *serviceMetrics
 
-	mu       sync.Mutex
-	inFlight map[string]int // by upstream
+	mu        sync.Mutex
+	rand      *rand.Rand
+	inFlight  map[string]int       // by upstream
+	avoid     map[string]time.Time // upstream gets nothing before that time
+	queue     fairQueue
+	recheck   *time.Timer // runs while requests wait
+	retries   bucket
+	refusals  bucket
+	probes    bucket
+	latencies map[string]*estimate // by route
 }
 
 // service returns the state of the named service.
@@ -26,43 +38,50 @@
 	defer s.mu.Unlock()
 	st := s.services[name]
 	if st == nil {
-		st = &service{name: name, inFlight: make(map[string]int)}
+		st = &service{
+			name:      name,
+			control:   s.control,
+			metrics:   newServiceMetrics(s.cfg.Scope, name),
+			rand:      rand.New(rand.NewPCG(s.rand.Uint64(), s.rand.Uint64())),
+			inFlight:  make(map[string]int),
+			avoid:     make(map[string]time.Time),
+			retries:   newBucket(retryShare, retryReserve, 2*retryReserve),
+			refusals:  newBucket(refusalShare, refusalReserve, 2*refusalReserve),
+			probes:    newBucket(probeShare, 0, 1),
+			latencies: make(map[string]*estimate),
+		}
 		s.services[name] = st
 	}
 	return st
 }
 
-// choice is an upstream that was chosen for an attempt.
-type choice struct {
-	upstream routing.Upstream
-	home     bool // a home slot of this instance
+// arrive counts a new request for the budgets.
+func (st *service) arrive() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.retries.earn()
+	st.refusals.earn()
+	st.probes.earn()
 }
 
-// acquire takes a slot at an upstream for one attempt.
-func (st *service) acquire(svc *routing.Service, order []int) (choice, error) {
+// spend takes a token for a further attempt. A cheap attempt follows one that
+// was provably not run.
+func (st *service) spend(cheap bool) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	best, bestHome, bestLoad := -1, false, 0.0
-	for _, i := range order {
-		u := &svc.Upstreams[i]
-		own := st.inFlight[u.ID]
-		if u.State != health.InService || own >= max(1, u.MaxConnections) {
-			continue
-		}
-		home := own < u.HomeSlots
-		if !home && own+u.PeerInFlight >= u.Slots {
-			continue
-		}
-		load := float64(own+u.PeerInFlight) / float64(max(1, u.Slots))
-		if best < 0 || home && !bestHome || home == bestHome && load < bestLoad {
-			best, bestHome, bestLoad = i, home, load
-		}
+	if cheap {
+		return st.refusals.spend()
 	}
-	if best < 0 {
-		return choice{}, errkind.New(errkind.NoUpstream, "no upstream of service %s has a free slot", st.name)
+	return st.retries.spend()
+}
+
+// avoidFor gives the upstream nothing new for the time d.
+func (st *service) avoidFor(id string, d time.Duration) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if until := time.Now().Add(d); until.After(st.avoid[id]) {
+		st.avoid[id] = until
 	}
-	st.inFlight[svc.Upstreams[best].ID]++
-	return choice{upstream: svc.Upstreams[best], home: bestHome}, nil
 }
 
 // release gives back the slot at an upstream.
@@ -72,6 +91,48 @@
 	if st.inFlight[id]--; st.inFlight[id] <= 0 {
 		delete(st.inFlight, id)
 	}
+	st.dispatchLocked()
+}
+
+// latency returns the estimate for a route. The caller holds st.mu.
+func (st *service) latency(route string) *estimate {
+	l := st.latencies[route]
+	if l == nil {
+		l = new(estimate)
+		st.latencies[route] = l
+	}
+	return l
+}
+
+// observe adds the latency of a good answer to the estimate of its route.
+func (st *service) observe(route string, d time.Duration) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.latency(route).add(d)
+}
+
+// highLatency returns a time that healthy answers of a route rarely exceed.
+func (st *service) highLatency(route string) (time.Duration, bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.latency(route).high()
+}
+
+// forget drops what is known of routes that are no longer in the document, and
+// avoidances that are over. A removed service is nil.
+func (st *service) forget(svc *routing.Service, now time.Time) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for id, until := range st.avoid {
+		if !now.Before(until) {
+			delete(st.avoid, id)
+		}
+	}
+	for route := range st.latencies {
+		if svc == nil || svc.Document == nil || !slices.ContainsFunc(svc.Document.Routes, func(r document.Route) bool { return routeName(&r) == route }) {
+			delete(st.latencies, route)
+		}
+	}
 }
 
 // InFlight returns the number of requests in flight at each upstream where it
--- a/internal/instance/entry/upstream/attempt.go
+++ b/internal/instance/entry/upstream/attempt.go
@@ -40,9 +40,10 @@
 	Idempotent bool
 	// FreshOnly makes the attempt open a connection.
 	FreshOnly bool
-	// Silence is the longest time from sending to the end of the answer
-	// header. 0 leaves it to the context.
-	Silence time.Duration
+	// Late is called when the answer header is still missing LateAfter after
+	// the request was written. 0 turns it off. It must not block.
+	LateAfter time.Duration
+	Late      func()
 }
 
 // Interrupter is a request body whose pending and later reads can be made to
@@ -52,11 +53,14 @@
 
 // Trace tells what is known of an attempt, also of one that failed.
 type Trace struct {
-	Fresh    bool          // the connection was opened for this attempt
-	Sent     bool          // bytes of the request may have been written
-	Received bool          // bytes of an answer were received
-	Local    bool          // failed for lack of a resource of this machine
-	Latency  time.Duration // from sending to the end of the answer header
+	Fresh    bool // the connection was opened for this attempt
+	Sent     bool // bytes of the request may have been written
+	Received bool // bytes of an answer were received
+	Local    bool // failed for lack of a resource of this machine
+	// Latency is the time from the end of writing the request to the end of the
+	// answer header, 0 for an answer that came before. The time that a caller
+	// takes to send its body is not part of it.
+	Latency time.Duration
 }
 
 // Answer is an answer whose header has passed the checks. Its body must be
@@ -67,9 +71,6 @@
 	Refused Refusal
 }
 
-// errSilent ends an attempt whose answer header takes longer than Silence.
-var errSilent = errors.New("no answer header within the limit")
-
 // Do makes one attempt: it takes or opens a connection, writes the request and
 // reads the header of the answer. It writes the request to at most one
 // connection and never resends it. The context bounds the whole attempt,
@@ -83,14 +84,14 @@
 	if err != nil {
 		return nil, Trace{Fresh: true, Local: local(err)}, contextFirst(ctx, err)
 	}
-	x := &exchange{pool: pl, conn: c, request: a.Request, trace: Trace{Fresh: c.fresh}}
+	x := &exchange{pool: pl, conn: c, attempt: a, trace: Trace{Fresh: c.fresh}}
 	x.written, x.read = c.counted.begin(x.interrupt)
-	x.ctx, x.cancel = context.WithCancelCause(ctx)
+	x.ctx, x.cancel = context.WithCancel(ctx)
 	if ctx.Err() != nil { // the transport would write the request all the same
 		x.fail()
 		return nil, x.trace, contextFirst(ctx, errkind.New(errkind.ConnectFailed, "the context ended before sending"))
 	}
-	ans, err := x.run(a.Silence)
+	ans, err := x.run()
 	if err != nil {
 		x.fail()
 		return nil, x.trace, contextFirst(ctx, err)
@@ -102,26 +103,23 @@
 type exchange struct {
 	pool    *pool
 	conn    *conn
-	request *http.Request
+	attempt Attempt
 	trace   Trace
+	timing  timing
 	ctx     context.Context
-	cancel  context.CancelCauseFunc
+	cancel  context.CancelFunc
 	written int64 // counts of the connection at the start
 	read    int64
 }
 
 // run sends the request and returns the answer. After an error the connection
 // is still open.
-func (x *exchange) run(silence time.Duration) (*Answer, error) {
+func (x *exchange) run() (*Answer, error) {
 	stop := context.AfterFunc(x.ctx, x.interrupt)
 	defer stop()
-	if silence > 0 {
-		t := time.AfterFunc(silence, func() { x.cancel(errSilent) })
-		defer t.Stop()
-	}
-	started := time.Now()
-	resp, err := x.conn.client.RoundTrip(x.request.WithContext(x.ctx))
-	x.trace.Latency = time.Since(started)
+	x.timing.late, x.timing.lateAfter = x.attempt.Late, x.attempt.LateAfter
+	resp, err := x.conn.client.RoundTrip(x.attempt.Request.WithContext(x.timing.trace(x.ctx)))
+	x.trace.Latency = x.timing.stop()
 	x.trace.Sent = true
 	x.trace.Received = x.conn.counted.receivedSince(x.read)
 	if err != nil {
@@ -138,7 +136,7 @@
 // interrupt ends a pending read of the request's body, for which the transport
 // waits when the connection or the context has ended.
 func (x *exchange) interrupt() {
-	if b, ok := x.request.Body.(Interrupter); ok {
+	if b, ok := x.attempt.Request.Body.(Interrupter); ok {
 		b.Interrupt()
 	}
 }
@@ -147,13 +145,11 @@
 func (x *exchange) fail() {
 	x.trace.Sent = x.conn.counted.seal(x.written)
 	x.pool.discard(x.conn)
-	x.cancel(nil)
+	x.cancel()
 }
 
 func (x *exchange) roundTripError(err error) error {
 	switch {
-	case errors.Is(context.Cause(x.ctx), errSilent):
-		return errkind.Wrap(errkind.UpstreamSilent, err, "wait for the answer")
 	case !x.conn.counted.seal(x.written):
 		return errkind.Wrap(errkind.ConnectFailed, err, "connection closed before the request was written")
 	case !x.trace.Received:
@@ -187,14 +183,14 @@
 // request, and recognises refusals.
 func (x *exchange) check(ans *Answer) error {
 	echo, echoed := ans.Header[HeaderRequestID]
-	id := x.request.Header.Get(HeaderRequestID)
+	id := x.attempt.Request.Header.Get(HeaderRequestID)
 	if echoed && (len(echo) != 1 || echo[0] != id) {
 		return errkind.New(errkind.CrossedAnswer, "the answer belongs to request %q", echo)
 	}
 	if ans.StatusCode < http.StatusOK {
 		return errkind.New(errkind.BadAnswer, "unexpected status %d", ans.StatusCode)
 	}
-	if !framed(x.request, ans.Response) {
+	if !framed(x.attempt.Request, ans.Response) {
 		return errkind.New(errkind.BadAnswer, "the answer has neither a length nor chunked framing")
 	}
 	refused := Refusal(ans.Header.Get(HeaderRefused))
--- a/internal/instance/entry/upstream/body.go
+++ b/internal/instance/entry/upstream/body.go
@@ -45,6 +45,6 @@
 		b.x.pool.discard(b.x.conn)
 		_ = b.ReadCloser.Close()
 	}
-	b.x.cancel(nil)
+	b.x.cancel()
 	return nil
 }
--- a/internal/instance/entry/upstream/pool.go
+++ b/internal/instance/entry/upstream/pool.go
@@ -71,6 +71,13 @@
 	return c
 }
 
+// dropIdle closes connections that were idle for longer than idleTimeout.
+func (pl *pool) dropIdle(idleTimeout time.Duration) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.dropIdleLocked(idleTimeout)
+}
+
 func (pl *pool) dropIdleLocked(idleTimeout time.Duration) {
 	old := 0
 	for old < len(pl.idle) && time.Since(pl.idle[old].lastUsed) >= idleTimeout {
--- a/internal/instance/entry/upstream/upstream.go
+++ b/internal/instance/entry/upstream/upstream.go
@@ -80,20 +80,27 @@
 	}
 }
 
-// Keep closes the pools of upstreams for which keep returns false.
-func (p *Pools) Keep(keep func(health.Key) bool) {
+// Tidy closes the pools of upstreams that are not known, and the connections to
+// the others that were idle for longer than the given time.
+func (p *Pools) Tidy(known map[health.Key]time.Duration) {
 	p.mu.Lock()
 	var drop []*pool
+	keep := make(map[*pool]time.Duration, len(p.pools))
 	for k, pl := range p.pools {
-		if !keep(k) {
-			drop = append(drop, pl)
-			delete(p.pools, k)
+		if idle, ok := known[k]; ok {
+			keep[pl] = idle
+			continue
 		}
+		drop = append(drop, pl)
+		delete(p.pools, k)
 	}
 	p.mu.Unlock()
 	for _, pl := range drop {
 		pl.close()
 	}
+	for pl, idle := range keep {
+		pl.dropIdle(idle)
+	}
 }
 
 // pool returns the pool of t. A changed address starts a new pool.
