--- /dev/null
+++ b/test/decisions/decisions_test.go
@@ -0,0 +1,230 @@
+package decisions
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+var (
+	seeds    = flag.Int("decisions.seeds", 1, "traces for each shape, fault and period; 1 runs the short set")
+	only     = flag.String("decisions.fault", "", "run only faults whose name contains this")
+	onlyRule = flag.String("decisions.rule", "", "run only rules whose name contains this")
+	parallel = flag.Int("decisions.parallel", 4, "traces at a time")
+	curve    = flag.Bool("decisions.curve", true, "print the curve of the sensitivity")
+	explain  = flag.Bool("decisions.explain", false, "print false ejections")
+)
+
+// Bounds from the targets of section 2 of the design.
+const (
+	totalMedian = time.Second
+	totalP99    = 3 * time.Second
+	partialMax  = 10 * time.Second
+)
+
+// cell names a row of the tables.
+type cell struct {
+	shape, fault, period, rule string
+}
+
+// job is one trace, replayed under several rules.
+type job struct {
+	shape  Shape
+	fault  Fault
+	period Period
+	seed   uint64
+}
+
+// run generates the traces of the jobs and replays each under each rule.
+func run(t *testing.T, jobs []job, rules []Rule) map[cell]*Row {
+	t.Helper()
+	rows := make([]map[cell]Row, len(jobs))
+	var group errgroup.Group
+	group.SetLimit(*parallel)
+	for i, j := range jobs {
+		group.Go(func() error {
+			trace := Generate(j.shape, j.fault, j.period, j.seed)
+			rows[i] = map[cell]Row{}
+			for _, r := range rules {
+				result := Replay(trace, r.Build, r.Share, j.seed)
+				var row Row
+				row.Add(trace, result)
+				rows[i][cell{j.shape.Name, j.fault.Name, j.period.Name, r.Name}] = row
+				if *explain {
+					explainFalse(trace, j, r, result)
+				}
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	merged := map[cell]*Row{}
+	for _, part := range rows {
+		for c, row := range part {
+			if merged[c] == nil {
+				merged[c] = &Row{}
+			}
+			merged[c].Merge(row)
+		}
+	}
+	return merged
+}
+
+func explainFalse(t *Trace, j job, r Rule, result Result) {
+	if r.Name != "engine" {
+		return
+	}
+	for _, d := range result.Decisions {
+		faulty := slices.ContainsFunc(t.Faults, func(w *Window) bool { return w.Upstream == d.Upstream })
+		if d.To == "ejected" && !faulty {
+			fmt.Printf("false: %s %s %s seed %d: %s at %s after %v: %v %s score %.1f of %.1f\n", j.shape.Name, j.fault.Name, j.period.Name, j.seed,
+				t.Instances[d.Instance].Name, d.Upstream, d.Time.Sub(t.Start), d.Rule, d.Detail, d.Score, d.Threshold)
+		}
+	}
+}
+
+// TestDecisions guards against detection slower than the targets and against
+// false ejections. It prints the comparison of the rules.
+func TestDecisions(t *testing.T) {
+	var jobs []job
+	for _, shape := range Shapes {
+		for _, fault := range Faults {
+			for _, period := range Periods {
+				if !strings.Contains(fault.Name, *only) || *seeds == 1 && !isShort(fault, period) {
+					continue
+				}
+				for seed := range *seeds {
+					jobs = append(jobs, job{shape, fault, period, uint64(seed + 1)})
+				}
+			}
+		}
+	}
+	rules := slices.DeleteFunc(slices.Clone(Rules), func(r Rule) bool {
+		return !strings.Contains(r.Name, *onlyRule) || *seeds == 1 && r.Name != "engine"
+	})
+	rows := run(t, jobs, rules)
+	if testing.Verbose() {
+		printRules(os.Stdout, rows, rules)
+		printPeriods(os.Stdout, rows)
+	}
+	checkTargets(t, rows)
+	if *curve && *seeds > 1 {
+		printCurve(os.Stdout, jobs, func(jobs []job) map[cell]*Row { return run(t, jobs, Rules[len(Rules)-1:]) })
+	}
+}
+
+// printCurve prints what each sensitivity gives over all faults.
+func printCurve(w io.Writer, jobs []job, run func([]job) map[cell]*Row) {
+	fmt.Fprintf(w, "\nThe engine by sensitivity, all faults:\n\n| shape | sensitivity %s|---|--:|--:|--:|--:|--:|--:|--:|--:|\n", header)
+	for _, shape := range Shapes {
+		for _, sensitivity := range []float64{0, 0.2, 0.5, 0.8, 1} {
+			var sum Row
+			var chosen []job
+			for _, j := range jobs {
+				if j.shape.Name == shape.Name {
+					j.shape.Sensitivity = sensitivity
+					chosen = append(chosen, j)
+				}
+			}
+			for _, row := range run(chosen) {
+				sum.Merge(*row)
+			}
+			printRow(w, sum, shape.Name, fmt.Sprint(sensitivity))
+		}
+	}
+}
+
+// isShort selects the traces of an ordinary test run.
+func isShort(f Fault, p Period) bool {
+	names := []string{"none", "fails all", "fails 20%", "poisonous caller", "faulty instance, all", "cut region"}
+	return p.Name == "normal" && slices.Contains(names, f.Name)
+}
+
+func checkTargets(t *testing.T, rows map[cell]*Row) {
+	t.Helper()
+	var total, partial []time.Duration
+	for c, row := range rows {
+		if c.rule != "engine" {
+			continue
+		}
+		if c.shape == "Bloomtally" && row.False > 0 {
+			t.Errorf("Bloomtally, %s, %s: %d false ejections, want none", c.fault, c.period, row.False)
+		}
+		if c.shape == "Rücklauf" {
+			total = append(total, row.Total...)
+			partial = append(partial, row.Partial...)
+		}
+	}
+	if got := Quantile(total, 0.5); got > totalMedian {
+		t.Errorf("Rücklauf, total failures: median detection time is %v, want at most %v", got, totalMedian)
+	}
+	if got := Quantile(total, 0.99); got > totalP99 {
+		t.Errorf("Rücklauf, total failures: 99th percentile of the detection time is %v, want at most %v", got, totalP99)
+	}
+	if got := Quantile(partial, 1); got > partialMax {
+		t.Errorf("Rücklauf, 20%% failures: longest detection time is %v, want at most %v", got, partialMax)
+	}
+}
+
+const header = "| first p50 | first p99 | all p50 | all p99 | missed | false | upstream-s |\n"
+
+func printRules(w io.Writer, rows map[cell]*Row, rules []Rule) {
+	fmt.Fprintf(w, "\n| shape | fault | rule %s|---|---|---|--:|--:|--:|--:|--:|--:|--:|\n", header)
+	for _, shape := range Shapes {
+		for _, fault := range Faults {
+			for _, rule := range rules {
+				var sum Row
+				for _, p := range Periods {
+					if row := rows[cell{shape.Name, fault.Name, p.Name, rule.Name}]; row != nil {
+						sum.Merge(*row)
+					}
+				}
+				if len(jobsOf(rows, shape.Name, fault.Name)) > 0 {
+					printRow(w, sum, shape.Name, fault.Name, rule.Name)
+				}
+			}
+		}
+	}
+}
+
+// jobsOf returns the cells of one fault.
+func jobsOf(rows map[cell]*Row, shape, fault string) []cell {
+	var cells []cell
+	for c := range rows {
+		if c.shape == shape && c.fault == fault {
+			cells = append(cells, c)
+		}
+	}
+	return cells
+}
+
+func printPeriods(w io.Writer, rows map[cell]*Row) {
+	fmt.Fprintf(w, "\nThe engine by period:\n\n| shape | fault | period %s|---|---|---|--:|--:|--:|--:|--:|--:|--:|\n", header)
+	for _, shape := range Shapes {
+		for _, fault := range Faults {
+			for _, p := range Periods {
+				if row := rows[cell{shape.Name, fault.Name, p.Name, "engine"}]; row != nil {
+					printRow(w, *row, shape.Name, fault.Name, p.Name)
+				}
+			}
+		}
+	}
+}
+
+func printRow(w io.Writer, r Row, names ...string) {
+	seconds := func(v []time.Duration, q float64) string {
+		if len(v) == 0 {
+			return "–"
+		}
+		return fmt.Sprintf("%.2f s", Quantile(v, q).Seconds())
+	}
+	fmt.Fprintf(w, "| %s | %s | %s | %s | %s | %d | %d | %.0f |\n", strings.Join(names, " | "),
+		seconds(r.First, 0.5), seconds(r.First, 0.99), seconds(r.All, 0.5), seconds(r.All, 0.99), r.Missed, r.False, r.FalseSeconds)
+}
--- /dev/null
+++ b/test/decisions/replay.go
@@ -0,0 +1,185 @@
+package decisions
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"knapweedreel/internal/health"
+)
+
+// Decider is what is measured: health.Engine, or a rule to compare with it.
+type Decider interface {
+	Apply(now time.Time, ev health.Event) []health.Change
+	Outgoing(now time.Time) []health.Evidence
+	Views(service string) []health.View
+}
+
+// Decision is a change at one instance.
+type Decision struct {
+	Instance int
+	health.Change
+}
+
+// Result is what a replay gave.
+type Result struct {
+	Decisions []Decision // in order of time at each instance
+}
+
+// delivery is evidence on its way to a peer.
+type delivery struct {
+	at   time.Time
+	to   int
+	peer *health.PeerEvidence
+}
+
+type deliveries []delivery
+
+func (d deliveries) Len() int           { return len(d) }
+func (d deliveries) Less(i, j int) bool { return d[i].at.Before(d[j].at) }
+func (d deliveries) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
+func (d *deliveries) Push(v any)        { *d = append(*d, v.(delivery)) }
+func (d *deliveries) Pop() any {
+	last := (*d)[len(*d)-1]
+	*d = (*d)[:len(*d)-1]
+	return last
+}
+
+// replay is a replay in progress.
+type replay struct {
+	trace    *Trace
+	share    bool
+	deciders []Decider
+	rng      *rand.Rand
+	pending  deliveries
+	sequence uint64
+	out      []map[health.Key]*outState // by instance
+	result   Result
+}
+
+// outState follows an upstream that is or was out of service at an instance.
+type outState struct {
+	state health.State
+	since time.Time
+	busy  time.Time // end of the request in probation
+	ramp  uint64    // requests since it returned
+}
+
+// Replay feeds the trace to one decider for each instance. With share unset, no
+// evidence is delivered. The same seed gives the same delivery times.
+func Replay(t *Trace, build func(health.Config) Decider, share bool, seed uint64) Result {
+	r := &replay{trace: t, share: share, rng: rand.New(rand.NewPCG(seed, 1))}
+	for _, i := range t.Instances {
+		r.deciders = append(r.deciders, build(health.Config{Instance: i.Name, Region: i.Region}))
+		r.out = append(r.out, map[health.Key]*outState{})
+	}
+	// Instances tick in turn, so that their reports are spread over the interval.
+	step := health.TickInterval / time.Duration(len(t.Instances))
+	next := make([]int, len(t.Streams))
+	for at, turn := t.Start, 0; at.Before(t.End); at, turn = at.Add(step), turn+1 {
+		for i := range t.Streams {
+			r.advance(i, &next[i], at)
+		}
+		r.deliver(at)
+		r.tick(turn%len(t.Instances), at)
+	}
+	return r.result
+}
+
+// advance applies the instance's events up to the given time.
+func (r *replay) advance(i int, next *int, until time.Time) {
+	stream := r.trace.Streams[i]
+	for ; *next < len(stream) && !stream[*next].Time.After(until); *next++ {
+		record := stream[*next]
+		if o := record.Event.Outcome; o != nil && !r.allows(i, record.Time, o) {
+			continue
+		}
+		r.apply(i, record.Time, record.Event)
+	}
+}
+
+// allows reports whether the instance would have sent the request.
+func (r *replay) allows(i int, end time.Time, o *health.Outcome) bool {
+	sent := end.Add(-o.Latency)
+	s := r.out[i][o.Upstream]
+	allowed := true
+	if s != nil && !sent.Before(s.since) {
+		switch s.state {
+		case health.Ejected, health.Leaves:
+			allowed = false
+		case health.Probation:
+			allowed = !sent.Before(s.busy) && isIdempotent(o.Route)
+			if allowed {
+				s.busy = end
+			}
+		case health.InService:
+			s.ramp++
+			allowed = end.Sub(s.since) >= rampTime || float64(s.ramp%10)/10 < r.weight(i, o.Upstream)
+		}
+	}
+	return allowed
+}
+
+// rampTime is the time after which a returned upstream has its full work.
+const rampTime = 10 * time.Second
+
+func isIdempotent(route string) bool { return route != "POST /items" }
+
+func (r *replay) weight(i int, key health.Key) float64 {
+	for _, v := range r.deciders[i].Views(key.Service) {
+		if v.Upstream == key {
+			return v.Weight
+		}
+	}
+	return 0
+}
+
+func (r *replay) apply(i int, at time.Time, ev health.Event) {
+	for _, c := range r.deciders[i].Apply(at, ev) {
+		r.result.Decisions = append(r.result.Decisions, Decision{i, c})
+		s := r.out[i][c.Upstream]
+		if s == nil && c.To == health.InService || c.From == c.To {
+			continue
+		}
+		if s == nil {
+			s = &outState{}
+			r.out[i][c.Upstream] = s
+		}
+		s.state, s.since, s.ramp = c.To, at, 0
+	}
+}
+
+// tick lets an instance tick and sends its evidence; each copy takes 2 to 10 ms.
+func (r *replay) tick(i int, at time.Time) {
+	r.apply(i, at, health.Event{Tick: &health.Tick{}})
+	evidence := r.deciders[i].Outgoing(at)
+	if !r.share || len(evidence) == 0 {
+		return
+	}
+	r.sequence++
+	from := r.trace.Instances[i]
+	message := &health.PeerEvidence{Reporter: from.Name, Boot: 1, Sequence: r.sequence, Region: from.Region, Evidence: evidence}
+	for j := range r.deciders {
+		if j == i || r.isCut(from.Region, r.trace.Instances[j].Region, at) {
+			continue
+		}
+		delay := 2*time.Millisecond + time.Duration(r.rng.Int64N(int64(8*time.Millisecond)))
+		heap.Push(&r.pending, delivery{at.Add(delay), j, message})
+	}
+}
+
+func (r *replay) isCut(a, b string, at time.Time) bool {
+	for _, c := range r.trace.Cuts {
+		if !at.Before(c.From) && at.Before(c.To) && (a == c.Region) != (b == c.Region) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *replay) deliver(until time.Time) {
+	for len(r.pending) > 0 && !r.pending[0].at.After(until) {
+		d := heap.Pop(&r.pending).(delivery)
+		r.apply(d.to, d.at, health.Event{Peer: d.peer})
+	}
+}
