--- a/internal/instance/peering/duplicate.go
+++ b/internal/instance/peering/duplicate.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -28,8 +29,12 @@
 	return cmp.Compare(a.serial, b.serial)
 }
 
-// add takes a link into use and closes the links that it replaces. It reports
-// false when there are too many links.
+// handover is the time for which a replaced link stays open. The other side may
+// have sent on it before it learned of the link that is kept.
+const handover = time.Second
+
+// add takes a link into use and closes the links that it replaces after the
+// handover. It reports false when there are too many links.
 func (n *Node) add(k *link) bool {
 	n.notify.Lock()
 	defer n.notify.Unlock()
@@ -51,7 +56,7 @@
 	n.mu.Unlock()
 
 	for _, old := range replaced {
-		_ = old.conn.CloseWithError(codeReplaced, "another link is kept")
+		time.AfterFunc(handover, func() { _ = old.conn.CloseWithError(codeReplaced, "another link is kept") })
 	}
 	if used {
 		n.cfg.Log.Info("peer_link_up", zap.String("member", k.info.ID), zap.Uint64("boot", k.info.Boot), zap.Bool("dialed", k.dialed))
