--- a/internal/instance/control/config.go
+++ b/internal/instance/control/config.go
@@ -68,9 +68,6 @@
 	NewEngine func() Engine
 	// Parse reads and validates a document and applies its defaults.
 	Parse func(name string, text []byte) (*document.Document, error)
-	// HomeSlots returns the number of home slots of the instance at each
-	// upstream, by upstream ID. Members are in the order of their IDs.
-	HomeSlots func(instance string, members []string, upstreams []document.Upstream) map[string]int
 	// InFlight returns the entry's requests in flight for heartbeats.
 	InFlight func() []wire.InFlight
 	// Peers sends messages. No call blocks.
--- a/internal/instance/control/heartbeat.go
+++ b/internal/instance/control/heartbeat.go
@@ -12,7 +12,7 @@
 // Bounds that keep messages below wire.MaxFrame.
 const (
 	maxInFlight = 512 // upstreams in a heartbeat
-	maxEvidence = 128 // upstreams in an evidence message
+	maxEvidence = 64  // upstreams in an evidence message
 )
 
 // SetInFlight gives the source of the entry's requests in flight.
--- a/internal/instance/control/links.go
+++ b/internal/instance/control/links.go
@@ -143,7 +143,7 @@
 
 func (e received) apply(l *Loop, now time.Time) {
 	m := &e.message
-	if row, ok := l.table.Row(e.from); ok && m.Boot < row.Boot {
+	if l.table.Outdated(e.from, m.Boot) {
 		l.cfg.Log.Debug("message_of_earlier_boot", zap.String("member", e.from))
 		return
 	}
--- a/internal/instance/control/snapshot.go
+++ b/internal/instance/control/snapshot.go
@@ -10,6 +10,7 @@
 	"knapweedreel/internal/health"
 	"knapweedreel/internal/member"
 	"knapweedreel/internal/routing"
+	"knapweedreel/internal/slots"
 )
 
 // publisher notes what the next snapshot has to rebuild.
@@ -161,13 +162,21 @@
 	}
 	s := share{
 		revision:    f.envelope.Revision,
-		homeSlots:   l.cfg.HomeSlots(l.self.ID, present, f.parsed.Upstreams),
+		homeSlots:   homeSlots(l.self.ID, f.parsed, present),
 		connections: connections(f.parsed.Upstreams, len(present)),
 	}
 	l.publisher.shares[name] = s
 	return s
 }
 
+func homeSlots(instance string, d *document.Document, members []string) map[string]int {
+	upstreams := make([]slots.Upstream, 0, len(d.Upstreams))
+	for _, u := range d.Upstreams {
+		upstreams = append(upstreams, slots.Upstream{ID: u.ID, Slots: u.Slots})
+	}
+	return slots.Assign(d.Service, upstreams, members)[instance]
+}
+
 func connections(upstreams []document.Upstream, members int) map[string]int {
 	out := make(map[string]int, len(upstreams))
 	for _, u := range upstreams {
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -76,6 +76,8 @@
 
 // Merge takes in what a member said of itself on a link at the given time. Old
 // information is ignored, also as a sign of life when it is of an earlier boot.
+// A lost member may come back with a lower boot: its process is gone, and the
+// clock of the machine that replaces it may be behind.
 func (t *Table) Merge(info Info, now time.Time) []Transition {
 	if info.ID == t.self || info.ID == "" {
 		return nil
@@ -85,11 +87,11 @@
 		row = &Row{Info: Info{ID: info.ID}, Presence: Known, Found: now}
 		t.insert(row)
 	}
-	if info.Boot < row.Boot {
+	if t.Outdated(info.ID, info.Boot) {
 		return nil
 	}
 	previous, presence := row.Info, row.Presence
-	if Newer(info, row.Info) {
+	if Newer(info, row.Info) || info.Boot < row.Boot {
 		row.Info = info
 	}
 	row.Heard = now
@@ -100,6 +102,13 @@
 	return []Transition{{Member: row.Info, From: presence, To: Live, State: row.State}}
 }
 
+// Outdated reports whether a message of the member with the given boot is of an
+// earlier process than the one that is live.
+func (t *Table) Outdated(id string, boot uint64) bool {
+	row, ok := t.rows[id]
+	return ok && row.Presence == Live && boot < row.Boot
+}
+
 // Touch notes a message of a member that carried no Info.
 func (t *Table) Touch(id string, boot uint64, now time.Time) {
 	if row, ok := t.rows[id]; ok && id != t.self && row.Boot == boot && row.Presence == Live {
--- a/internal/wire/validate.go
+++ b/internal/wire/validate.go
@@ -88,7 +88,7 @@
 		if err := checkKey(e.Evidence[i].Upstream); err != nil {
 			return err
 		}
-		if n := len(e.Evidence[i].Callers); n > health.MaxCallers {
+		if n := max(len(e.Evidence[i].Callers), len(e.Evidence[i].FailingCallers)); n > health.MaxCallers {
 			return errors.Wrapf(ErrTooLarge, "%d callers in evidence", n)
 		}
 	}
