--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -5,6 +5,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"knapweedreel/internal/instance"
 	"knapweedreel/internal/telemetry"
 )
 
@@ -19,13 +20,14 @@
 	}
 }
 
-func serve(_ context.Context, s *session, file string) error {
+func serve(ctx context.Context, s *session, file string) error {
 	cfg, err := loadSettings(file)
 	if err != nil {
 		return err
 	}
-	if _, err := telemetry.NewLogger(s.stderr, cfg.LogLevel); err != nil {
+	log, err := telemetry.NewLogger(s.stderr, cfg.LogLevel)
+	if err != nil {
 		return err
 	}
-	return exitWith(ExitInternal, "serve is not connected to the instance yet")
+	return instance.Run(ctx, cfg, log)
 }
