Add proofs with real processes under injected faults

Instances, upstreams and the stand-in store run as separate processes on loopback, with fault proxies between them.

--- /dev/null
+++ b/test/proofs/bench_test.go
@@ -0,0 +1,107 @@
+package proofs
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"knapweedreel/internal/document"
+)
+
+// latencyRun is one load of BenchmarkAddedLatency.
+type latencyRun struct {
+	name string
+	rate int // requests a second
+	path string
+	body int // bytes of the request body
+}
+
+// BenchmarkAddedLatency compares requests through an instance with requests
+// sent straight to the same upstreams, at the same time and rate. It reports
+// the difference of the percentiles in milliseconds.
+func BenchmarkAddedLatency(b *testing.B) {
+	f := newFleet(b, options{instances: 1, services: []serviceSpec{{
+		name: "lookups", upstreams: 6, slots: 64, workMS: 2,
+		change: func(d *document.Document) { d.FloorSlots = 0 },
+	}}})
+	for _, run := range []latencyRun{
+		{"small-70", 70, "/lookup", 0},
+		{"small-2000", 2000, "/lookup", 0},
+		{"answer-1MB-70", 70, "/bytes/1000000", 0},
+		{"upload-1MB-70", 70, "/upload", 1_000_000},
+		{"answer-1MB-500", 500, "/bytes/1000000", 0},
+	} {
+		b.Run(run.name, func(b *testing.B) {
+			for b.Loop() {
+				f.compareLatency(b, run, 15*time.Second)
+			}
+		})
+	}
+}
+
+func (f *fleet) compareLatency(b *testing.B, run latencyRun, d time.Duration) {
+	through := hdrhistogram.New(1, 60_000_000, 3)
+	direct := hdrhistogram.New(1, 60_000_000, 3)
+	upstreams := f.upstreams["lookups"]
+	r := request{host: "lookups.example", method: "GET", path: run.path}
+	if run.body > 0 {
+		r.method, r.body = "POST", make([]byte, run.body)
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		atRate(b.Context(), run.rate, d, through, func(int) request { r := r; r.address = f.instances[0].entry; return r })
+	})
+	wg.Go(func() {
+		atRate(b.Context(), run.rate, d, direct, func(i int) request {
+			r := r
+			r.address = upstreams[i%len(upstreams)].address
+			return r
+		})
+	})
+	wg.Wait()
+	for _, p := range []float64{50, 95, 99, 99.9} {
+		added := float64(through.ValueAtPercentile(p)-direct.ValueAtPercentile(p)) / 1000
+		b.ReportMetric(added, fmt.Sprintf("added-ms-p%g", p))
+		b.ReportMetric(float64(direct.ValueAtPercentile(p))/1000, fmt.Sprintf("direct-ms-p%g", p))
+	}
+	b.ReportMetric(float64(through.TotalCount()), "requests")
+	b.ReportMetric(0, "ns/op")
+}
+
+// atRate sends requests at a mean rate with exponential gaps, whatever the
+// answers take, and records the times of whole answers in microseconds.
+func atRate(ctx context.Context, rate int, d time.Duration, h *hdrhistogram.Histogram, next func(i int) request) (failed int) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	rng := rand.New(rand.NewPCG(*seedFlag, uint64(rate)))
+	c := newCaller(fmt.Sprintf("rate%d", rate))
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	due := time.Now()
+	for i := 0; ctx.Err() == nil; i++ {
+		due = due.Add(time.Duration(rng.ExpFloat64() / float64(rate) * float64(time.Second)))
+		if wait := time.Until(due); wait > 0 {
+			select {
+			case <-time.After(wait):
+			case <-ctx.Done():
+			}
+		}
+		wg.Go(func() {
+			a := c.do(context.WithoutCancel(ctx), next(i))
+			mu.Lock()
+			defer mu.Unlock()
+			if !a.served() {
+				failed++
+				return
+			}
+			_ = h.RecordValue(a.took.Microseconds())
+		})
+	}
+	wg.Wait()
+	return failed
+}
--- /dev/null
+++ b/test/proofs/cluster_test.go
@@ -0,0 +1,300 @@
+package proofs
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"knapweedreel/internal/document"
+	"knapweedreel/internal/settings"
+)
+
+var seedFlag = flag.Uint64("proofs.seed", 1, "seed of the faults")
+
+// Paths of the binaries, built once by TestMain.
+var productBinary, standinBinary string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "proofs")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	productBinary = filepath.Join(dir, "knapweedreel")
+	standinBinary = filepath.Join(dir, "standin")
+	for binary, pkg := range map[string]string{productBinary: "knapweedreel/cmd/knapweedreel", standinBinary: "knapweedreel/cmd/standin"} {
+		if err := goBuild(binary, pkg); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+	}
+	return m.Run()
+}
+
+var regions = []string{"south", "north", "northwest"}
+
+// serviceSpec describes a service of a test.
+type serviceSpec struct {
+	name      string
+	upstreams int
+	slots     int
+	workMS    int
+	change    func(*document.Document) // optional
+}
+
+// options describe a fleet.
+type options struct {
+	instances int
+	services  []serviceSpec
+	proxied   bool // puts a fault proxy before every upstream
+	storeLink bool // puts a fault proxy between instances and the store
+	settings  func(i int, s *settings.Settings)
+}
+
+// fleet is a set of processes: a store, upstreams and instances.
+type fleet struct {
+	t         testing.TB
+	dir       string
+	rng       *rand.Rand
+	opts      options
+	store     string // address of the stand-in store itself
+	storeVia  string // address that instances use
+	storeCtl  string // control address of the proxy before the store
+	storeProc *process
+	instances []*instance
+	upstreams map[string][]*standinUpstream
+	documents map[string]*document.Document
+	keys      keyFiles
+}
+
+// instance is a process of the product.
+type instance struct {
+	*process
+	name     string
+	entry    string
+	peer     string
+	admin    string
+	settings string // path
+	region   string
+}
+
+// newFleet starts a fleet and waits until every instance serves every service.
+func newFleet(t testing.TB, o options) *fleet {
+	t.Helper()
+	f := &fleet{
+		t: t, dir: t.TempDir(), opts: o,
+		rng:       rand.New(rand.NewPCG(*seedFlag, 0)),
+		upstreams: make(map[string][]*standinUpstream),
+		documents: make(map[string]*document.Document),
+	}
+	t.Cleanup(func() { f.showLogs() })
+	f.keys = newKeyFiles(t, f.dir)
+	f.startStore()
+	for _, s := range o.services {
+		f.startService(s)
+	}
+	for i := range o.instances {
+		f.startInstance(i, fmt.Sprintf("i%02d", i))
+	}
+	f.waitReady(f.instances)
+	for _, s := range o.services {
+		f.putDocument(f.documents[s.name])
+		f.waitRevision(s.name, 1, f.instances)
+	}
+	return f
+}
+
+// showLogs prints the end of every instance's log when the test has failed.
+func (f *fleet) showLogs() {
+	if !f.t.Failed() {
+		return
+	}
+	for _, i := range f.instances {
+		f.t.Logf("log of %s:\n%s", i.name, i.tail(15))
+	}
+}
+
+func (f *fleet) startStore() {
+	f.store = freeAddress(f.t)
+	f.storeVia = f.store
+	f.storeProc = startProcess(f.t, f.dir, "store", standinBinary, "store", "--address", f.store)
+	f.waitHTTP("http://" + f.store + "/control/calls")
+	if f.opts.storeLink {
+		f.storeVia, f.storeCtl = f.startProxy("proxy-store", "tcp", f.store)
+	}
+}
+
+// startProxy starts a fault proxy and returns its address and control address.
+func (f *fleet) startProxy(name, network, target string) (listen, control string) {
+	listen, control = freeAddress(f.t), freeAddress(f.t)
+	startProcess(f.t, f.dir, name, standinBinary, "proxy", "--network", network, "--listen", listen, "--target", target, "--control", control)
+	f.waitHTTP("http://" + control + "/control")
+	return listen, control
+}
+
+func (f *fleet) waitHTTP(url string) {
+	f.t.Helper()
+	eventually(f.t, url, eventLimit, func() (bool, string) {
+		resp, err := controlClient.Get(url)
+		if err != nil {
+			return false, err.Error()
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK, resp.Status
+	})
+}
+
+// startService starts a service's upstreams and prepares its document.
+func (f *fleet) startService(s serviceSpec) {
+	f.t.Helper()
+	doc := &document.Document{
+		Service: s.name,
+		Hosts:   []string{s.name + ".example"},
+		Routes: []document.Route{
+			{Method: "GET", Path: "/*", Idempotent: true},
+			{Method: "POST", Path: "/*"},
+			{Method: "PUT", Path: "/*"},
+			{Method: "DELETE", Path: "/*"},
+		},
+		FloorSlots: s.upstreams * s.slots / 2,
+		DeadlineMS: 10_000,
+	}
+	for i := range s.upstreams {
+		u := f.startUpstream(s, fmt.Sprintf("%s-%02d", s.name, i), i)
+		doc.Upstreams = append(doc.Upstreams, document.Upstream{
+			ID: u.id, Address: u.front, Region: u.region, FailureDomain: u.domain, Slots: u.slots, Connections: 330,
+		})
+	}
+	if s.change != nil {
+		s.change(doc)
+	}
+	f.documents[s.name] = doc
+}
+
+func (f *fleet) startUpstream(s serviceSpec, id string, i int) *standinUpstream {
+	f.t.Helper()
+	region := regions[i%len(regions)]
+	u := &standinUpstream{id: id, address: freeAddress(f.t), region: region, domain: fmt.Sprintf("%s-%d", region, i/len(regions)%2), slots: s.slots}
+	u.process = startProcess(f.t, f.dir, id, standinBinary, "upstream", "--address", u.address, "--id", id,
+		"--service", s.name, "--slots", fmt.Sprint(s.slots), "--work-ms", fmt.Sprint(s.workMS))
+	f.waitHTTP("http://" + u.address + "/.standin/health")
+	u.front = u.address
+	if f.opts.proxied {
+		u.front, u.control = f.startProxy("proxy-"+id, "tcp", u.address)
+	}
+	f.upstreams[s.name] = append(f.upstreams[s.name], u)
+	return u
+}
+
+// startInstance starts the instance with number i and returns it. A second
+// start of the same number replaces the instance under the given name.
+func (f *fleet) startInstance(i int, name string) *instance {
+	f.t.Helper()
+	region := regions[i%len(regions)]
+	in := &instance{name: name, entry: freeAddress(f.t), peer: freeAddress(f.t), admin: freeAddress(f.t), region: region}
+	certificate, key := f.keys.instance(f.t, name)
+	s := settings.Settings{
+		Instance: name, Region: region, FailureDomain: fmt.Sprintf("%s-%d", region, i/len(regions)%2),
+		EntryAddress: in.entry, PeerAddress: in.peer, AdminAddress: in.admin, StoreAddress: f.storeVia,
+		Keys: settings.Keys{CertificateFile: certificate, KeyFile: key, AuthorityFile: f.keys.authority},
+	}
+	if f.opts.settings != nil {
+		f.opts.settings(i, &s)
+	}
+	in.settings = filepath.Join(f.dir, name+".jsonc")
+	writeJSON(f.t, in.settings, s)
+	in.process = startProcess(f.t, f.dir, name, productBinary, "serve", in.settings)
+	if i < len(f.instances) {
+		f.instances[i] = in
+	} else {
+		f.instances = append(f.instances, in)
+	}
+	return in
+}
+
+func writeJSON(t testing.TB, path string, value any) {
+	t.Helper()
+	text, err := json.MarshalIndent(dropZero(t, value), "", "  ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// dropZero removes zero values, so that defaults apply.
+func dropZero(t testing.TB, value any) any {
+	t.Helper()
+	text, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var plain any
+	if err := json.Unmarshal(text, &plain); err != nil {
+		t.Fatal(err)
+	}
+	return withoutZero(plain)
+}
+
+func withoutZero(value any) any {
+	switch v := value.(type) {
+	case map[string]any:
+		kept := make(map[string]any)
+		for k, x := range v {
+			x = withoutZero(x)
+			if x == nil || x == "" || x == 0.0 {
+				continue
+			}
+			if m, ok := x.(map[string]any); ok && len(m) == 0 {
+				continue
+			}
+			kept[k] = x
+		}
+		return kept
+	case []any:
+		for i := range v {
+			v[i] = withoutZero(v[i])
+		}
+		return v
+	default:
+		return value
+	}
+}
+
+// freeze stops the instance's process without its knowing, as a paused
+// machine does.
+func (i *instance) freeze() { i.signal(syscall.SIGSTOP) }
+
+// thaw lets a frozen process run again.
+func (i *instance) thaw() { i.signal(syscall.SIGCONT) }
+
+// stop begins the planned stop.
+func (i *instance) stop() { i.signal(syscall.SIGTERM) }
+
+// live returns the instances whose processes run.
+func (f *fleet) live() []*instance {
+	var live []*instance
+	for _, i := range f.instances {
+		if !i.ended() {
+			live = append(live, i)
+		}
+	}
+	return live
+}
+
+// loadLimit bounds the time for which a test sends requests.
+const loadLimit = 3 * time.Minute
--- /dev/null
+++ b/test/proofs/documents_test.go
@@ -0,0 +1,147 @@
+package proofs
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"knapweedreel/internal/document"
+	"knapweedreel/internal/settings"
+)
+
+// inForceLimit is the time within which an accepted document is in force at
+// every live instance.
+const inForceLimit = 5 * time.Second
+
+func withDeadline(d *document.Document, ms int) *document.Document {
+	changed := *d
+	changed.DeadlineMS = ms
+	return &changed
+}
+
+// Guards against accepted documents that do not reach every instance, or that
+// revert: the store goes away right after accepting, answers of writes are
+// lost, an instance is frozen, one is replaced while the store is away, and the
+// store comes back with old data.
+func TestAcceptedDocumentsStayInForce(t *testing.T) {
+	const service = "jars"
+	f := newFleet(t, options{instances: 4,
+		services: []serviceSpec{{name: service, upstreams: 3, slots: 3, workMS: 2}},
+		settings: func(_ int, s *settings.Settings) { s.Times.LeaseMS = 4_000 },
+	})
+	doc := f.documents[service]
+
+	t.Run("lost answer", func(t *testing.T) {
+		f.setStore(storeFaults{LoseAnswers: 1})
+		if got := f.put(f.instances[0], withDeadline(doc, 5_001)); got != putAccepted {
+			t.Fatalf("put with a lost answer: %v", got)
+		}
+		f.mustBeInForce(t, service, 2, f.instances)
+	})
+	t.Run("store gone after accepting", func(t *testing.T) {
+		if got := f.put(f.instances[1], withDeadline(doc, 5_002)); got != putAccepted {
+			t.Fatalf("put: %v", got)
+		}
+		f.setStore(storeFaults{Outage: true})
+		f.mustBeInForce(t, service, 3, f.instances)
+	})
+	t.Run("put during the outage", func(t *testing.T) {
+		if got := f.put(f.instances[2], withDeadline(doc, 5_003)); got != putNotAccepted {
+			t.Errorf("put without a store: %v, want not accepted", got)
+		}
+		f.mustServe(t, service, f.instances)
+	})
+	t.Run("replaced during the outage", func(t *testing.T) {
+		f.instances[3].kill()
+		f.startInstance(3, "replaced")
+		f.waitRevision(service, 3, f.instances[3:])
+		f.mustServe(t, service, f.instances)
+	})
+	t.Run("frozen longer than the lease", func(t *testing.T) {
+		f.setStore(storeFaults{})
+		f.instances[2].freeze()
+		eventually(t, "put after the outage", eventLimit, func() (bool, string) {
+			got := f.put(f.instances[0], withDeadline(doc, 5_004))
+			return got == putAccepted, got.String()
+		})
+		<-time.After(6 * time.Second) // longer than the lease
+		f.instances[2].thaw()
+		f.mustBeInForce(t, service, 4, f.instances)
+	})
+	t.Run("old data", func(t *testing.T) {
+		f.setStore(storeFaults{Stale: true})
+		if got := f.put(f.instances[0], withDeadline(doc, 5_005)); got != putAccepted {
+			t.Logf("put with stale reads: %v", got)
+		}
+		f.instances[1].kill()
+		f.startInstance(1, "restarted")
+		f.waitReady(f.instances[1:2])
+		f.mustNeverRevert(t, service, 4, f.instances, 3*time.Second)
+		f.setStore(storeFaults{})
+	})
+	t.Logf("store calls by kind: %v", f.storeCalls())
+}
+
+// Guards against two operators who change the same document at once and both
+// believe that they won.
+func TestOneOfTwoOperatorsWins(t *testing.T) {
+	const service, rounds = "jars", 10
+	f := newFleet(t, options{instances: 3, services: []serviceSpec{{name: service, upstreams: 3, slots: 3, workMS: 2}}})
+	for round := range rounds {
+		results := make([]putResult, 2)
+		var wg sync.WaitGroup
+		for i := range results {
+			wg.Go(func() {
+				results[i] = f.putAt(f.instances[i], withDeadline(f.documents[service], 6_000+10*round+i), uint64(round+1))
+			})
+		}
+		wg.Wait()
+		if (results[0] == putAccepted) == (results[1] == putAccepted) {
+			t.Errorf("round %d: results %v, want exactly one accepted", round, results)
+		}
+		f.mustBeInForce(t, service, uint64(round+2), f.instances)
+	}
+}
+
+// mustBeInForce fails the test unless the revision is in force at all the
+// instances within the limit.
+func (f *fleet) mustBeInForce(t *testing.T, service string, revision uint64, instances []*instance) {
+	t.Helper()
+	took := eventually(t, fmt.Sprintf("revision %d in force", revision), inForceLimit, func() (bool, string) {
+		return f.inForce(service, revision, instances)
+	})
+	t.Logf("revision %d in force at %d instances after %v", revision, len(instances), took.Round(time.Millisecond))
+}
+
+// mustNeverRevert fails the test when an instance shows an older revision
+// within the given time.
+func (f *fleet) mustNeverRevert(t *testing.T, service string, revision uint64, instances []*instance, d time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	defer cancel()
+	seen := make(map[string]uint64)
+	for ctx.Err() == nil {
+		for _, in := range instances {
+			got := f.revision(in, service)
+			if got < max(seen[in.name], revision) {
+				t.Fatalf("%s shows revision %d after %d", in.name, got, max(seen[in.name], revision))
+			}
+			seen[in.name] = got
+		}
+	}
+}
+
+// mustServe fails the test unless every instance serves a lookup.
+func (f *fleet) mustServe(t *testing.T, service string, instances []*instance) {
+	t.Helper()
+	c := newCaller("serve")
+	for _, in := range instances {
+		r := request{address: in.entry, host: service + ".example", method: "GET", path: "/lookup"}
+		eventually(t, "lookup at "+in.name, eventLimit, func() (bool, string) {
+			a := c.do(t.Context(), r)
+			return a.served(), fmt.Sprintf("status %d %s %v", a.status, a.kind, a.err)
+		})
+	}
+}
--- /dev/null
+++ b/test/proofs/operator_test.go
@@ -0,0 +1,260 @@
+package proofs
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"bytes"
+	"crypto/rand"
+
+	"knapweedreel/internal/adminclient"
+	"knapweedreel/internal/document"
+	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/health"
+	"knapweedreel/internal/instance/platform"
+	"knapweedreel/internal/keys"
+	"knapweedreel/internal/settings"
+	"knapweedreel/internal/store"
+)
+
+// keyFiles are the authority of a fleet and an operator's certificate.
+type keyFiles struct {
+	dir       string
+	authority string
+	files     keys.Files
+	operator  *keys.Material
+}
+
+const validity = 24 * time.Hour
+
+func newKeyFiles(t testing.TB, dir string) keyFiles {
+	t.Helper()
+	k := keyFiles{dir: dir}
+	k.files = k.named("authority")
+	k.authority = k.files.CertificateFile
+	if err := keys.CreateAuthority(k.files, "test authority", validity); err != nil {
+		t.Fatal(err)
+	}
+	certificate, key := k.create(t, "operator", keys.RoleOperator)
+	material, err := keys.LoadTLS(settings.Keys{CertificateFile: certificate, KeyFile: key, AuthorityFile: k.authority})
+	if err != nil {
+		t.Fatal(err)
+	}
+	k.operator = material
+	return k
+}
+
+func (k keyFiles) named(name string) keys.Files {
+	return keys.Files{
+		CertificateFile: filepath.Join(k.dir, name+".pem"),
+		KeyFile:         filepath.Join(k.dir, name+".key"),
+	}
+}
+
+func (k keyFiles) create(t testing.TB, name string, role keys.Role) (certificate, key string) {
+	t.Helper()
+	out := k.named(name)
+	if err := keys.CreateCertificate(k.files, out, name, role, validity); err != nil {
+		t.Fatal(err)
+	}
+	return out.CertificateFile, out.KeyFile
+}
+
+// instance creates an instance's certificate and returns its files.
+func (k keyFiles) instance(t testing.TB, name string) (certificate, key string) {
+	t.Helper()
+	return k.create(t, name, keys.RoleInstance)
+}
+
+// operatorTimeout bounds a call to an instance.
+const operatorTimeout = 15 * time.Second
+
+func (f *fleet) operator(in *instance) (*adminclient.Client, context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+	return adminclient.New(in.admin, f.keys.operator.AdminClient()), ctx, cancel
+}
+
+// putResult is how a put ended.
+type putResult string
+
+const (
+	putAccepted    putResult = putResult(platform.Accepted)
+	putNotAccepted putResult = putResult(platform.NotAccepted)
+	putUnknown     putResult = putResult(platform.Unknown)
+	putFailed      putResult = "failed"
+)
+
+func (r putResult) String() string { return string(r) }
+
+// put puts a document over the revision in force at the instance.
+func (f *fleet) put(in *instance, doc *document.Document) putResult {
+	return f.putAt(in, doc, f.revision(in, doc.Service))
+}
+
+// putAt puts a document over the given revision.
+func (f *fleet) putAt(in *instance, doc *document.Document, revision uint64) putResult {
+	text, err := json.Marshal(dropZero(f.t, doc))
+	if err != nil {
+		f.t.Error(err)
+		return putFailed
+	}
+	client, ctx, cancel := f.operator(in)
+	defer cancel()
+	result, err := client.Put(ctx, doc.Service, text, revision, rand.Text())
+	if err != nil {
+		f.t.Logf("put at %s: %v", in.name, err)
+		if kind := errkind.Of(err); kind == errkind.StoreUnavailable {
+			return putNotAccepted
+		}
+		return putFailed
+	}
+	if putResult(result.Outcome) != putAccepted {
+		f.t.Logf("put at %s: %s: %s %s", in.name, result.Outcome, result.Kind, result.Message)
+	}
+	return putResult(result.Outcome)
+}
+
+// putDocument puts a document at the first live instance; it must be accepted.
+func (f *fleet) putDocument(doc *document.Document) {
+	f.t.Helper()
+	if got := f.put(f.live()[0], doc); got != putAccepted {
+		f.t.Fatalf("put %s: %s", doc.Service, got)
+	}
+	f.documents[doc.Service] = doc
+}
+
+// revision returns the revision in force at an instance, 0 for none.
+func (f *fleet) revision(in *instance, service string) uint64 {
+	client, ctx, cancel := f.operator(in)
+	defer cancel()
+	status, err := client.Status(ctx)
+	if err != nil {
+		return 0
+	}
+	for _, s := range status.Services {
+		if s.Name == service {
+			return s.Revision
+		}
+	}
+	return 0
+}
+
+// inForce reports whether at least the revision is in force at the instances.
+func (f *fleet) inForce(service string, revision uint64, instances []*instance) (bool, string) {
+	for _, in := range instances {
+		if got := f.revision(in, service); got < revision {
+			return false, fmt.Sprintf("%s has revision %d of %s", in.name, got, service)
+		}
+	}
+	return true, ""
+}
+
+// waitRevision waits until at least the revision is in force.
+func (f *fleet) waitRevision(service string, revision uint64, instances []*instance) {
+	f.t.Helper()
+	eventually(f.t, fmt.Sprintf("revision %d of %s", revision, service), eventLimit, func() (bool, string) {
+		return f.inForce(service, revision, instances)
+	})
+}
+
+// waitReady waits until the instances are ready and know one another.
+func (f *fleet) waitReady(instances []*instance) {
+	f.t.Helper()
+	for _, in := range instances {
+		eventually(f.t, in.name+" ready", eventLimit, func() (bool, string) {
+			if in.ended() {
+				f.t.Fatalf("%s has ended:\n%s", in.name, in.tail(40))
+			}
+			client, ctx, cancel := f.operator(in)
+			defer cancel()
+			status, err := client.Status(ctx)
+			if err != nil {
+				return false, err.Error()
+			}
+			live := 0
+			for _, m := range status.Members {
+				if m.Live {
+					live++
+				}
+			}
+			return status.Ready && live >= len(f.live()), fmt.Sprintf("ready %v, %d live members", status.Ready, live)
+		})
+	}
+}
+
+// explain returns the state of an upstream at an instance and its changes.
+func (f *fleet) explain(in *instance, service, upstream string) (health.View, []health.Change, error) {
+	client, ctx, cancel := f.operator(in)
+	defer cancel()
+	e, err := client.ExplainUpstream(ctx, service, upstream)
+	return e.View, e.Changes, err
+}
+
+// setStore replaces the faults of the stand-in store.
+func (f *fleet) setStore(s storeFaults) {
+	f.t.Helper()
+	post(f.t, "http://"+f.store+"/control", s)
+}
+
+// storeCalls returns the calls to the store by kind.
+func (f *fleet) storeCalls() map[string]any {
+	calls := make(map[string]any)
+	if err := fetch("http://"+f.store+"/control/calls", &calls); err != nil {
+		f.t.Fatal(err)
+	}
+	return calls
+}
+
+// listLeaving marks an upstream as leaving in the platform's list.
+func (f *fleet) listLeaving(service string, u *standinUpstream) {
+	f.t.Helper()
+	body, err := json.Marshal(store.Instance{
+		ID: u.id, Role: store.RoleUpstream, Service: service, Address: u.front, Region: u.region,
+		FailureDomain: u.domain, State: store.StateLeaving,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req, err := http.NewRequest(http.MethodPut, "http://"+f.store+"/v1/instances/"+u.id, bytes.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	resp, err := controlClient.Do(req)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode >= 300 {
+		f.t.Fatalf("list: status %d", resp.StatusCode)
+	}
+}
+
+// documentLeaving marks an upstream as leaving in the service's document.
+func (f *fleet) documentLeaving(service string, u *standinUpstream) {
+	f.t.Helper()
+	changed := *f.documents[service]
+	changed.Upstreams = append([]document.Upstream(nil), changed.Upstreams...)
+	for i := range changed.Upstreams {
+		if changed.Upstreams[i].ID == u.id {
+			changed.Upstreams[i].State = document.UpstreamLeaving
+		}
+	}
+	f.putDocument(&changed)
+}
+
+// accepted returns how many requests the upstream has begun to run.
+func (u *standinUpstream) accepted(t testing.TB) int {
+	t.Helper()
+	var r struct {
+		Total int `json:"total"`
+	}
+	if err := fetch("http://"+u.address+"/.standin/runs", &r); err != nil {
+		t.Fatal(err)
+	}
+	return r.Total
+}
--- /dev/null
+++ b/test/proofs/requests_test.go
@@ -0,0 +1,162 @@
+package proofs
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+)
+
+// shakeLinks changes the faults of the upstreams' links at random until ctx
+// ends: resets before, during and after sending, answers lost, links gone
+// silent, refused connections, duplicated answers.
+func (f *fleet) shakeLinks(ctx context.Context, service string, period time.Duration) {
+	rng := rand.New(rand.NewPCG(*seedFlag, 1))
+	tick := time.NewTicker(period)
+	defer tick.Stop()
+	for {
+		for _, u := range f.upstreams[service] {
+			u.link(f.t, randomLinkFault(rng))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func randomLinkFault(rng *rand.Rand) proxyFaults {
+	switch rng.IntN(10) {
+	case 0:
+		return proxyFaults{ResetAfterRequestBytes: 1 + rng.IntN(600)}
+	case 1:
+		return proxyFaults{ResetAfterAnswerBytes: 1 + rng.IntN(600)}
+	case 2:
+		return proxyFaults{ResetOnAccept: true}
+	case 3:
+		return proxyFaults{SilentExisting: true}
+	case 4:
+		return proxyFaults{Refuse: true}
+	case 5:
+		return proxyFaults{DuplicateAnswers: true}
+	case 6:
+		return proxyFaults{CutToClient: true}
+	default:
+		return proxyFaults{}
+	}
+}
+
+// clearLinks removes all faults of the links to a service's upstreams.
+func (f *fleet) clearLinks(service string) {
+	for _, u := range f.upstreams[service] {
+		u.link(f.t, proxyFaults{})
+	}
+}
+
+// writeRequests yields requests that the document does not call idempotent,
+// with every method and header that influences the HTTP client library's own
+// retries.
+func (f *fleet) writeRequests(service string) func(i int) request {
+	methods := []string{"POST", "PUT", "DELETE", "POST"}
+	headers := []map[string]string{nil, {"Idempotency-Key": "k"}, {"X-Idempotency-Key": "k"}, {"Expect": "100-continue"}}
+	live := f.live()
+	return func(i int) request {
+		r := request{
+			address: live[i%len(live)].entry, host: service + ".example",
+			method: methods[i%len(methods)], path: "/credits", account: fmt.Sprintf("shop-%d", i%7),
+			headers: headers[(i/4)%len(headers)],
+		}
+		if r.method != "DELETE" {
+			r.body = make([]byte, 200)
+		}
+		return r
+	}
+}
+
+// Guards against a second run of a non-idempotent request, by the fleet or by
+// the HTTP client library, and against "not run" for a request that ran.
+func TestNonIdempotentRequestsRunAtMostOnce(t *testing.T) {
+	const requests = 10_000
+	f := newFleet(t, options{instances: 3, proxied: true, services: []serviceSpec{{
+		name: "credits", upstreams: 6, slots: 6, workMS: 2, change: shortDeadline,
+	}}})
+	for _, u := range f.upstreams["credits"] {
+		u.set(t, upstreamFaults{LateDuplicateFraction: 0.02, CrossedFraction: 0.01})
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), loadLimit)
+	defer cancel()
+	var wg sync.WaitGroup
+	shaking, stopShaking := context.WithCancel(ctx)
+	wg.Go(func() { f.shakeLinks(shaking, "credits", 150*time.Millisecond) })
+	wg.Go(func() { f.freezeInTurn(shaking, 700*time.Millisecond) })
+	c := newCaller("once")
+	answers := c.load(ctx, requests, 64, f.writeRequests("credits"))
+	stopShaking()
+	wg.Wait()
+	f.clearLinks("credits")
+	f.killAndReplace(t, 0, c, &answers)
+
+	checkAnswered(t, answers, requests)
+	checkRuns(t, answers, runsOf(t, f.upstreams["credits"]))
+	checkWhole(t, answers)
+	t.Logf("answers: %v", tally(answers))
+}
+
+// killAndReplace kills an instance under load, starts another in its place and
+// adds the answers of that time.
+func (f *fleet) killAndReplace(t *testing.T, i int, c *caller, answers *[]answer) {
+	next := f.writeRequests("credits")
+	var during []answer
+	var wg sync.WaitGroup
+	wg.Go(func() { during = c.load(t.Context(), 600, 16, next) })
+	eventually(t, "requests of the load run", eventLimit, func() (bool, string) {
+		runs := runsOf(t, f.upstreams["credits"])
+		return len(runs) > 0, "no run yet"
+	})
+	f.instances[i].kill()
+	wg.Wait()
+	*answers = append(*answers, during...)
+	f.startInstance(i, "replacement")
+	f.waitReady(f.instances[i : i+1])
+	f.waitRevision("credits", 1, f.instances[i:i+1])
+}
+
+// freezeInTurn stops and continues one instance after another.
+func (f *fleet) freezeInTurn(ctx context.Context, period time.Duration) {
+	tick := time.NewTicker(period)
+	defer tick.Stop()
+	for n := 0; ; n++ {
+		in := f.instances[n%len(f.instances)]
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		in.freeze()
+		select {
+		case <-ctx.Done():
+			in.thaw()
+			return
+		case <-tick.C:
+			in.thaw()
+		}
+	}
+}
+
+// checkAnswered fails the test unless at least 1 in 10 requests was served:
+// a fleet that refuses everything would pass the other checks.
+func checkAnswered(t *testing.T, answers []answer, sent int) {
+	t.Helper()
+	served := 0
+	for _, a := range answers {
+		if a.served() {
+			served++
+		}
+	}
+	if served*10 < sent {
+		t.Errorf("%d of %d requests were served: %v", served, sent, tally(answers))
+	}
+}
