--- a/internal/adminclient/client_test.go
+++ b/internal/adminclient/client_test.go
@@ -94,7 +94,7 @@
 	stop     func()
 }
 
-func newBench(t *testing.T) *bench {
+func newBench(t *testing.T, replace ...admin.Putter) *bench {
 	t.Helper()
 	b := &bench{
 		control:  &fakeControl{envelopes: map[string]document.Envelope{}, traced: make(chan admin.TracedEvent, 4)},
@@ -105,10 +105,14 @@
 	s := counter.Store(b.store)
 	listening := make(chan string, 1)
 	metrics := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("knapweedreel_x 1\n")) })
+	var putter admin.Putter = platform.NewPutter(platform.PutterConfig{Instance: "i1"}, b.control, s)
+	if len(replace) > 0 {
+		putter = replace[0]
+	}
 	server := admin.New(admin.Config{
 		Address: "127.0.0.1:0", TLS: b.material["i1"].AdminServer(), Metrics: metrics, Counter: counter,
 		Listening: func(a net.Addr) { listening <- a.String() },
-	}, b.control, platform.NewPutter(platform.PutterConfig{Instance: "i1"}, b.control, s), b.control, s)
+	}, b.control, putter, b.control, s)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- server.Run(ctx) }()
@@ -330,6 +334,55 @@
 	}
 }
 
+// slowPutter is in the middle of a put until it is released.
+type slowPutter struct {
+	admin.Putter
+	begun, release chan struct{}
+	done           chan error // the context's error after the release
+}
+
+func (p *slowPutter) Put(ctx context.Context, _ platform.PutRequest) platform.PutResult {
+	close(p.begun)
+	<-p.release
+	p.done <- ctx.Err()
+	return platform.PutResult{Outcome: platform.Accepted}
+}
+
+// Guards against a put that is abandoned between its write and putting the
+// document in force because the operator's connection broke or the instance
+// stops.
+func TestPutOutlivesConnectionAndStop(t *testing.T) {
+	p := &slowPutter{begun: make(chan struct{}), release: make(chan struct{}), done: make(chan error, 1)}
+	b := newBench(t, p)
+	ctx, cancel := context.WithCancel(t.Context())
+	result := make(chan platform.PutResult, 1)
+	go func() {
+		r, err := b.client("anna").Put(ctx, "entries", []byte(text), 0, "c1")
+		if err != nil {
+			t.Error(err)
+		}
+		result <- r
+	}()
+	<-p.begun
+	cancel()
+	if r := <-result; r.Outcome != platform.Unknown {
+		t.Errorf("result after the connection broke: %+v", r)
+	}
+	stopped := make(chan struct{})
+	go func() { b.stop(); close(stopped) }()
+	// A request's context ends shortly after its connection; the server sees
+	// that before the next request of another connection is refused.
+	for refused := false; !refused; {
+		_, err := b.client("anna").Status(t.Context())
+		refused = errors.Is(err, adminclient.ErrUnreachable)
+	}
+	close(p.release)
+	if err := <-p.done; err != nil {
+		t.Errorf("the put was cancelled: %v", err)
+	}
+	<-stopped
+}
+
 // Guards against a lost answer that the client reports as a failure, and
 // against an unreachable instance that it reports as an unknown result.
 func TestPutWithoutAnswer(t *testing.T) {
--- a/internal/instance/platform/child_test.go
+++ b/internal/instance/platform/child_test.go
@@ -100,6 +100,11 @@
 			put(t, m, i, fmt.Sprintf("c%d", i))
 			waitFor(t, "in force", time.Second, func() bool { return r.control.inForce(service).Revision == i+1 })
 		}
+		before := r.counter.Counts()[store.CallWatch].Calls
+		<-time.After(time.Minute)
+		if n := r.counter.Counts()[store.CallWatch].Calls - before; n > 5 {
+			t.Errorf("%d watches in a minute without changes", n)
+		}
 		m.SetStale(true)
 		put2 := NewPutter(PutterConfig{Random: seeded(3)}, r.control, m)
 		if got := put2.Put(t.Context(), request(3, "anna", "c3")); got.Outcome != Accepted {
@@ -213,10 +218,12 @@
 		const records = 40
 		for i := range records {
 			r.control.records <- audit.Record{Kind: audit.KindUpstream, Subject: fmt.Sprintf("u%d", i), Action: "ejected"}
-			if i == records/2 {
+			switch i {
+			case records / 2:
 				<-time.After(20 * time.Second)
 				r.store.set(func(store.CallKind) fault { return faultRefused })
-				<-time.After(time.Minute)
+			case records * 3 / 4:
+				<-time.After(time.Minute) // the lease ends with records in hand
 			}
 		}
 		r.store.set(nil)
@@ -239,7 +246,7 @@
 }
 
 // Guards against polls by all instances each second, and against a list that
-// does not show this instance or its leaving.
+// does not show this instance or its leaving, or shows an old entry for good.
 func TestListAndRegistration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m, h := storeserver.NewMemory(), newHub()
@@ -269,6 +276,13 @@
 		if n := a.counter.Counts()[store.CallRegister].Calls; n != 2 {
 			t.Errorf("%d registrations", n)
 		}
+		if err := m.Register(t.Context(), store.Instance{ID: "i1", State: store.StateLive}); err != nil {
+			t.Fatal(err)
+		}
+		waitFor(t, "registered again", time.Minute, func() bool {
+			is, _ := m.Instances(t.Context())
+			return is[0].State == store.StateLeaving
+		})
 	})
 }
 
--- a/internal/instance/platform/fake_test.go
+++ b/internal/instance/platform/fake_test.go
@@ -158,7 +158,9 @@
 	faultRefused          // no effect, and the caller knows
 	faultLostBefore       // no effect, and the caller does not know
 	faultLostAfter        // takes effect, and the caller does not know
-	faultLate             // takes effect when the next call ends, and the caller does not know
+	faultLate             // takes effect before the next call, and the caller does not know
+	faultLater            // takes effect before the next write, and the caller does not know
+	faultStale            // a read answers with the first value that was read
 )
 
 // faultyStore makes calls of a store fail.
@@ -166,8 +168,10 @@
 	store.Store
 	mu    sync.Mutex
 	next  func(kind store.CallKind) fault
-	block func() // runs before each call
-	late  []func()
+	block func()   // runs before each call
+	late  []func() // writes that take effect before the next call
+	later []func() // writes that take effect before the next write
+	first *store.Value
 }
 
 func (s *faultyStore) begin(kind store.CallKind) (fault, func()) {
@@ -175,6 +179,10 @@
 	defer s.mu.Unlock()
 	late := s.late
 	s.late = nil
+	if kind == store.CallPut {
+		late = append(late, s.later...)
+		s.later = nil
+	}
 	f, block := faultNone, s.block
 	if s.next != nil {
 		f = s.next(kind)
@@ -198,7 +206,7 @@
 
 // settle lets late writes take effect.
 func (s *faultyStore) settle() {
-	_, before := s.begin(store.CallGet)
+	_, before := s.begin(store.CallPut)
 	before()
 }
 
@@ -212,10 +220,21 @@
 }
 
 func (s *faultyStore) Get(ctx context.Context, key string) (store.Value, error) {
-	if err := s.read(store.CallGet); err != nil {
-		return store.Value{}, err
+	f, before := s.begin(store.CallGet)
+	before()
+	if f != faultNone && f != faultStale {
+		return store.Value{}, store.ErrUnavailable
 	}
-	return s.Store.Get(ctx, key)
+	v, err := s.Store.Get(ctx, key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.first == nil {
+		s.first = &v
+	}
+	if f == faultStale {
+		return *s.first, nil
+	}
+	return v, err
 }
 
 func (s *faultyStore) List(ctx context.Context, prefix string) ([]store.KeyValue, error) {
@@ -244,10 +263,14 @@
 	case faultLostAfter:
 		_, _ = write()
 		return 0, store.ErrUnknownResult
-	case faultLate:
+	case faultLate, faultLater:
 		s.mu.Lock()
-		s.late = append(s.late, func() { _, _ = write() })
-		s.mu.Unlock()
+		defer s.mu.Unlock()
+		queue := &s.late
+		if f == faultLater {
+			queue = &s.later
+		}
+		*queue = append(*queue, func() { _, _ = write() })
 		return 0, store.ErrUnknownResult
 	default:
 		return write()
--- a/internal/instance/platform/put_test.go
+++ b/internal/instance/platform/put_test.go
@@ -72,6 +72,18 @@
 	}
 }
 
+// inOrder returns faults for successive calls of any kind.
+func inOrder(calls []fault) func(store.CallKind) fault {
+	return func(store.CallKind) fault {
+		if len(calls) == 0 {
+			return faultNone
+		}
+		f := calls[0]
+		calls = calls[1:]
+		return f
+	}
+}
+
 // Guards against a put that reports a lost answer as a failure, makes two
 // revisions of one change, or gives up although the write never arrived.
 func TestPutSettlesLostAnswers(t *testing.T) {
@@ -79,7 +91,8 @@
 		"no fault":                     nil,
 		"answer lost":                  {faultLostAfter},
 		"write lost":                   {faultLostBefore, faultLostBefore},
-		"late write beats the repeat":  {faultLate},
+		"late write before read back":  {faultLate},
+		"late write beats the repeat":  {faultLater},
 		"late write after lost repeat": {faultLate, faultLostBefore, faultLate},
 		"refused before":               {faultRefused, faultRefused},
 	} {
@@ -213,6 +226,19 @@
 	})
 }
 
+// Guards against a put that is reported as refused because of a stale read while
+// its write, whose answer was lost, takes effect.
+func TestStaleReadBackSettlesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench()
+		b.putter.Put(t.Context(), request(0, "anna", "c1"))
+		b.store.set(inOrder([]fault{faultNone, faultLater, faultStale, faultStale}))
+		if got := b.putter.Put(t.Context(), request(1, "anna", "c2")); got.Outcome != Accepted || got.Revision != 2 {
+			t.Errorf("Put = %+v", got)
+		}
+	})
+}
+
 // Guards against a put on the ground of old data, which would bring back or
 // branch from a revision that is no longer in force.
 func TestPutRefusesStaleStore(t *testing.T) {
@@ -225,12 +251,14 @@
 		if got := b.putter.Put(t.Context(), request(1, "anna", "c2")); got.Outcome != Accepted {
 			t.Fatal(got)
 		}
-		got := b.putter.Put(t.Context(), request(1, "berta", "c3"))
-		if got.Outcome != NotAccepted || got.Kind != errkind.StoreStale {
-			t.Errorf("older than in force: %+v", got)
+		for _, expected := range []uint64{1, 2} {
+			got := b.putter.Put(t.Context(), request(expected, "berta", fmt.Sprintf("c3-%d", expected)))
+			if got.Outcome != NotAccepted || got.Kind != errkind.StoreStale {
+				t.Errorf("older than in force, expected revision %d: %+v", expected, got)
+			}
 		}
 		other := NewPutter(PutterConfig{Instance: "i2", Random: seeded(2)}, newFakeControl("i2", newHub()), b.store)
-		got = other.Put(t.Context(), request(1, "berta", "c4"))
+		got := other.Put(t.Context(), request(1, "berta", "c4"))
 		if got.Outcome != NotAccepted || got.Kind != errkind.StoreStale {
 			t.Errorf("at an instance without the newer revision: %+v", got)
 		}
@@ -290,40 +318,51 @@
 // Guards against any order of faults in which an accepted change is not in the
 // store, a change that was not accepted is, or one change makes two revisions.
 func TestPutResultsAreTrueUnderFaults(t *testing.T) {
+	often := []fault{
+		faultNone, faultNone, faultNone, faultNone, faultRefused, faultLostBefore,
+		faultLostAfter, faultLate, faultLater, faultLater, faultStale,
+	}
 	rapid.Check(t, func(rt *rapid.T) {
-		faults := rapid.SliceOfN(rapid.IntRange(int(faultNone), int(faultLate)), 0, 12).Draw(rt, "faults")
-		puts := rapid.SliceOfN(rapid.Uint64Range(0, 3), 1, 6).Draw(rt, "expected revisions")
+		calls := rapid.SliceOfN(rapid.SampledFrom(often), 0, 24).Draw(rt, "faults")
+		rounds := rapid.SliceOfN(rapid.IntRange(1, 3), 1, 4).Draw(rt, "operators in each round")
 		// A failure is reported outside of the bubble, on rapid's goroutine.
 		var failure string
-		synctest.Test(t, func(t *testing.T) { failure = checkPuts(t, faults, puts) })
+		synctest.Test(t, func(t *testing.T) { failure = checkPuts(t, calls, rounds) })
 		if failure != "" {
 			rt.Fatal(failure)
 		}
 	})
 }
 
-// checkPuts runs puts under faults and returns what is wrong with the results.
-func checkPuts(t *testing.T, faults []int, expected []uint64) string {
+// checkPuts lets operators put concurrently in rounds while calls fail, and
+// returns what is wrong with the results.
+func checkPuts(t *testing.T, calls []fault, rounds []int) string {
 	b := newBench()
-	b.store.set(func(store.CallKind) fault {
-		if len(faults) == 0 {
-			return faultNone
+	b.putter.Put(t.Context(), request(0, "anna", "first"))
+	b.store.set(inOrder(calls))
+	results := map[string]PutResult{}
+	var mu sync.Mutex
+	for round, operators := range rounds {
+		var wg sync.WaitGroup
+		revision := b.stored(t).Revision
+		for i := range operators {
+			wg.Go(func() {
+				id := fmt.Sprintf("c%d-%d", round, i)
+				r := b.putter.Put(t.Context(), request(revision, "anna", id))
+				mu.Lock()
+				defer mu.Unlock()
+				results[id] = r
+			})
 		}
-		f := fault(faults[0])
-		faults = faults[1:]
-		return f
-	})
-	results := make([]PutResult, len(expected))
-	var wg sync.WaitGroup
-	for i, revision := range expected {
-		wg.Go(func() {
-			results[i] = b.putter.Put(t.Context(), request(revision, "anna", fmt.Sprintf("c%d", i)))
-		})
+		wg.Wait()
 	}
-	wg.Wait()
 	b.store.set(nil)
 	b.store.settle()
-	e := b.stored(t)
+	return contradiction(b.stored(t), results)
+}
+
+// contradiction compares results with the stored history.
+func contradiction(e document.Envelope, results map[string]PutResult) string {
 	made := map[string]uint64{}
 	for i, c := range e.History {
 		if c.Revision != uint64(i+1) || made[c.ChangeID] != 0 {
@@ -331,10 +370,9 @@
 		}
 		made[c.ChangeID] = c.Revision
 	}
-	for i, r := range results {
-		revision := made[fmt.Sprintf("c%d", i)]
-		if r.Outcome == Accepted && revision != r.Revision || r.Outcome == NotAccepted && revision != 0 {
-			return fmt.Sprintf("put %d: result %+v, but the store has it as revision %d", i, r, revision)
+	for id, r := range results {
+		if r.Outcome == Accepted && made[id] != r.Revision || r.Outcome == NotAccepted && made[id] != 0 {
+			return fmt.Sprintf("put %s: result %+v, but the store has it as revision %d", id, r, made[id])
 		}
 	}
 	return ""
--- a/internal/store/httpstore/client_test.go
+++ b/internal/store/httpstore/client_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -153,6 +154,53 @@
 	}
 }
 
+// Guards against further calls on the other kept connections after one of them
+// has timed out: each would cost another timeout.
+func TestTimeoutClosesIdleConnections(t *testing.T) {
+	ctx := t.Context()
+	silent := make(chan struct{})
+	var connections atomic.Int32
+	var pair sync.WaitGroup
+	pair.Add(2)
+	hs := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case strings.HasSuffix(r.URL.Path, "/silent"):
+			<-silent
+		case strings.HasSuffix(r.URL.Path, "/pair"):
+			pair.Done()
+			pair.Wait() // both calls at a time, so that each has a connection
+		}
+		_, _ = w.Write([]byte(`{"version":3}`))
+	}))
+	hs.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	hs.Start()
+	defer hs.Close()
+	defer close(silent)
+	c := httpstore.New(httpstore.Config{StoreAddress: hs.Listener.Addr().String(), Timeout: 500 * time.Millisecond})
+	defer c.Close()
+	var calls sync.WaitGroup
+	for range 2 {
+		calls.Go(func() {
+			if _, err := c.Get(ctx, "pair"); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	calls.Wait()
+	_, err := c.Get(ctx, "silent")
+	wantErr(t, err, store.ErrUnavailable)
+	if _, err := c.Get(ctx, "k"); err != nil {
+		t.Fatal(err)
+	}
+	if n := connections.Load(); n != 3 {
+		t.Errorf("%d connections, want a third one after the timeout", n)
+	}
+}
+
 // Guards against a read that fails because the store closed a kept connection,
 // and against a write that is sent twice in that case.
 func TestClosedKeptConnection(t *testing.T) {
