Keep answers whole towards callers that fail or send slowly

Error answers carry their length, so that their end does not wait for the rest of the caller's body. After an answer the rest of the body is read for up to a second, also once it is over the limit: a connection that is closed with unread bytes is reset, and the reset can destroy the answer.

--- /dev/null
+++ b/internal/instance/entry/answer_test.go
@@ -0,0 +1,180 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/health"
+	"knapweedreel/internal/routing"
+)
+
+// rawStandin starts an upstream that answers each request with the bytes that
+// serve writes, and then ends the connection.
+func rawStandin(t *testing.T, id string, serve func(c net.Conn, req *http.Request)) routing.Upstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				_ = c.SetDeadline(time.Now().Add(waitLimit))
+				if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					serve(c, req)
+				}
+			}()
+		}
+	}()
+	return upstreamAt(id, l.Addr().String())
+}
+
+// exchangeRaw sends bytes to the server and returns all that comes back, and
+// whether the connection was reset.
+func exchangeRaw(t *testing.T, url, request string) (string, error) {
+	t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(waitLimit))
+	if _, err := io.WriteString(c, request); err != nil {
+		t.Fatal(err)
+	}
+	data, err := io.ReadAll(c)
+	return string(data), err
+}
+
+// Guards against answers whose framing or trailers change on their way.
+func TestPassesAnswersOn(t *testing.T) {
+	big := strings.Repeat("x", 100<<10)
+	for _, tc := range []struct {
+		name, method string
+		answer       http.HandlerFunc
+		status       int
+		length       int64
+		body         string
+		trailer      string
+	}{
+		{"chunked and short gets a length", "GET", func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "a")
+			_ = http.NewResponseController(w).Flush()
+			_, _ = io.WriteString(w, "b")
+		}, 200, 2, "ab", ""},
+		{"chunked and long", "GET", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, big) }, 200, -1, big, ""},
+		{"length and long", "GET", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", fmt.Sprint(len(big)))
+			_, _ = io.WriteString(w, big)
+		}, 200, int64(len(big)), big, ""},
+		{"head", "HEAD", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Length", "7") }, 200, 7, "", ""},
+		{"no content", "GET", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(204) }, 204, 0, "", ""},
+		{"not modified", "GET", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(304) }, 304, 0, "", ""},
+		{"trailer", "GET", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Trailer", "X-Sum")
+			_, _ = io.WriteString(w, "ab")
+			w.Header().Set("X-Sum", "9")
+		}, 200, -1, "ab", "9"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := &fakeControl{snap: snapshotOf(testDocument(), standin(t, "u1", tc.answer))}
+			_, url := startServer(t, c, nil)
+			resp, got := do(t, request(t, tc.method, url+"/read/x", nil))
+			if resp.StatusCode != tc.status || resp.ContentLength != tc.length || string(got) != tc.body || resp.Trailer.Get("X-Sum") != tc.trailer {
+				t.Errorf("status %d, length %d, %d bytes, trailer %v", resp.StatusCode, resp.ContentLength, len(got), resp.Trailer)
+			}
+			if _, ok := resp.Header["Content-Type"]; tc.method == "HEAD" && ok {
+				t.Error("a content type was made up")
+			}
+		})
+	}
+}
+
+// Guards against part of an answer that a caller takes for the whole one, also
+// by a caller that speaks HTTP/1.0 and cannot see framing.
+func TestTruncatedAnswerAbortsCaller(t *testing.T) {
+	long := strings.Repeat("x", 200<<10)
+	for name, answer := range map[string]string{
+		"length":  fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(long)+1, long),
+		"chunked": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(long), long),
+	} {
+		for _, proto := range []string{"HTTP/1.0", "HTTP/1.1"} {
+			t.Run(name+" "+proto, func(t *testing.T) {
+				up := rawStandin(t, "u1", func(c net.Conn, _ *http.Request) { _, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+answer) })
+				c := &fakeControl{snap: snapshotOf(testDocument(), up)}
+				_, url := startServer(t, c, nil)
+				data, err := exchangeRaw(t, url, "GET /write/x "+proto+"\r\nHost: svc\r\n\r\n")
+				if err == nil {
+					t.Errorf("%d bytes with a normal end", len(data))
+				}
+				eventually(t, "outcome", func() bool { return len(c.reported()) == 1 })
+				if out := c.reported()[0]; out.Class != health.Failed || out.Reason != string(errkind.TruncatedAnswer) {
+					t.Errorf("outcome %+v", out)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a short answer that ends early and is passed on, and against
+// giving up on it although nothing has reached the caller.
+func TestShortTruncatedAnswer(t *testing.T) {
+	cut := rawStandin(t, "u1", func(c net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort")
+	})
+	cut.Region = "south"
+	c := &fakeControl{snap: snapshotOf(testDocument(), cut, standin(t, "u2", succeed))}
+	_, url := startServer(t, c, nil)
+	if resp, got := do(t, request(t, http.MethodPost, url+"/read/x", []byte("b"))); resp.StatusCode != 200 || string(got) != "b" {
+		t.Errorf("status %d, %q", resp.StatusCode, got)
+	}
+	resp, _ := do(t, request(t, http.MethodPost, url+"/write/x", []byte("b")))
+	if resp.Header.Get(errkind.HeaderError) != string(errkind.TruncatedAnswer) || resp.Header.Get(errkind.HeaderRun) != string(errkind.Unknown) {
+		t.Errorf("status %d, header %v", resp.StatusCode, resp.Header)
+	}
+}
+
+// Guards against an answer that is held back until the upstream has finished,
+// and against memory that grows with its length.
+func TestStreamsLongAnswers(t *testing.T) {
+	more := make(chan struct{})
+	first := bytes.Repeat([]byte("x"), 65<<10)
+	up := standin(t, "u1", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(first)
+		_ = http.NewResponseController(w).Flush()
+		<-more
+		_, _ = io.WriteString(w, "end")
+	})
+	c := &fakeControl{snap: snapshotOf(testDocument(), up)}
+	s, url := startServer(t, c, nil)
+	resp, err := http.DefaultTransport.RoundTrip(request(t, http.MethodGet, url+"/read/x", nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.ReadFull(resp.Body, make([]byte, len(first))); err != nil {
+		t.Fatal(err)
+	}
+	if in := s.InFlight(); len(in) != 1 || in[0].Count != 1 {
+		t.Errorf("in flight %v", in)
+	}
+	close(more)
+	if rest, err := io.ReadAll(resp.Body); err != nil || string(rest) != "end" {
+		t.Errorf("rest %q, %v", rest, err)
+	}
+	eventually(t, "slot given back", func() bool { return len(s.InFlight()) == 0 })
+}
--- a/internal/instance/entry/body.go
+++ b/internal/instance/entry/body.go
@@ -36,7 +36,8 @@
 	changed sync.Cond
 	buf     []byte // bytes of the body from offset start on
 	start   int64  // above 0 once bytes were dropped
-	err     error  // io.EOF, or why reading failed
+	err     error  // io.EOF, or why the body failed
+	whole   bool   // the end of the body was read
 	wanted  bool   // a reader is waiting at the end of buf
 	discard bool   // nobody reads the rest
 	closed  bool
@@ -80,9 +81,9 @@
 		switch {
 		case b.closed:
 			return 0
-		case b.start == 0 && len(b.buf) < b.keep:
+		case b.err == nil && b.start == 0 && len(b.buf) < b.keep:
 			return min(bodyChunk, b.keep-len(b.buf))
-		case b.wanted || b.discard:
+		case b.err == nil && b.wanted, b.discard:
 			b.start += int64(len(b.buf))
 			b.buf = b.buf[:0]
 			return bodyChunk
@@ -97,7 +98,9 @@
 	defer b.mu.Unlock()
 	b.buf = append(b.buf, p...)
 	b.wanted = false
+	b.whole = err == io.EOF
 	switch {
+	case b.err != nil: // the rest is discarded
 	case b.start+int64(len(b.buf)) > b.limit:
 		b.err = errkind.New(errkind.BodyLimitExceeded, "the body is over the route's limit of %d bytes", b.limit)
 	case err == io.EOF:
@@ -106,7 +109,7 @@
 		b.err = errkind.Wrap(errkind.CallerBodyFailed, err, "read the caller's body")
 	}
 	b.changed.Broadcast()
-	return b.err == nil
+	return err == nil
 }
 
 // startLocked starts the reading goroutine.
@@ -128,7 +131,7 @@
 func (b *requestBody) complete() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.err == io.EOF
+	return b.whole
 }
 
 // failure returns why the caller's body failed, nil if it did not.
@@ -163,7 +166,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.err == io.EOF
+	return b.whole
 }
 
 // close ends the reading goroutine. A pending read of the caller's connection
--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -133,11 +134,14 @@
 func (e *exchange) fail(err error) {
 	answer := errkind.Lookup(errkind.Of(err))
 	e.explanation.Kind, e.explanation.Run, e.explanation.Status = string(answer.Kind), string(answer.Run), answer.Status
+	w := errorAnswer(answer.Kind, err.Error())
+	maps.Copy(e.w.Header(), w.header)
 	if e.id != "" {
 		e.w.Header().Set(upstream.HeaderRequestID, e.id)
 	}
 	e.beforeHeader(false)
-	errkind.WriteAnswer(e.w, answer.Kind, err.Error())
+	e.w.WriteHeader(w.status)
+	_ = e.write(w.body.Bytes())
 }
 
 // record keeps the explanation of a request, counts it and writes its log line.
--- a/internal/instance/entry/listener.go
+++ b/internal/instance/entry/listener.go
@@ -90,10 +90,8 @@
 // rawAnswer returns the answer for kind as bytes of a connection that is closed
 // afterwards.
 func rawAnswer(kind errkind.Kind) []byte {
-	w := &rawWriter{header: make(http.Header)}
-	errkind.WriteAnswer(w, kind, errkind.Lookup(kind).Meaning)
+	w := errorAnswer(kind, errkind.Lookup(kind).Meaning)
 	w.header.Set("Connection", "close")
-	w.header.Set("Content-Length", strconv.Itoa(w.body.Len()))
 	var b bytes.Buffer
 	b.WriteString("HTTP/1.1 " + strconv.Itoa(w.status) + " " + http.StatusText(w.status) + "\r\n")
 	_ = w.header.Write(&b)
@@ -102,6 +100,14 @@
 	return b.Bytes()
 }
 
+// errorAnswer returns the answer for kind with its length.
+func errorAnswer(kind errkind.Kind, message string) *rawWriter {
+	w := &rawWriter{header: make(http.Header)}
+	errkind.WriteAnswer(w, kind, message)
+	w.header.Set("Content-Length", strconv.Itoa(w.body.Len()))
+	return w
+}
+
 // rawWriter collects an answer.
 type rawWriter struct {
 	header http.Header
