--- /dev/null
+++ b/internal/instance/entry/admission_test.go
@@ -0,0 +1,253 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"pgregory.net/rapid"
+
+	"knapweedreel/internal/document"
+	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/health"
+	"knapweedreel/internal/routing"
+)
+
+// newService returns the state of the test document's service.
+func newService(c Control) *service {
+	s := New(Config{Scope: tally.NoopScope, Rand: rand.New(rand.NewPCG(1, 2))}, c)
+	return s.service("svc")
+}
+
+func wantOf(caller string) *want {
+	return &want{caller: caller, route: "* /read/*", idempotent: true, deadline: time.Now().Add(waitLimit)}
+}
+
+// Guards against a caller that fills the queue or takes every slot that becomes
+// free, and against a queue that grows beyond its length.
+func TestFairQueue(t *testing.T) {
+	u := upstreamAt("u1", "127.0.0.1:1")
+	u.HomeSlots, u.Slots = 1, 1
+	doc := testDocument()
+	doc.Queue = document.Queue{Length: 8, TimeoutMS: int(waitLimit / time.Millisecond)}
+	st := newService(&fakeControl{snap: snapshotOf(doc, u)})
+	if _, err := st.acquire(t.Context(), wantOf("x")); err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan string, 8)
+	var wg sync.WaitGroup
+	queued := 0
+	enqueue := func(caller string) {
+		wg.Go(func() {
+			if _, err := st.acquire(t.Context(), wantOf(caller)); err != nil {
+				t.Error(err)
+			}
+			served <- caller
+		})
+		queued++
+		eventually(t, "request in the queue", func() bool {
+			st.mu.Lock()
+			defer st.mu.Unlock()
+			return st.queue.length == queued
+		})
+	}
+	for _, caller := range []string{"a", "a", "b", "b", "c", "c", "d", "d"} {
+		enqueue(caller)
+	}
+	for _, caller := range []string{"a", "e"} {
+		if _, err := st.acquire(t.Context(), wantOf(caller)); errkind.Of(err) != errkind.QueueFull {
+			t.Errorf("caller %s: %v", caller, err)
+		}
+	}
+	order := ""
+	for range 8 {
+		st.release("u1")
+		order += <-served
+	}
+	wg.Wait()
+	if order != "abcdabcd" {
+		t.Errorf("served in the order %s", order)
+	}
+}
+
+// Guards against a caller that holds more than its quarter of the queue.
+func TestQueueQuota(t *testing.T) {
+	var q fairQueue
+	push := func(caller string) bool {
+		if !q.admits(caller, 16) {
+			return false
+		}
+		q.push(&waiter{want: wantOf(caller)})
+		return true
+	}
+	for range 4 {
+		if !push("a") {
+			t.Fatal("a caller below its quota was refused")
+		}
+	}
+	if push("a") || !push("b") {
+		t.Error("the quota is not kept")
+	}
+}
+
+// Guards against waiting beyond the queue's timeout, the deadline or the
+// caller's patience, and against slots that are lost when a wait ends.
+func TestQueueWaitEnds(t *testing.T) {
+	u := upstreamAt("u1", "127.0.0.1:1")
+	u.HomeSlots, u.Slots = 1, 1
+	doc := testDocument()
+	doc.Queue.TimeoutMS = 20
+	st := newService(&fakeControl{snap: snapshotOf(doc, u)})
+	if _, err := st.acquire(t.Context(), wantOf("x")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := st.acquire(t.Context(), wantOf("x")); errkind.Of(err) != errkind.QueueTimeout {
+		t.Errorf("error %v", err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	if _, err := st.acquire(ctx, wantOf("x")); errkind.Of(err) != errkind.DeadlineBeforeSend {
+		t.Errorf("error %v", err)
+	}
+	st.release("u1")
+	if _, err := st.acquire(t.Context(), wantOf("x")); err != nil {
+		t.Error(err)
+	}
+	if st.queue.length != 0 || len(st.queue.turns) != 0 {
+		t.Errorf("queue %+v", st.queue)
+	}
+}
+
+// Guards against slots spent on requests whose answer would come after their
+// deadline, which turns overload into work for nobody.
+func TestLateWaiterIsDropped(t *testing.T) {
+	u := upstreamAt("u1", "127.0.0.1:1")
+	u.HomeSlots, u.Slots = 1, 1
+	st := newService(&fakeControl{snap: snapshotOf(testDocument(), u)})
+	for range minSamples {
+		st.observe("* /read/*", waitLimit)
+	}
+	if _, err := st.acquire(t.Context(), wantOf("x")); err != nil {
+		t.Fatal(err)
+	}
+	w := wantOf("x")
+	w.deadline = time.Now().Add(waitLimit / 2)
+	if _, err := st.acquire(t.Context(), w); errkind.Of(err) != errkind.DeadlineBeforeSend {
+		t.Errorf("error %v", err)
+	}
+}
+
+// Guards against new work for upstreams that are ejected, leaving, avoided or
+// full, and against borrowed slots where a home slot is free.
+func TestPickProperties(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var ups []routing.Upstream
+		states := []health.State{health.InService, health.InService, health.InService, health.Ejected, health.Probation, health.Leaves}
+		for i := range rapid.IntRange(0, 6).Draw(rt, "upstreams") {
+			u := upstreamAt(fmt.Sprint("u", i), "127.0.0.1:1")
+			u.State = rapid.SampledFrom(states).Draw(rt, "state")
+			u.Slots = rapid.IntRange(1, 4).Draw(rt, "slots")
+			u.HomeSlots = rapid.IntRange(0, u.Slots).Draw(rt, "home")
+			u.PeerInFlight = rapid.IntRange(0, 4).Draw(rt, "peers")
+			u.MaxConnections = rapid.IntRange(1, 4).Draw(rt, "connections")
+			u.Weight = rapid.SampledFrom([]float64{1, 1, 1, 0.5}).Draw(rt, "weight")
+			ups = append(ups, u)
+		}
+		st := newService(&fakeControl{snap: snapshotOf(testDocument(), ups...)})
+		snap, svc := st.control.Snapshot(), st.control.Snapshot().Services["svc"]
+		now := time.Now()
+		for _, u := range ups {
+			st.inFlight[u.ID] = rapid.IntRange(0, 3).Draw(rt, "own")
+			if rapid.Bool().Draw(rt, "avoided") {
+				st.avoid[u.ID] = now.Add(time.Second)
+			}
+		}
+		w := wantOf("x")
+		w.idempotent = rapid.Bool().Draw(rt, "idempotent")
+		w.borrowed = rapid.IntRange(0, maxBorrows).Draw(rt, "borrowed")
+		st.probes.tokens = rapid.SampledFrom([]float64{0, 1}).Draw(rt, "probes")
+		probes := st.probes.tokens
+		c, ok := st.pick(snap, svc, w, now)
+		freeHome := false
+		for _, u := range ups {
+			own := st.inFlight[u.ID]
+			freeHome = freeHome || u.State == health.InService && u.Weight == 1 && own < u.HomeSlots && own < u.MaxConnections && !st.avoided(u.ID, now)
+		}
+		if !ok {
+			if freeHome {
+				rt.Fatal("a home slot is free and was not taken")
+			}
+			return
+		}
+		u, own := c.upstream, st.inFlight[c.upstream.ID]
+		switch {
+		case st.avoided(u.ID, now), own >= u.MaxConnections:
+			rt.Fatalf("chose %+v with %d requests", u, own)
+		case c.probe:
+			if u.State != health.Probation || !w.idempotent || own > 0 || probes < 1 {
+				rt.Fatalf("probe at %+v", u)
+			}
+		case u.State != health.InService:
+			rt.Fatalf("chose %+v", u)
+		case c.home:
+			if own >= u.HomeSlots {
+				rt.Fatalf("no home slot is free at %+v", u)
+			}
+		case freeHome, w.borrowed >= maxBorrows, own+u.PeerInFlight >= u.Slots:
+			rt.Fatalf("borrowed at %+v with %d requests", u, own)
+		}
+	})
+}
+
+// Guards against more than the allowed share of requests for an upstream in
+// probation, requests that are not idempotent there, and two at a time.
+func TestProbationShare(t *testing.T) {
+	probed := upstreamAt("u2", "127.0.0.1:1")
+	probed.State = health.Probation
+	st := newService(&fakeControl{snap: snapshotOf(testDocument(), upstreamAt("u1", "127.0.0.1:1"), probed)})
+	const requests = 400
+	probes := 0
+	for range requests {
+		st.arrive()
+		w := wantOf("x")
+		c, err := st.acquire(t.Context(), w)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.probe {
+			probes++
+			st.probes.tokens = 1
+			if second, err := st.acquire(t.Context(), w); err != nil || second.probe {
+				t.Fatalf("second probe: %+v, %v", second, err)
+			} else {
+				st.release(second.upstream.ID)
+			}
+			st.probes.tokens = 0
+		}
+		st.release(c.upstream.ID)
+	}
+	if limit := int(requests * probeShare); probes < limit-1 || probes > limit {
+		t.Errorf("%d probes of %d requests", probes, requests)
+	}
+}
+
+// Guards against a service without upstreams in service whose callers wait for
+// the queue's timeout in vain.
+func TestNoUpstreamFailsAtOnce(t *testing.T) {
+	u := upstreamAt("u1", "127.0.0.1:1")
+	u.State = health.Ejected
+	doc := testDocument()
+	doc.Queue.TimeoutMS = int(10 * waitLimit / time.Millisecond)
+	doc.DeadlineMS = doc.Queue.TimeoutMS
+	c := &fakeControl{snap: snapshotOf(doc, u)}
+	_, url := startServer(t, c, nil)
+	resp, _ := do(t, request(t, http.MethodGet, url+"/write/x", nil))
+	if resp.Header.Get(errkind.HeaderError) != string(errkind.NoUpstream) || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("header %v", resp.Header)
+	}
+}
--- /dev/null
+++ b/internal/instance/entry/drain_test.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"knapweedreel/internal/settings"
+)
+
+// drainAsync starts a planned stop and returns where its result arrives.
+func drainAsync(ctx context.Context, s *Server) <-chan error {
+	ended := make(chan error, 1)
+	go func() { ended <- s.Drain(ctx) }()
+	return ended
+}
+
+func result(t *testing.T, ended <-chan error) error {
+	t.Helper()
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(waitLimit):
+		t.Fatal("the planned stop did not end")
+		return nil
+	}
+}
+
+// Guards against a planned stop that cuts off requests in flight, refuses new
+// ones within the drain time, or keeps callers on the address.
+func TestDrain(t *testing.T) {
+	began, finish := make(chan struct{}), make(chan struct{})
+	up := standin(t, "u1", func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/long") {
+			close(began)
+			<-finish
+		}
+		_, _ = io.WriteString(w, "ok")
+	})
+	c := &fakeControl{snap: snapshotOf(testDocument(), up)}
+	s, url := startServer(t, c, func(cfg *Config) { cfg.Times.DrainMS = 300 })
+	long := make(chan string, 1)
+	go func() {
+		resp, err := http.DefaultTransport.RoundTrip(request(t, http.MethodGet, url+"/write/long", nil))
+		if err != nil {
+			long <- err.Error()
+			return
+		}
+		defer func() { _ = resp.Body.Close() }()
+		data, _ := io.ReadAll(resp.Body)
+		long <- string(data)
+	}()
+	<-began
+	ended := drainAsync(t.Context(), s)
+	eventually(t, "start of the stop", s.drain.started.Load)
+	resp, got := do(t, request(t, http.MethodGet, url+"/write/x", nil))
+	if string(got) != "ok" || !resp.Close {
+		t.Errorf("answer %q, close %t", got, resp.Close)
+	}
+	select {
+	case err := <-ended:
+		t.Errorf("stopped with a request in flight: %v", err)
+	case <-time.After(time.Second):
+	}
+	close(finish)
+	if got := <-long; got != "ok" {
+		t.Errorf("the request in flight got %q", got)
+	}
+	if err := result(t, ended); err != nil {
+		t.Error(err)
+	}
+	if _, err := net.Dial("tcp", strings.TrimPrefix(url, "http://")); err == nil {
+		t.Error("the server still accepts")
+	}
+}
+
+// Guards against a stop that waits for ever, and against one that hides that it
+// cut requests off.
+func TestDrainLimit(t *testing.T) {
+	began := make(chan struct{})
+	up := standin(t, "u1", func(_ http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+	})
+	c := &fakeControl{snap: snapshotOf(testDocument(), up)}
+	s, url := startServer(t, c, func(cfg *Config) {
+		cfg.Times = settings.Times{DrainMS: 1, StopLimitMS: 50}
+	})
+	go func() {
+		if resp, err := http.DefaultTransport.RoundTrip(request(t, http.MethodGet, url+"/write/x", nil)); err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	<-began
+	if err := result(t, drainAsync(t.Context(), s)); !errors.Is(err, errDrainLimit) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// Guards against a stop that cannot be abandoned.
+func TestDrainCancelled(t *testing.T) {
+	c := &fakeControl{snap: snapshotOf(testDocument())}
+	s, _ := startServer(t, c, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := drainAsync(ctx, s)
+	eventually(t, "start of the stop", s.drain.started.Load)
+	cancel()
+	if err := result(t, ended); !errors.Is(err, context.Canceled) {
+		t.Errorf("error %v", err)
+	}
+}
--- /dev/null
+++ b/internal/instance/entry/locate_test.go
@@ -0,0 +1,110 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/member"
+	"knapweedreel/internal/routing"
+)
+
+func memberAt(id, region, domain string, state member.State, live bool) routing.Member {
+	return routing.Member{Live: live, Info: member.Info{
+		ID: id, EntryAddress: "10.0.0.1:80", Region: region, FailureDomain: domain, State: state,
+	}}
+}
+
+// Guards against addresses of instances that leave, do not answer or serve
+// another shard, and against answers that a lost failure domain empties.
+func TestLocate(t *testing.T) {
+	snap := snapshotOf(testDocument())
+	snap.Members = nil
+	for i := range 6 {
+		for _, region := range []string{"north", "south"} {
+			domain := fmt.Sprint(region, i%3)
+			snap.Members = append(snap.Members, memberAt(fmt.Sprint(region, "-", i), region, domain, member.Active, true))
+		}
+	}
+	snap.Members = append(snap.Members,
+		memberAt("leaving", "north", "n9", member.Leaving, true),
+		memberAt("silent", "north", "n9", member.Active, false))
+	c := &fakeControl{snap: snap}
+	_, url := startServer(t, c, nil)
+	resp, data := do(t, request(t, http.MethodGet, url+locatePath+"?service=svc&region=north", nil))
+	var answer Locations
+	if err := json.Unmarshal(data, &answer); err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("%v in %q", err, data)
+	}
+	if answer.KeepMS != 10_000 || answer.Revision != 7 || len(answer.Addresses) != maxAddresses {
+		t.Errorf("answer %+v", answer)
+	}
+	domains := map[string]int{}
+	for i, a := range answer.Addresses {
+		if want := map[bool]string{true: "north", false: "south"}[i < 6]; a.Region != want {
+			t.Errorf("address %d is in region %s", i, a.Region)
+		}
+		if i < 3 {
+			domains[a.FailureDomain]++
+		}
+	}
+	if len(domains) != 3 {
+		t.Errorf("the first three addresses are in %v", domains)
+	}
+	resp, _ = do(t, request(t, http.MethodGet, url+locatePath+"?service=none", nil))
+	if resp.Header.Get(errkind.HeaderError) != string(errkind.UnknownService) {
+		t.Errorf("header %v", resp.Header)
+	}
+}
+
+// Guards against answers without addresses when heartbeats are lost, and
+// against members of another shard.
+func TestLocateMembers(t *testing.T) {
+	s := New(Config{}, &fakeControl{})
+	for _, tc := range []struct {
+		live, silent, shards int
+		want                 int
+	}{{5, 3, 1, 5}, {2, 3, 1, 5}, {0, 1, 1, 1}, {0, 0, 1, 0}, {3, 0, 0, 3}} {
+		snap := snapshotOf(testDocument())
+		snap.Members, snap.Shards = nil, tc.shards
+		for i := range tc.live {
+			snap.Members = append(snap.Members, memberAt(fmt.Sprint("l", i), "r", "d", member.Active, true))
+		}
+		for i := range tc.silent {
+			snap.Members = append(snap.Members, memberAt(fmt.Sprint("s", i), "r", "d", member.Active, false))
+		}
+		answer, err := s.locate(snap, "svc", "r")
+		if err != nil || len(answer.Addresses) != tc.want {
+			t.Errorf("%+v: %+v, %v", tc, answer, err)
+		}
+	}
+	snap := snapshotOf(testDocument())
+	snap.Members, snap.Shards = nil, 2
+	want := []string{}
+	for i := range 8 {
+		m := memberAt(fmt.Sprint("m", i), "r", fmt.Sprint("d", i), member.Active, true)
+		snap.Members = append(snap.Members, m)
+		if member.ShardOf(m.ID, 2) == member.ShardOf("svc", 2) {
+			want = append(want, m.ID)
+		}
+	}
+	answer, err := s.locate(snap, "svc", "r")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := map[string]bool{}
+	for _, a := range answer.Addresses {
+		got[a.Instance] = true
+	}
+	wantSet := map[string]bool{}
+	for _, id := range want {
+		wantSet[id] = true
+	}
+	if diff := cmp.Diff(wantSet, got); diff != "" {
+		t.Error(diff)
+	}
+}
