--- a/internal/instance/build.go
+++ b/internal/instance/build.go
@@ -47,7 +47,8 @@
 	if id := material.Identity(); id.Name != s.Instance || id.Role != keys.RoleInstance {
 		return nil, errors.Newf("certificate %s is for %s %q, want instance %q", s.Keys.CertificateFile, id.Role, id.Name, s.Instance)
 	}
-	p := &parts{settings: s, log: log, metrics: telemetry.NewMetrics()}
+	p := &parts{settings: s, log: log}
+	p.metrics = telemetry.NewMetrics(func(err error) { log.Debug("metric_not_registered", zap.Error(err)) })
 	scope := p.metrics.Scope
 	p.client = httpstore.New(httpstore.Config{
 		StoreAddress: s.StoreAddress, ListAddress: s.ListAddress, Timeout: milliseconds(s.Times.StoreMS),
--- a/internal/instance/control/fleet_test.go
+++ b/internal/instance/control/fleet_test.go
@@ -161,7 +161,7 @@
 		},
 		NewEngine: func() Engine { return n.engine },
 		Parse:     parseFake,
-		Peers: n, Heartbeat: time.Second, PeerTimeout: 3 * time.Second, HolderTimeout: 15 * time.Second,
+		Peers:     n, Heartbeat: time.Second, PeerTimeout: 3 * time.Second, HolderTimeout: 15 * time.Second,
 		Explanations: 16, Clock: f.clock, Random: rand.New(rand.NewPCG(f.random.Uint64(), 1)),
 		Log: zap.NewNop(), Scope: tally.NoopScope,
 	})
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -37,13 +37,21 @@
 	closer  io.Closer
 }
 
-// NewMetrics returns metrics whose names begin with "knapweedreel_".
-func NewMetrics() *Metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+// NewMetrics returns metrics whose names begin with "knapweedreel_". A metric
+// that cannot be registered is given to failed and then counts nothing: the
+// names of two scopes that clash must not end the process. The page shows the
+// metrics of the whole process, so that a second instance in one process, as
+// in tests, has no metrics of its own.
+func NewMetrics(failed func(error)) *Metrics {
+	reporter := prometheus.NewReporter(prometheus.Options{OnRegisterError: failed})
 	scope, closer := tally.NewRootScopeWithDefaultInterval(tally.ScopeOptions{
 		Prefix:         "knapweedreel",
 		CachedReporter: reporter,
 		Separator:      prometheus.DefaultSeparator,
+		// Prometheus refuses names with dots and dashes, which tally's own
+		// metrics have.
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
 	})
 	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
 }
