Send small heartbeats and follow the list for other shards

Heartbeats carry only the sequence and state; the rest is in the Hello. Members of other shards, to which no link is kept, are no longer lost by silence, so that address answers can name them. Weights of returning upstreams are published each second, as they grow without an event.

--- a/internal/instance/control/heartbeat.go
+++ b/internal/instance/control/heartbeat.go
@@ -30,7 +30,10 @@
 // heartbeatFor returns a heartbeat for a peer. Only peers of the own shard
 // share upstreams, so only they get requests in flight.
 func (l *Loop) heartbeatFor(id string) wire.Message {
-	h := &wire.Heartbeat{Info: l.self, Digest: l.documents.digest}
+	h := &wire.Heartbeat{
+		Info:   member.Info{Sequence: l.self.Sequence, State: l.self.State},
+		Digest: l.documents.digest,
+	}
 	if held := l.holder.Load(); held != nil && held.own {
 		h.Holder = &held.holder
 	}
@@ -42,8 +45,8 @@
 	return wire.Message{Heartbeat: h}
 }
 
-func (l *Loop) receiveHeartbeat(now time.Time, from string, h *wire.Heartbeat) {
-	l.merge(now, h.Info)
+func (l *Loop) receiveHeartbeat(now time.Time, from string, boot uint64, h *wire.Heartbeat) {
+	l.transitions(now, l.table.Beat(from, boot, h.Info.Sequence, h.Info.State, now))
 	l.noteHolder(now, from, h.Holder)
 	k, ok := l.links[from]
 	if !ok {
--- a/internal/instance/control/links.go
+++ b/internal/instance/control/links.go
@@ -133,6 +133,11 @@
 	for _, id := range slices.Sorted(maps.Keys(l.chosen)) {
 		want = append(want, others[id])
 	}
+	clear(l.watched)
+	for _, info := range want {
+		l.watched[info.ID] = true
+	}
+	l.relink = false
 	l.cfg.Peers.Connect(want)
 }
 
@@ -152,7 +157,7 @@
 	case m.Hello != nil:
 		l.merge(now, *m.Hello)
 	case m.Heartbeat != nil:
-		l.receiveHeartbeat(now, e.from, m.Heartbeat)
+		l.receiveHeartbeat(now, e.from, m.Boot, m.Heartbeat)
 	case m.Evidence != nil:
 		l.receiveEvidence(now, m)
 	case m.Leaving != nil:
--- a/internal/instance/control/loop.go
+++ b/internal/instance/control/loop.go
@@ -51,6 +51,8 @@
 	table     *member.Table
 	links     map[string]*link
 	chosen    map[string]bool // random links outside the shard
+	watched   map[string]bool // members to which links are to be kept
+	relink    bool            // links are to be chosen again
 	shards    int             // number of shards that the engine's documents follow
 	documents documents
 	ready     readiness
@@ -83,6 +85,7 @@
 	l.table = member.NewTable(l.self, cfg.PeerTimeout, now)
 	l.links = make(map[string]*link)
 	l.chosen = make(map[string]bool)
+	l.watched = make(map[string]bool)
 	l.decisions = newDecisions(cfg.Explanations)
 	l.documents.init()
 	l.reset(now)
@@ -196,7 +199,10 @@
 	if now.Sub(l.lastSync) >= SyncInterval {
 		l.lastSync = now
 		l.synchronize()
-		l.chooseLinks()
+		l.refreshWeights()
+		if l.relink {
+			l.chooseLinks()
+		}
 	}
 	l.flushAudits()
 }
--- a/internal/instance/control/members.go
+++ b/internal/instance/control/members.go
@@ -23,16 +23,20 @@
 
 // expireMembers drops the evidence and slots of members that went silent.
 func (l *Loop) expireMembers(now time.Time) {
-	lost := l.table.Expire(now)
-	for _, t := range lost {
+	expired := l.table.Expire(now, func(id string) bool { return l.watched[id] })
+	for _, t := range expired {
+		if t.To != member.Lost {
+			continue
+		}
 		l.feed(now, health.Event{PeerLost: &health.PeerLost{Reporter: t.Member.ID}})
 	}
-	l.transitions(now, lost)
+	l.transitions(now, expired)
 }
 
 func (l *Loop) transitions(now time.Time, ts []member.Transition) {
 	for _, t := range ts {
 		l.publisher.members(false)
+		l.relink = true
 		l.cfg.Log.Info("member_state",
 			zap.String("member", t.Member.ID), zap.Uint64("boot", t.Member.Boot),
 			zap.String("from", string(t.From)), zap.String("to", string(t.To)), zap.String("state", string(t.State)))
@@ -76,10 +80,11 @@
 			leaving[health.Key{Service: i.Service, Upstream: i.ID}] = true
 		}
 	}
-	l.table.Listed(members, now)
-	l.publisher.members(false)
+	if l.table.Listed(members, now) {
+		l.publisher.members(false)
+		l.chooseLinks()
+	}
 	l.setListedLeaving(now, leaving)
-	l.chooseLinks()
 }
 
 func listedInfo(i store.Instance) member.Info {
--- a/internal/instance/control/served.go
+++ b/internal/instance/control/served.go
@@ -36,9 +36,13 @@
 // away. The engine knows only the services that this instance serves, so that
 // its work and memory follow the shard rather than the fleet.
 func (l *Loop) feedDocument(now time.Time, f *inForce, served bool) {
-	change := &health.DocumentChanged{Service: f.envelope.Service, Revision: f.envelope.Revision}
-	if served {
-		change.Document = f.parsed
+	change := documentChanged(f)
+	if !served {
+		change.Document = nil
 	}
 	l.feed(now, health.Event{Document: change})
 }
+
+func documentChanged(f *inForce) *health.DocumentChanged {
+	return &health.DocumentChanged{Service: f.envelope.Service, Revision: f.envelope.Revision, Document: f.parsed}
+}
--- a/internal/instance/control/snapshot.go
+++ b/internal/instance/control/snapshot.go
@@ -20,7 +20,8 @@
 	fleet    bool            // members or readiness
 	services map[string]bool // services whose upstreams changed
 	shares   map[string]share
-	present  []string // members that share slots, as of the last snapshot
+	rising   map[string]bool // services with an upstream whose weight grows with time
+	present  []string        // members that share slots, as of the last snapshot
 	last     time.Time
 }
 
@@ -32,7 +33,7 @@
 }
 
 func newPublisher() publisher {
-	return publisher{services: make(map[string]bool), shares: make(map[string]share)}
+	return publisher{services: make(map[string]bool), shares: make(map[string]share), rising: make(map[string]bool)}
 }
 
 func (p *publisher) service(name string, urgent bool) {
@@ -49,6 +50,14 @@
 
 func (p *publisher) all(urgent bool) { p.members(urgent) }
 
+// refreshWeights lets the next snapshot show the weights of returning upstreams,
+// which grow without an event.
+func (l *Loop) refreshWeights() {
+	for name := range l.publisher.rising {
+		l.publisher.service(name, false)
+	}
+}
+
 type publishEvent struct{}
 
 func (publishEvent) apply(*Loop, time.Time) {}
@@ -108,11 +117,17 @@
 func (l *Loop) routingMembers() []routing.Member {
 	out := make([]routing.Member, 0, l.table.Len())
 	for row := range l.table.All() {
-		out = append(out, routing.Member{Info: row.Info, Live: row.Presence == member.Live})
+		out = append(out, routing.Member{Info: row.Info, Live: l.usable(row)})
 	}
 	return out
 }
 
+// usable reports whether callers may be sent to a member. A member of another
+// shard to which no link is kept counts as the list shows it.
+func (l *Loop) usable(row member.Row) bool {
+	return row.Presence == member.Live || row.Presence == member.Known && !l.watched[row.ID] && row.State == member.Active
+}
+
 // presentMembers returns the members of the own shard that share slots and
 // connections, in the order of their IDs.
 func (l *Loop) presentMembers(shards int) []string {
@@ -140,9 +155,13 @@
 	for _, v := range l.engine.Views(name) {
 		views[v.Upstream.Upstream] = v
 	}
+	delete(l.publisher.rising, name)
 	s.Upstreams = make([]routing.Upstream, 0, len(f.parsed.Upstreams))
 	for _, u := range f.parsed.Upstreams {
 		v := views[u.ID]
+		if v.State == health.InService && v.Weight < 1 {
+			l.publisher.rising[name] = true
+		}
 		s.Upstreams = append(s.Upstreams, routing.Upstream{
 			Upstream: u, State: v.State, Weight: v.Weight,
 			HomeSlots: part.homeSlots[u.ID], MaxConnections: part.connections[u.ID],
--- a/internal/instance/control/trace.go
+++ b/internal/instance/control/trace.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -28,7 +29,25 @@
 
 type traceStarted struct{ trace *trace }
 
-func (e traceStarted) apply(l *Loop, _ time.Time) { l.traces = append(l.traces, e.trace) }
+// apply begins a trace with the documents that the engine has, so that a replay
+// knows the upstreams.
+func (e traceStarted) apply(l *Loop, now time.Time) {
+	for _, name := range slices.Sorted(maps.Keys(l.documents.byService)) {
+		f := l.documents.byService[name]
+		if l.serves(name, l.shards) {
+			e.trace.add(l, now, health.Event{Document: documentChanged(f)})
+		}
+	}
+	l.traces = append(l.traces, e.trace)
+}
+
+func (t *trace) add(l *Loop, now time.Time, e health.Event) {
+	select {
+	case t.events <- admin.TracedEvent{Time: now, Event: e}:
+	default:
+		l.metrics.traceDropped.Inc(1)
+	}
+}
 
 // closeTraces ends all readers when the loop ends.
 func (l *Loop) closeTraces() {
@@ -47,11 +66,7 @@
 			close(t.events)
 			return true
 		}
-		select {
-		case t.events <- admin.TracedEvent{Time: now, Event: e}:
-		default:
-			l.metrics.traceDropped.Inc(1)
-		}
+		t.add(l, now, e)
 		return false
 	})
 }
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -15,9 +15,10 @@
 
 // The presences.
 const (
-	// Known is a listed member that was not heard from yet and was found less
-	// than the timeout ago. It takes part in the division of slots and
-	// connections, so that a starting instance does not claim all of them.
+	// Known is a listed member that was not heard from. One that is watched is
+	// known for the timeout only and then lost; until then it takes part in the
+	// division of slots and connections, so that a starting instance does not
+	// claim all of them. Of others the list is all that is known.
 	Known Presence = "known"
 	Live  Presence = "live" // heard from within the timeout
 	Lost  Presence = "lost" // not heard from for the timeout
@@ -102,6 +103,18 @@
 	return []Transition{{Member: row.Info, From: presence, To: Live, State: row.State}}
 }
 
+// Beat takes in a heartbeat, which carries only what changes while a member
+// lives. It is ignored when no Merge of the same boot came before.
+func (t *Table) Beat(id string, boot, sequence uint64, state State, now time.Time) []Transition {
+	row, ok := t.rows[id]
+	if !ok || row.Boot != boot {
+		return nil
+	}
+	info := row.Info
+	info.Sequence, info.State = sequence, state
+	return t.Merge(info, now)
+}
+
 // Outdated reports whether a message of the member with the given boot is of an
 // earlier process than the one that is live.
 func (t *Table) Outdated(id string, boot uint64) bool {
@@ -117,49 +130,62 @@
 }
 
 // Listed takes in the members that the platform's list names. Members that it
-// no longer names are kept while they are heard from.
-func (t *Table) Listed(members []Info, now time.Time) {
-	for _, row := range t.rows {
-		row.Listed = false
-	}
+// no longer names are kept while they are heard from. Listed reports whether
+// anything changed.
+func (t *Table) Listed(members []Info, now time.Time) bool {
+	changed := false
+	named := make(map[string]bool, len(members))
 	for _, info := range members {
 		if info.ID == "" {
 			continue
 		}
+		named[info.ID] = true
 		row, ok := t.rows[info.ID]
 		if !ok {
 			info.Boot, info.Sequence = 0, 0
 			row = &Row{Info: info, Presence: Known, Found: now}
 			t.insert(row)
+			changed = true
 		}
-		row.Listed = true
 		if row.Presence != Live {
-			row.follow(info)
+			changed = row.follow(info) || changed
 		}
 	}
-	t.prune()
+	for id, row := range t.rows {
+		row.Listed = named[id]
+	}
+	return t.prune() || changed
 }
 
 // follow takes over what the list says of a member that does not speak for
-// itself. A replaced member may have other addresses.
-func (r *Row) follow(info Info) {
-	boot, sequence := r.Boot, r.Sequence
+// itself, and reports whether that is new. A replaced member may have other
+// addresses.
+func (r *Row) follow(info Info) bool {
+	info.Boot, info.Sequence = r.Boot, r.Sequence
+	changed := r.Info != info
 	r.Info = info
-	r.Boot, r.Sequence = boot, sequence
+	return changed
 }
 
+// lostMemory is the time after which a lost member that is not watched and is
+// still listed counts as known again. The list has shown by then whether the
+// member is gone.
+const lostMemory = 30 * time.Second
+
 // Expire marks members that were not heard from for the timeout as lost and
-// forgets those that are not listed either. Transitions are in the order of
-// the members' IDs.
-func (t *Table) Expire(now time.Time) []Transition {
+// forgets those that are not listed either. Watched are the members to which
+// this instance keeps links; the others are lost only when they were live.
+// Transitions are in the order of the members' IDs.
+func (t *Table) Expire(now time.Time, watched func(id string) bool) []Transition {
 	var out []Transition
 	for _, id := range t.order {
 		row := t.rows[id]
-		if id == t.self || row.Presence == Lost || now.Sub(row.since()) < t.timeout {
+		to := row.expired(now.Sub(row.since()), t.timeout, func() bool { return watched(id) })
+		if id == t.self || to == row.Presence {
 			continue
 		}
-		out = append(out, Transition{Member: row.Info, From: row.Presence, To: Lost, State: row.State})
-		row.Presence = Lost
+		out = append(out, Transition{Member: row.Info, From: row.Presence, To: to, State: row.State})
+		row.Presence = to
 	}
 	if len(out) > 0 {
 		t.prune()
@@ -167,6 +193,19 @@
 	return out
 }
 
+// expired returns the presence after the given silence.
+func (r *Row) expired(silence, timeout time.Duration, watched func() bool) Presence {
+	switch {
+	case r.Presence == Live && silence >= timeout:
+		return Lost
+	case r.Presence == Known && silence >= timeout && watched():
+		return Lost
+	case r.Presence == Lost && silence >= lostMemory && r.Listed && !watched():
+		return Known
+	}
+	return r.Presence
+}
+
 // Resume makes up for a pause of this process, in which nothing could be heard:
 // it moves the last signs of life on by the pause's length.
 func (t *Table) Resume(pause time.Duration) {
@@ -186,7 +225,10 @@
 	return r.Heard
 }
 
-func (t *Table) prune() {
+// prune forgets members that are neither live nor listed, and reports whether
+// there were any.
+func (t *Table) prune() bool {
+	before := len(t.order)
 	t.order = slices.DeleteFunc(t.order, func(id string) bool {
 		row := t.rows[id]
 		if id == t.self || row.Presence == Live || row.Listed {
@@ -195,6 +237,7 @@
 		delete(t.rows, id)
 		return true
 	})
+	return len(t.order) != before
 }
 
 // Row returns the member's row.
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -12,6 +12,8 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
+func watchAll(string) bool { return true }
+
 func newTestTable() *Table {
 	return NewTable(Info{ID: "self", Boot: 1, State: Active}, Timeout, start)
 }
@@ -44,15 +46,15 @@
 func TestSilentMemberIsLost(t *testing.T) {
 	table := newTestTable()
 	table.Merge(Info{ID: "peer", Boot: 5, Sequence: 1, State: Active}, start)
-	if lost := table.Expire(start.Add(Timeout - 1)); len(lost) != 0 {
+	if lost := table.Expire(start.Add(Timeout-1), watchAll); len(lost) != 0 {
 		t.Fatalf("lost too early: %v", lost)
 	}
 	table.Touch("peer", 5, start.Add(time.Second))
-	if lost := table.Expire(start.Add(Timeout)); len(lost) != 0 {
+	if lost := table.Expire(start.Add(Timeout), watchAll); len(lost) != 0 {
 		t.Fatalf("a message did not count as a sign of life: %v", lost)
 	}
 	table.Listed([]Info{{ID: "peer"}}, start)
-	lost := table.Expire(start.Add(Timeout + time.Second))
+	lost := table.Expire(start.Add(Timeout+time.Second), watchAll)
 	if len(lost) != 1 || lost[0].To != Lost {
 		t.Fatalf("got transitions %v, want one to lost", lost)
 	}
@@ -72,7 +74,7 @@
 	table := newTestTable()
 	table.Listed([]Info{{ID: "ghost", PeerAddress: "10.0.0.1:1"}}, start)
 	table.Merge(Info{ID: "unlisted", Boot: 1, Sequence: 1}, start.Add(2*time.Second))
-	table.Expire(start.Add(Timeout))
+	table.Expire(start.Add(Timeout), watchAll)
 	table.Listed([]Info{{ID: "ghost"}}, start.Add(Timeout))
 	ghost, _ := table.Row("ghost")
 	unlisted, ok := table.Row("unlisted")
@@ -90,7 +92,7 @@
 	table := newTestTable()
 	table.Merge(Info{ID: "peer", Boot: 1, Sequence: 1}, start)
 	table.Resume(10 * time.Second)
-	if lost := table.Expire(start.Add(11 * time.Second)); len(lost) != 0 {
+	if lost := table.Expire(start.Add(11*time.Second), watchAll); len(lost) != 0 {
 		t.Fatalf("lost after the own pause: %v", lost)
 	}
 }
@@ -127,3 +129,25 @@
 		}
 	})
 }
+
+// Guards against members of other shards, to which no link is kept, that vanish
+// from address answers because they are silent.
+func TestUnwatchedMemberFollowsTheList(t *testing.T) {
+	table := newTestTable()
+	none := func(string) bool { return false }
+	presence := func() Presence { row, _ := table.Row("other"); return row.Presence }
+	table.Listed([]Info{{ID: "other"}}, start)
+	table.Expire(start.Add(time.Hour), none)
+	if got := presence(); got != Known {
+		t.Fatalf("silent member is %s", got)
+	}
+	table.Merge(Info{ID: "other", Boot: 1, Sequence: 1}, start)
+	table.Expire(start.Add(Timeout), none)
+	if got := presence(); got != Lost {
+		t.Fatalf("member that went silent is %s", got)
+	}
+	table.Expire(start.Add(lostMemory), none)
+	if got := presence(); got != Known {
+		t.Fatalf("member that is listed for long is %s", got)
+	}
+}
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -30,7 +30,7 @@
 	return []Message{
 		with(func(m *Message) { m.Hello = &info }),
 		with(func(m *Message) {
-			m.Heartbeat = &Heartbeat{Info: info, Digest: 1 << 63, InFlight: []InFlight{{key, 2}}, Holder: &Holder{Instance: "i2", Fence: 4}}
+			m.Heartbeat = &Heartbeat{Info: member.Info{Sequence: 3, State: member.Active}, Digest: 1 << 63, InFlight: []InFlight{{key, 2}}, Holder: &Holder{Instance: "i2", Fence: 4}}
 		}),
 		with(func(m *Message) {
 			m.Evidence = &Evidence{Region: "south", Evidence: []health.Evidence{{Upstream: key, Failures: 3, Callers: []uint64{1, 2}}}}
--- a/internal/wire/validate.go
+++ b/internal/wire/validate.go
@@ -28,7 +28,7 @@
 	case m.Hello != nil:
 		return checkInfo(m, m.Hello)
 	case m.Heartbeat != nil:
-		return checkHeartbeat(m, m.Heartbeat)
+		return checkHeartbeat(m.Heartbeat)
 	case m.Evidence != nil:
 		return checkEvidence(m.Evidence)
 	case m.Leaving != nil:
@@ -61,15 +61,19 @@
 	if info.Boot != m.Boot {
 		return errors.Wrap(ErrMalformed, "boot numbers of message and identity differ")
 	}
-	switch info.State {
+	return checkState(info.State)
+}
+
+func checkState(s member.State) error {
+	switch s {
 	case member.Starting, member.Active, member.Leaving:
 		return nil
 	}
-	return errors.Wrapf(ErrMalformed, "member state %q", info.State)
+	return errors.Wrapf(ErrMalformed, "member state %q", s)
 }
 
-func checkHeartbeat(m *Message, h *Heartbeat) error {
-	if err := checkInfo(m, &h.Info); err != nil {
+func checkHeartbeat(h *Heartbeat) error {
+	if err := checkState(h.Info.State); err != nil {
 		return err
 	}
 	for i := range h.InFlight {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -37,6 +37,9 @@
 
 // Heartbeat is sent on every link once per heartbeat interval.
 type Heartbeat struct {
+	// Info has only Sequence and State set. The rest is in the Hello of the
+	// link, or in the message itself; a shard of 44 members exchanges 44
+	// heartbeats a second at each instance.
 	Info     member.Info `cbor:"1,keyasint"`
 	Digest   uint64      `cbor:"2,keyasint"` // hash of all services and revisions
 	InFlight []InFlight  `cbor:"3,keyasint"` // upstreams with requests in flight
