Start without the list, and log errors in one line

A new instance found no peers while the platform's list was away, so that it stayed without documents (proof of documents, replaced during the outage: not within 60 s). Peers may also be reached at a forwarded address, which the fault proxy between instances needs.

Log lines carried whole stack traces of errors. The logger writes the message only.

--- a/internal/instance/build.go
+++ b/internal/instance/build.go
@@ -73,11 +73,14 @@
 		Log:           log, Scope: scope,
 	})
 	p.peering = peering.New(peering.Config{
-		ID: s.Instance, Self: p.control.Self, Listen: peering.ListenUDP(s.PeerAddress),
+		ID: s.Instance, Self: p.control.Self, Listen: peering.ListenUDP(s.PeerListenAddress),
 		ServerTLS: material.PeerServer(), ClientTLS: material.PeerClient(),
 		Jitter: rand.Float64, Log: log, Scope: scope,
 	}, p.control)
 	late.Sender = p.peering
+	if len(s.InitialPeers) > 0 {
+		p.control.Listed(initialPeers(s))
+	}
 
 	p.platform = platform.New(platform.Config{
 		Self: listed(s), LeaseTTL: milliseconds(s.Times.LeaseMS), Random: newRandom(), Log: log, Scope: scope,
@@ -146,6 +149,19 @@
 	}
 }
 
+// initialPeers stands for the platform's list until the list has answered.
+// Peers without an entry address do not appear in address answers; their own
+// announcements complete them.
+func initialPeers(s settings.Settings) []store.Instance {
+	var peers []store.Instance
+	for _, p := range s.InitialPeers {
+		peers = append(peers, store.Instance{
+			ID: p.Instance, Role: store.RoleEntry, PeerAddress: p.PeerAddress, State: store.StateLive,
+		})
+	}
+	return peers
+}
+
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/settings/normalize.go
+++ b/internal/settings/normalize.go
@@ -26,6 +26,7 @@
 // is called again.
 func (s *Settings) Normalize() {
 	setDefault(&s.ListAddress, s.StoreAddress)
+	setDefault(&s.PeerListenAddress, s.PeerAddress)
 	setDefault(&s.LogLevel, DefaultLogLevel)
 	s.Limits.normalize()
 	s.Times.normalize()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,6 +15,13 @@
 	EntryAddress string `json:"entry_address"`
 	// PeerAddress is where other instances connect (UDP, QUIC).
 	PeerAddress string `json:"peer_address"`
+	// PeerListenAddress is where this instance listens for other instances
+	// when packets to PeerAddress are forwarded to it. Default: PeerAddress.
+	PeerListenAddress string `json:"peer_listen_address"`
+	// InitialPeers are instances to connect to before the platform's list has
+	// answered. They let an instance start while the list is away. Default
+	// none.
+	InitialPeers []InitialPeer `json:"initial_peers"`
 	// AdminAddress is where operators connect (TCP, HTTPS).
 	AdminAddress string `json:"admin_address"`
 	// StoreAddress is the platform's key-value store.
@@ -31,6 +38,14 @@
 	LogLevel string `json:"log_level"`
 }
 
+// InitialPeer is an instance known from the settings.
+type InitialPeer struct {
+	// Instance is the peer's name, as in its certificate.
+	Instance string `json:"instance"`
+	// PeerAddress is where the peer listens (UDP, QUIC), IP:port.
+	PeerAddress string `json:"peer_address"`
+}
+
 // Keys names PEM files, read at start.
 type Keys struct {
 	// CertificateFile holds this instance's certificate.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -31,7 +31,7 @@
 	}
 	want := Settings{
 		Instance: "i1", Region: "south", FailureDomain: "south-a",
-		EntryAddress: "127.0.0.1:7101", PeerAddress: "127.0.0.1:7101", AdminAddress: "127.0.0.1:7102",
+		EntryAddress: "127.0.0.1:7101", PeerAddress: "127.0.0.1:7101", PeerListenAddress: "127.0.0.1:7101", AdminAddress: "127.0.0.1:7102",
 		StoreAddress: "127.0.0.1:7000", ListAddress: "127.0.0.1:7000",
 		Keys:   Keys{CertificateFile: "i1.pem", KeyFile: "i1.key", AuthorityFile: "authority.pem"},
 		Limits: Limits{CallerConnections: 4096, HeaderBytes: 32 << 10, BufferedAnswerBytes: 64 << 10, BufferedBodyBytes: 64 << 10, Explanations: 1024},
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -1,6 +1,10 @@
 package settings
 
-import "knapweedreel/internal/jsonc"
+import (
+	"fmt"
+
+	"knapweedreel/internal/jsonc"
+)
 
 // The ranges of limits. The smallest header must hold an ordinary request, and
 // the largest values keep a small instance from running out of memory.
@@ -21,6 +25,13 @@
 	p.CheckName("failure_domain", s.FailureDomain)
 	p.CheckAddress("entry_address", s.EntryAddress)
 	p.CheckAddress("peer_address", s.PeerAddress)
+	if s.PeerListenAddress != s.PeerAddress {
+		p.CheckAddress("peer_listen_address", s.PeerListenAddress)
+	}
+	for i, peer := range s.InitialPeers {
+		p.CheckName(fmt.Sprintf("initial_peers[%d].instance", i), peer.Instance)
+		p.CheckAddress(fmt.Sprintf("initial_peers[%d].peer_address", i), peer.PeerAddress)
+	}
 	p.CheckAddress("admin_address", s.AdminAddress)
 	p.CheckAddress("store_address", s.StoreAddress)
 	if s.ListAddress != s.StoreAddress {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -7,6 +7,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	zaplogfmt "github.com/jsternberg/zap-logfmt"
@@ -27,7 +28,39 @@
 	cfg.EncodeTime = zapcore.ISO8601TimeEncoder
 	cfg.MessageKey = "event"
 	core := zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), l)
-	return zap.New(core), nil
+	return zap.New(plainErrors{core}), nil
+}
+
+// plainErrors writes errors by their message. Without it an error that knows
+// its stack trace takes many times the length of its line.
+type plainErrors struct{ zapcore.Core }
+
+// With adds fields to the logger's context.
+func (c plainErrors) With(fields []zapcore.Field) zapcore.Core {
+	return plainErrors{c.Core.With(plain(fields))}
+}
+
+// Check adds the core to the entry when its level is enabled.
+func (c plainErrors) Check(e zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if c.Enabled(e.Level) {
+		return checked.AddCore(e, c)
+	}
+	return checked
+}
+
+// Write writes one line.
+func (c plainErrors) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	return c.Core.Write(e, plain(fields))
+}
+
+func plain(fields []zapcore.Field) []zapcore.Field {
+	out := slices.Clone(fields)
+	for i, f := range out {
+		if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
+			out[i] = zap.String(f.Key, err.Error())
+		}
+	}
+	return out
 }
 
 // Metrics is a tally scope with the page from which it is scraped.
--- a/test/proofs/cluster_test.go
+++ b/test/proofs/cluster_test.go
@@ -211,6 +211,9 @@
 		EntryAddress: in.entry, PeerAddress: in.peer, AdminAddress: in.admin, StoreAddress: f.storeVia,
 		Keys: settings.Keys{CertificateFile: certificate, KeyFile: key, AuthorityFile: f.keys.authority},
 	}
+	for _, other := range f.live() {
+		s.InitialPeers = append(s.InitialPeers, settings.InitialPeer{Instance: other.name, PeerAddress: other.peer})
+	}
 	if f.opts.settings != nil {
 		f.opts.settings(i, &s)
 	}
