Read large lists item by item and ask the instance list only for changes

Lists without cursors are read in full.

The stand-in's list can also hide instances, because the platform's list may be wrong in both directions.

--- a/internal/standin/storeserver/calls.go
+++ b/internal/standin/storeserver/calls.go
@@ -84,8 +84,7 @@
 }
 
 func (s *Server) instances(r *http.Request) (any, error) {
-	is, err := s.memory.Instances(r.Context())
-	return httpstore.InstancesAnswer{Instances: is}, err
+	return s.memory.instancesSince(r.URL.Query().Get("cursor")), nil
 }
 
 func (s *Server) register(r *http.Request) (any, error) {
--- a/internal/standin/storeserver/memory.go
+++ b/internal/standin/storeserver/memory.go
@@ -41,23 +41,14 @@
 // Memory is the store itself. It implements store.Store, store.InstanceList and
 // store.Registrar without a network, and may be used by several goroutines.
 type Memory struct {
-	mu        sync.Mutex
-	current   view
-	stale     *view
-	changed   chan struct{} // closed at the next change
-	leases    map[string]lease
-	fences    map[string]uint64
-	leaseIDs  uint64
-	instances map[string]listed
-	lag       time.Duration
-}
-
-// listed is an instance with its earlier entry, which the list shows until the
-// lag is over.
-type listed struct {
-	earlier *store.Instance
-	latest  store.Instance
-	since   time.Time
+	mu       sync.Mutex
+	current  view
+	stale    *view
+	changed  chan struct{} // closed at the next change
+	leases   map[string]lease
+	fences   map[string]uint64
+	leaseIDs uint64
+	listing  listing
 }
 
 var (
@@ -69,11 +60,11 @@
 // NewMemory returns an empty store.
 func NewMemory() *Memory {
 	return &Memory{
-		current:   view{entries: map[string]entry{}},
-		changed:   make(chan struct{}),
-		leases:    map[string]lease{},
-		fences:    map[string]uint64{},
-		instances: map[string]listed{},
+		current: view{entries: map[string]entry{}},
+		changed: make(chan struct{}),
+		leases:  map[string]lease{},
+		fences:  map[string]uint64{},
+		listing: newListing(),
 	}
 }
 
@@ -90,13 +81,6 @@
 	m.wake()
 }
 
-// SetListLag sets the time after which the list shows a registration.
-func (m *Memory) SetListLag(lag time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.lag = lag
-}
-
 // wake ends the waiting of all watches. The caller holds mu.
 func (m *Memory) wake() {
 	close(m.changed)
@@ -245,39 +229,3 @@
 	delete(m.leases, held.Key)
 	return nil
 }
-
-// Register implements store.Registrar.
-func (m *Memory) Register(_ context.Context, instance store.Instance) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := time.Now()
-	m.instances[instance.ID] = listed{earlier: m.shown(instance.ID, now), latest: instance, since: now}
-	return nil
-}
-
-// Instances implements store.InstanceList. The entries are sorted by ID.
-func (m *Memory) Instances(context.Context) ([]store.Instance, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := time.Now()
-	is := []store.Instance{}
-	for id := range m.instances {
-		if i := m.shown(id, now); i != nil {
-			is = append(is, *i)
-		}
-	}
-	slices.SortFunc(is, func(a, b store.Instance) int { return cmp.Compare(a.ID, b.ID) })
-	return is, nil
-}
-
-// shown returns the entry that the list shows, or nil. The caller holds mu.
-func (m *Memory) shown(id string, now time.Time) *store.Instance {
-	l, ok := m.instances[id]
-	if !ok {
-		return nil
-	}
-	if now.Sub(l.since) < m.lag {
-		return l.earlier
-	}
-	return &l.latest
-}
--- a/internal/standin/storeserver/server.go
+++ b/internal/standin/storeserver/server.go
@@ -32,6 +32,8 @@
 	// ListLagMS is the time until the list shows a registration, in
 	// milliseconds.
 	ListLagMS *int `json:"list_lag_ms,omitempty"`
+	// HideInstances are the IDs that the list omits; it shows all others.
+	HideInstances *[]string `json:"hide_instances,omitempty"`
 }
 
 // Server serves a Memory over HTTP, with faults on demand.
@@ -83,6 +85,9 @@
 	if c.Stale != nil {
 		s.memory.SetStale(*c.Stale)
 	}
+	if c.HideInstances != nil {
+		s.memory.HideInstances(*c.HideInstances)
+	}
 	if c.ListLagMS != nil {
 		s.memory.SetListLag(time.Duration(*c.ListLagMS) * time.Millisecond)
 	}
@@ -139,7 +144,7 @@
 		writeStoreError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, answer)
+	writeAnswer(w, r, answer)
 }
 
 func (s *Server) begin(kind store.CallKind) (outage, refuse bool, delay time.Duration) {
--- a/internal/store/httpstore/client.go
+++ b/internal/store/httpstore/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -41,6 +42,7 @@
 	store   *pool
 	list    *pool
 	timeout time.Duration
+	listing listing
 }
 
 var (
@@ -73,7 +75,7 @@
 // Get implements store.Store.
 func (c *Client) Get(ctx context.Context, key string) (store.Value, error) {
 	var a Item
-	err := c.store.do(ctx, call{method: http.MethodGet, path: PathKV + "/" + url.PathEscape(key), answer: &a, timeout: c.timeout})
+	err := c.store.do(ctx, call{method: http.MethodGet, path: PathKV + "/" + url.PathEscape(key), decode: into(&a), timeout: c.timeout})
 	if err != nil {
 		return store.Value{}, err
 	}
@@ -89,19 +91,15 @@
 	var a PutAnswer
 	err := c.store.do(ctx, call{
 		method: http.MethodPut, path: PathKV + "/" + url.PathEscape(key), query: query,
-		body: PutRequest{Data: data}, answer: &a, write: true, timeout: c.timeout,
+		body: PutRequest{Data: data}, decode: into(&a), write: true, timeout: c.timeout,
 	})
 	return a.Version, err
 }
 
 // List implements store.Store.
 func (c *Client) List(ctx context.Context, prefix string) ([]store.KeyValue, error) {
-	var a ItemsAnswer
-	err := c.store.do(ctx, call{method: http.MethodGet, path: PathKV, query: url.Values{"prefix": {prefix}}, answer: &a, timeout: c.timeout})
-	if err != nil {
-		return nil, err
-	}
-	return keyValues(a.Items), nil
+	kvs, _, err := c.items(ctx, PathKV, url.Values{"prefix": {prefix}}, c.timeout)
+	return kvs, err
 }
 
 // Watch implements store.Store. With after 0 it returns all keys that begin
@@ -114,12 +112,25 @@
 		"after":   {strconv.FormatUint(after, 10)},
 		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
-	var a ItemsAnswer
-	err := c.store.do(ctx, call{method: http.MethodGet, path: PathWatch, query: query, answer: &a, timeout: wait + c.timeout})
+	kvs, index, err := c.items(ctx, PathWatch, query, wait+c.timeout)
 	if err != nil {
 		return nil, after, err
 	}
-	return keyValues(a.Items), a.Index, nil
+	return kvs, index, nil
+}
+
+func (c *Client) items(ctx context.Context, path string, query url.Values, timeout time.Duration) ([]store.KeyValue, uint64, error) {
+	var kvs []store.KeyValue
+	var index uint64
+	decode := func(r io.Reader) (err error) {
+		kvs, index, err = decodeItems(r)
+		return err
+	}
+	err := c.store.do(ctx, call{method: http.MethodGet, path: path, query: query, decode: decode, timeout: timeout})
+	if err != nil {
+		return nil, 0, err
+	}
+	return kvs, index, nil
 }
 
 // AcquireLease implements store.Store.
@@ -127,7 +138,7 @@
 	var a LeaseAnswer
 	err := c.store.do(ctx, call{
 		method: http.MethodPost, path: PathLeases + "/" + url.PathEscape(key),
-		body: LeaseRequest{Holder: holder, TTLMS: ttl.Milliseconds()}, answer: &a, write: true, timeout: c.timeout,
+		body: LeaseRequest{Holder: holder, TTLMS: ttl.Milliseconds()}, decode: into(&a), write: true, timeout: c.timeout,
 	})
 	if err != nil {
 		return store.Lease{}, err
@@ -140,7 +151,7 @@
 	var a LeaseAnswer
 	err := c.store.do(ctx, call{
 		method: http.MethodPut, path: leasePath(lease),
-		body: LeaseRequest{Holder: lease.Holder, TTLMS: lease.TTL.Milliseconds()}, answer: &a, write: true, timeout: c.timeout,
+		body: LeaseRequest{Holder: lease.Holder, TTLMS: lease.TTL.Milliseconds()}, decode: into(&a), write: true, timeout: c.timeout,
 	})
 	if err != nil {
 		return store.Lease{}, err
@@ -153,13 +164,6 @@
 	return c.store.do(ctx, call{method: http.MethodDelete, path: leasePath(lease), write: true, timeout: c.timeout})
 }
 
-// Instances implements store.InstanceList.
-func (c *Client) Instances(ctx context.Context) ([]store.Instance, error) {
-	var a InstancesAnswer
-	err := c.list.do(ctx, call{method: http.MethodGet, path: PathInstances, answer: &a, timeout: c.timeout})
-	return a.Instances, err
-}
-
 // Register implements store.Registrar.
 func (c *Client) Register(ctx context.Context, instance store.Instance) error {
 	return c.list.do(ctx, call{
@@ -178,11 +182,3 @@
 		TTL: time.Duration(a.TTLMS) * time.Millisecond,
 	}
 }
-
-func keyValues(items []Item) []store.KeyValue {
-	kvs := make([]store.KeyValue, len(items))
-	for i, it := range items {
-		kvs[i] = store.KeyValue{Key: it.Key, Value: store.Value{Data: it.Data, Version: it.Version}}
-	}
-	return kvs
-}
--- a/internal/store/httpstore/client_test.go
+++ b/internal/store/httpstore/client_test.go
@@ -328,3 +328,44 @@
 		t.Fatalf("list = %v, %v", is, err)
 	}
 }
+
+// Guards against a list that misses changes when only those are asked for, and
+// against one that keeps an old list after the list's server was replaced.
+func TestInstancesFollowChanges(t *testing.T) {
+	ctx := t.Context()
+	var server atomic.Pointer[storeserver.Server]
+	server.Store(storeserver.New())
+	hs := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { server.Load().ServeHTTP(w, r) }))
+	defer hs.Close()
+	c := httpstore.New(httpstore.Config{StoreAddress: hs.Listener.Addr().String()})
+	defer c.Close()
+	check := func(want ...store.Instance) {
+		t.Helper()
+		got, err := c.Instances(ctx)
+		if err != nil || !cmp.Equal(got, want) {
+			t.Fatalf("Instances = %v, %v; want %v", got, err, want)
+		}
+	}
+	entry := func(id string, state store.State) store.Instance { return store.Instance{ID: id, State: state} }
+	register := func(i store.Instance) {
+		t.Helper()
+		if err := c.Register(ctx, i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	a, b, leaving := entry("a", store.StateLive), entry("b", store.StateLive), entry("a", store.StateLeaving)
+	register(b)
+	check(b)
+	register(a)
+	check(a, b)
+	check(a, b)
+	register(leaving)
+	check(leaving, b)
+	server.Load().Apply(storeserver.Control{HideInstances: &[]string{"a"}})
+	check(b)
+	server.Load().Apply(storeserver.Control{HideInstances: &[]string{}})
+	check(leaving, b)
+	server.Store(storeserver.New())
+	register(b)
+	check(b)
+}
--- a/internal/store/httpstore/protocol.go
+++ b/internal/store/httpstore/protocol.go
@@ -48,9 +48,13 @@
 	TTLMS int64  `json:"ttl_ms"`
 }
 
-// InstancesAnswer is the list of instances.
+// InstancesAnswer is the list of instances, or what changed in it since the
+// cursor of the request. A list that knows no cursors always answers in full.
 type InstancesAnswer struct {
-	Instances []store.Instance `json:"instances"`
+	Partial   bool             `json:"partial,omitempty"`
+	Instances []store.Instance `json:"instances"`         // all, or the changed ones
+	Removed   []string         `json:"removed,omitempty"` // IDs, of a partial answer
+	Cursor    string           `json:"cursor,omitempty"`  // for the next request
 }
 
 // ErrorCode names why the store refused a call.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -108,6 +108,7 @@
 // InstanceList is the platform's list of live and leaving instances. It lags
 // and may be wrong in both directions.
 type InstanceList interface {
+	// Instances returns the whole list. The caller must not change it.
 	Instances(ctx context.Context) ([]Instance, error)
 }
 
