--- a/internal/instance/control/links.go
+++ b/internal/instance/control/links.go
@@ -133,6 +133,11 @@
 	for _, id := range slices.Sorted(maps.Keys(l.chosen)) {
 		want = append(want, others[id])
 	}
+	clear(l.watched)
+	for _, info := range want {
+		l.watched[info.ID] = true
+	}
+	l.relink = false
 	l.cfg.Peers.Connect(want)
 }
 
@@ -143,7 +148,7 @@
 
 func (e received) apply(l *Loop, now time.Time) {
 	m := &e.message
-	if row, ok := l.table.Row(e.from); ok && m.Boot < row.Boot {
+	if l.table.Outdated(e.from, m.Boot) {
 		l.cfg.Log.Debug("message_of_earlier_boot", zap.String("member", e.from))
 		return
 	}
@@ -152,7 +157,7 @@
 	case m.Hello != nil:
 		l.merge(now, *m.Hello)
 	case m.Heartbeat != nil:
-		l.receiveHeartbeat(now, e.from, m.Heartbeat)
+		l.receiveHeartbeat(now, e.from, m.Boot, m.Heartbeat)
 	case m.Evidence != nil:
 		l.receiveEvidence(now, m)
 	case m.Leaving != nil:
--- a/internal/instance/control/snapshot.go
+++ b/internal/instance/control/snapshot.go
@@ -10,6 +10,7 @@
 	"knapweedreel/internal/health"
 	"knapweedreel/internal/member"
 	"knapweedreel/internal/routing"
+	"knapweedreel/internal/slots"
 )
 
 // publisher notes what the next snapshot has to rebuild.
@@ -19,7 +20,8 @@
 	fleet    bool            // members or readiness
 	services map[string]bool // services whose upstreams changed
 	shares   map[string]share
-	present  []string // members that share slots, as of the last snapshot
+	rising   map[string]bool // services with an upstream whose weight grows with time
+	present  []string        // members that share slots, as of the last snapshot
 	last     time.Time
 }
 
@@ -31,7 +33,7 @@
 }
 
 func newPublisher() publisher {
-	return publisher{services: make(map[string]bool), shares: make(map[string]share)}
+	return publisher{services: make(map[string]bool), shares: make(map[string]share), rising: make(map[string]bool)}
 }
 
 func (p *publisher) service(name string, urgent bool) {
@@ -48,6 +50,14 @@
 
 func (p *publisher) all(urgent bool) { p.members(urgent) }
 
+// refreshWeights lets the next snapshot show the weights of returning upstreams,
+// which grow without an event.
+func (l *Loop) refreshWeights() {
+	for name := range l.publisher.rising {
+		l.publisher.service(name, false)
+	}
+}
+
 type publishEvent struct{}
 
 func (publishEvent) apply(*Loop, time.Time) {}
@@ -107,11 +117,17 @@
 func (l *Loop) routingMembers() []routing.Member {
 	out := make([]routing.Member, 0, l.table.Len())
 	for row := range l.table.All() {
-		out = append(out, routing.Member{Info: row.Info, Live: row.Presence == member.Live})
+		out = append(out, routing.Member{Info: row.Info, Live: l.usable(row)})
 	}
 	return out
 }
 
+// usable reports whether callers may be sent to a member. A member of another
+// shard to which no link is kept counts as the list shows it.
+func (l *Loop) usable(row member.Row) bool {
+	return row.Presence == member.Live || row.Presence == member.Known && !l.watched[row.ID] && row.State == member.Active
+}
+
 // presentMembers returns the members of the own shard that share slots and
 // connections, in the order of their IDs.
 func (l *Loop) presentMembers(shards int) []string {
@@ -139,9 +155,13 @@
 	for _, v := range l.engine.Views(name) {
 		views[v.Upstream.Upstream] = v
 	}
+	delete(l.publisher.rising, name)
 	s.Upstreams = make([]routing.Upstream, 0, len(f.parsed.Upstreams))
 	for _, u := range f.parsed.Upstreams {
 		v := views[u.ID]
+		if v.State == health.InService && v.Weight < 1 {
+			l.publisher.rising[name] = true
+		}
 		s.Upstreams = append(s.Upstreams, routing.Upstream{
 			Upstream: u, State: v.State, Weight: v.Weight,
 			HomeSlots: part.homeSlots[u.ID], MaxConnections: part.connections[u.ID],
@@ -161,13 +181,21 @@
 	}
 	s := share{
 		revision:    f.envelope.Revision,
-		homeSlots:   l.cfg.HomeSlots(l.self.ID, present, f.parsed.Upstreams),
+		homeSlots:   homeSlots(l.self.ID, f.parsed, present),
 		connections: connections(f.parsed.Upstreams, len(present)),
 	}
 	l.publisher.shares[name] = s
 	return s
 }
 
+func homeSlots(instance string, d *document.Document, members []string) map[string]int {
+	upstreams := make([]slots.Upstream, 0, len(d.Upstreams))
+	for _, u := range d.Upstreams {
+		upstreams = append(upstreams, slots.Upstream{ID: u.ID, Slots: u.Slots})
+	}
+	return slots.Assign(d.Service, upstreams, members)[instance]
+}
+
 func connections(upstreams []document.Upstream, members int) map[string]int {
 	out := make(map[string]int, len(upstreams))
 	for _, u := range upstreams {
