health: protect against faults that begin at many upstreams at once

Cause: of upstreams that begin to fail together, the one that happens to fail most reaches the threshold before the baseline has moved. The baseline had a half-life of 2 s only, was read once per tick, and the mean of the other scores was still below a quarter of the threshold. The same race ejected upstreams behind a cut region link. A lone reporter was uncapped after 500 ms, but in quiet hours the next request of a peer often takes longer. Healthy upstreams have 1 to 2% slow answers, above the assumed 1%.

Change: a second window of 250 ms for the baseline; for 1 s after an upstream's first failure it is not ejected when a quarter of the others have begun to fail too; the share of a region that points to a cut link is 20% in the first 2 s; a lone reporter is capped for 3 s; slow answers have rates of their own (5% and 40%); medians need 5 answers instead of 8.

Ruled out: the poisonous caller rule; without it the figures of load shedding have the same cause, a score made within 0.5 s of the onset.

Detection now counts from the failure of the first request instead of its sending; this concerns hangs, which fail one deadline after sending.

--- a/internal/health/baseline.go
+++ b/internal/health/baseline.go
@@ -3,17 +3,23 @@
 import (
 	"math"
 	"slices"
+	"time"
 )
 
 // Rates of the two hypotheses that a score compares.
 const (
-	// minHealthyRate is p0 where the service's upstreams fail less.
+	// minHealthyRate is p0 where the service's upstreams fail less, and
+	// minFaultyRate p1 where p0 is low. A success then weighs -0.21 and a failure
+	// 3.0, so that the score rises from a failure rate of 6.7% on.
 	minHealthyRate = 0.01
+	minFaultyRate  = 0.2
+	// minHealthySlow and minFaultySlow are the same for slow answers. Healthy
+	// upstreams have a tail of them, of 1 to 2% with the default slow_factor and
+	// a usual spread.
+	minHealthySlow = 0.05
+	minFaultySlow  = 0.4
 	// maxHealthyRate keeps room for a faulty rate above it.
 	maxHealthyRate = 0.9
-	// minFaultyRate is p1 where p0 is low. At p0 = 1% a success weighs 0.21 and
-	// a failure 3.0, so that the score rises from a failure rate of 6.7% on.
-	minFaultyRate = 0.2
 	// healthyFactor is p0 over the failure rate of the service's upstreams.
 	healthyFactor = 2
 )
@@ -28,14 +34,26 @@
 // scores follow at once.
 const serviceWideShare = 0.25
 
+// A fault that begins at many upstreams at once reaches some of them first. For
+// baselineDelay after an upstream's first failure it is not ejected when
+// freshShare of the others have a score of freshScore; then the baseline tells
+// common faults from single ones. The score is that of one failure and a few
+// successes after it.
+const (
+	baselineDelay = time.Second
+	freshShare    = 0.25
+	freshScore    = 1
+)
+
 // rates are p0 and p1.
 type rates struct {
 	healthy, faulty float64
 }
 
-func ratesOf(observed float64) rates {
-	p0 := min(max(healthyFactor*observed, minHealthyRate), maxHealthyRate)
-	return rates{healthy: p0, faulty: max(minFaultyRate, 1-math.Pow(1-p0, 3))}
+// ratesOf returns the rates for an observed failure rate and their least values.
+func ratesOf(observed, minHealthy, minFaulty float64) rates {
+	p0 := min(max(healthyFactor*observed, minHealthy), maxHealthyRate)
+	return rates{healthy: p0, faulty: max(minFaulty, 1-math.Pow(1-p0, 3))}
 }
 
 // baseline holds the rates for failures and for slow answers.
@@ -43,28 +61,53 @@
 	failed, slow rates
 }
 
+func baselineOf(failed, slow float64) baseline {
+	return baseline{
+		failed: ratesOf(failed, minHealthyRate, minFaultyRate),
+		slow:   ratesOf(slow, minHealthySlow, minFaultySlow),
+	}
+}
+
 // updateBaseline estimates the failure rates of the service's upstreams from the
 // failures that all reporters saw and the traffic that they announced. Traffic
-// is taken as spread evenly over the upstreams in service.
+// is taken as spread evenly over the upstreams in service, and as steady.
 func (e *Engine) updateBaseline(s *service) {
-	traffic := s.traffic.get(e.now)
+	if !s.hasFailures(e.now) {
+		s.baseline = baselineOf(0, 0)
+		return
+	}
+	traffic, _ := s.traffic.get(e.now)
 	for _, name := range sortedKeys(e.peers) {
-		g := e.peers[name].traffic[s.name]
-		traffic += g.get(e.now)
+		reported := e.peers[name].traffic[s.name]
+		long, _ := reported.get(e.now)
+		traffic += long
 	}
-	var failed, slow []float64
+	var failed, slow [2][]float64 // long and short
 	for _, u := range s.upstreams {
 		if u.state != InService {
 			continue
 		}
-		failed = append(failed, u.recent.failed.get(e.now))
-		slow = append(slow, u.recent.slow.get(e.now))
+		long, short := u.recent.failed.get(e.now)
+		failed[0], failed[1] = append(failed[0], long), append(failed[1], short)
+		long, short = u.recent.slow.get(e.now)
+		slow[0], slow[1] = append(slow[0], long), append(slow[1], short)
 	}
-	each := max(traffic/float64(max(len(failed), 1)), 1)
-	s.baseline = baseline{
-		failed: ratesOf(trimmedMean(failed) / each),
-		slow:   ratesOf(trimmedMean(slow) / each),
+	long := max(traffic/float64(max(len(failed[0]), 1)), 1)
+	short := max(long*float64(shortHalfLife)/float64(longHalfLife), 1)
+	s.baseline = baselineOf(
+		max(trimmedMean(failed[0])/long, trimmedMean(failed[1])/short),
+		max(trimmedMean(slow[0])/long, trimmedMean(slow[1])/short),
+	)
+}
+
+// hasFailures reports whether any upstream failed within the last long windows.
+func (s *service) hasFailures(now time.Time) bool {
+	for _, u := range s.upstreams {
+		if now.Sub(u.recent.failed.at) < 4*longHalfLife || now.Sub(u.recent.slow.at) < 4*longHalfLife {
+			return true
+		}
 	}
+	return false
 }
 
 // trimmedMean returns the mean without the highest trimmedShare of the values; 0
@@ -83,16 +126,26 @@
 }
 
 // isServiceWide reports whether the service's other upstreams are suspected of
-// the same kind of failure.
-func (s *service) isServiceWide(u *upstream, slow bool) bool {
-	var others []float64
+// the same kind of failure: their scores are high on average, or many of them
+// have begun to fail as lately as this one.
+func (s *service) isServiceWide(u *upstream, slow bool, now time.Time) bool {
+	var scores []float64
+	failing := 0
 	for _, o := range s.upstreams {
 		if o == u || o.state != InService {
 			continue
 		}
-		others = append(others, min(o.scoreOf(slow).sum, s.limits.threshold))
+		sum := o.scoreOf(slow).sum
+		scores = append(scores, min(sum, s.limits.threshold))
+		if sum >= freshScore {
+			failing++
+		}
+	}
+	if trimmedMean(scores) >= serviceWideShare*s.limits.threshold {
+		return true
 	}
-	return trimmedMean(others) >= serviceWideShare*s.limits.threshold
+	fresh := now.Sub(u.scoreOf(slow).started) < baselineDelay
+	return fresh && float64(failing) >= freshShare*float64(len(scores)) && failing > 1
 }
 
 func (u *upstream) scoreOf(slow bool) *score {
--- a/internal/health/decide.go
+++ b/internal/health/decide.go
@@ -39,17 +39,18 @@
 		return
 	}
 	worst, slow := u.worst(), u.slow.sum > u.failed.sum
-	if s.isServiceWide(u, slow) || e.isPartition(u) {
+	if s.isServiceWide(u, slow, e.now) || e.isPartition(u) {
 		// The score restarts lower, so that the end of the common fault does
 		// not eject the upstream that happens to be reported last.
 		worst.shrink(h / 2)
 		return
 	}
-	kind := "failures"
+	kind, rates := "failures", s.baseline.failed
 	if slow {
-		kind = "slow answers"
+		kind, rates = "slow answers", s.baseline.slow
 	}
-	e.eject(s, u, fmt.Sprintf("%d %s seen by %d reporters from %d callers", worst.failures, kind, len(worst.reporters), len(worst.callers)))
+	e.eject(s, u, fmt.Sprintf("%d %s seen by %d reporters from %d callers; usual rate at most %.1f%%",
+		worst.failures, kind, len(worst.reporters), len(worst.callers), 100*rates.healthy))
 }
 
 // applyTick lets time pass.
--- a/internal/health/documents.go
+++ b/internal/health/documents.go
@@ -118,7 +118,7 @@
 }
 
 func (e *Engine) addService(name string) *service {
-	s := &service{name: name, baseline: baseline{failed: ratesOf(0), slow: ratesOf(0)}, routes: routes{}}
+	s := &service{name: name, baseline: baselineOf(0, 0), routes: routes{}}
 	e.services[name] = s
 	at, _ := slices.BinarySearch(e.names, name)
 	e.names = slices.Insert(e.names, at, name)
--- a/internal/health/evidence.go
+++ b/internal/health/evidence.go
@@ -27,8 +27,8 @@
 	boot, sequence uint64
 	region         string
 	heard          time.Time
-	seen           map[Key]seen     // of upstreams that documents name
-	traffic        map[string]gauge // by service
+	seen           map[Key]seen      // of upstreams that documents name
+	traffic        map[string]window // outcomes by service, as last reported
 }
 
 // seen is the latest report of a peer on one upstream.
@@ -118,7 +118,7 @@
 	}
 	if known == nil || p.Boot > known.boot {
 		e.makeRoomForPeer()
-		known = &peer{boot: p.Boot, seen: map[Key]seen{}, traffic: map[string]gauge{}}
+		known = &peer{boot: p.Boot, seen: map[Key]seen{}, traffic: map[string]window{}}
 		e.peers[p.Reporter] = known
 	}
 	known.sequence, known.region, known.heard = p.Sequence, p.Region, e.now
@@ -138,7 +138,7 @@
 		slow:      max(before.slow, ev.Slow),
 	}}
 	p.seen[u.key] = now
-	p.traffic[s.name] = gauge{value: float64(ev.Traffic), at: e.now}
+	p.traffic[s.name] = window{long: float64(ev.Traffic), at: e.now}
 	if ev.SelfSuspect {
 		u.failed.drop(reporter)
 		u.slow.drop(reporter)
@@ -190,8 +190,12 @@
 	}
 	u.seen.add(r.reporter, e.now)
 	callers := e.soundCallers(s, u, &r)
-	u.recent.failed.add(e.now, float64(r.failed))
-	u.recent.slow.add(e.now, float64(r.slow))
+	if r.failed > 0 {
+		u.recent.failed.add(e.now, float64(r.failed))
+	}
+	if r.slow > 0 {
+		u.recent.slow.add(e.now, float64(r.slow))
+	}
 	switch u.state {
 	case Probation:
 		e.probationOutcomes(s, u, r)
--- a/internal/health/outgoing.go
+++ b/internal/health/outgoing.go
@@ -84,6 +84,7 @@
 }
 
 func (e *Engine) reportOf(s *service, u *upstream) Evidence {
+	traffic, _ := s.traffic.get(e.now)
 	u.own.sent = sentReport{counts: u.own.now, suspect: e.selfSuspect(), out: u.state == Ejected}
 	return Evidence{
 		Upstream:    u.key,
@@ -94,7 +95,7 @@
 		Callers:     slices.Clone(u.own.callers),
 		SelfSuspect: u.own.sent.suspect,
 		Out:         u.own.sent.out,
-		Traffic:     uint64(math.Round(s.traffic.get(e.now))),
+		Traffic:     uint64(math.Round(traffic)),
 
 		FailingCallers: s.callers.failing(u.own.callers),
 	}
--- a/internal/health/partition.go
+++ b/internal/health/partition.go
@@ -1,9 +1,15 @@
 package health
 
+import "time"
+
 const (
 	// partitionShare is the share of a region's upstreams that must look failing
-	// from outside for a partition.
-	partitionShare = 0.5
+	// from outside for a partition; freshPartitionShare is enough within
+	// partitionDelay of the first failure, when a cut link has not yet shown at
+	// all of them.
+	partitionShare      = 0.5
+	freshPartitionShare = 0.2
+	partitionDelay      = 2 * time.Second
 	// partitionUpstreams is the least number of such upstreams.
 	partitionUpstreams = 2
 	// insideShare is the share of a score below which the upstream's own region
@@ -27,12 +33,16 @@
 				continue
 			}
 			all++
-			if in, out := e.sides(o); out >= oneFailure*0.8 && in < insideShare*(in+out) {
+			if in, out := e.sides(o); out >= freshScore && in < insideShare*(in+out) {
 				failing++
 			}
 		}
 	})
-	return failing >= partitionUpstreams && float64(failing) >= partitionShare*float64(all)
+	share := partitionShare
+	if e.now.Sub(u.worst().started) < partitionDelay {
+		share = freshPartitionShare
+	}
+	return failing >= partitionUpstreams && float64(failing) >= share*float64(all)
 }
 
 // sides returns what reporters inside and outside of the upstream's region
--- a/internal/health/presence.go
+++ b/internal/health/presence.go
@@ -13,9 +13,10 @@
 const presenceWindow = 10 * time.Second
 
 // loneReporterDelay is the time after the first failure for which a lone
-// reporter is capped too. Peers with traffic to the upstream report their
-// successes within two report intervals of hearing of the suspicion.
-const loneReporterDelay = 500 * time.Millisecond
+// reporter is capped too. Peers with traffic to the upstream report successes
+// once they hear of the suspicion; in quiet hours their next request may come
+// after a second or two.
+const loneReporterDelay = 3 * time.Second
 
 // presence tells whether at least two different values were seen lately. It
 // keeps the two latest.
--- a/internal/health/slow.go
+++ b/internal/health/slow.go
@@ -11,10 +11,10 @@
 	// on. More samples give a steadier median that follows a surge later.
 	routeSamples = 64
 	// minRouteSamples and minRouteUpstreams are needed for a median.
-	minRouteSamples   = 8
+	minRouteSamples   = 5
 	minRouteUpstreams = 3
 	// medianEvery is the number of answers after which the median is computed
-	// anew.
+	// anew, once there are some.
 	medianEvery = 8
 	// maxRoutes bounds the routes of a service with a median. Answers of
 	// further routes are slow only by slow_after_ms.
@@ -47,7 +47,7 @@
 	}
 	known.samples[known.count%routeSamples] = sample{upstream, latency}
 	known.count++
-	if known.count%medianEvery == 0 {
+	if known.count%medianEvery == 0 || known.count < 2*medianEvery {
 		known.update()
 	}
 }
--- a/internal/health/window.go
+++ b/internal/health/window.go
@@ -5,30 +5,33 @@
 	"time"
 )
 
-// windowHalfLife is the time in which a window forgets half of its count.
-const windowHalfLife = 2 * time.Second
+// Times in which the windows forget half of their counts. The long one gives a
+// steady rate; the short one follows a sudden fault of a whole service before
+// it ejects the upstream that happened to fail most.
+const (
+	longHalfLife  = 2 * time.Second
+	shortHalfLife = 250 * time.Millisecond
+)
 
-// window is a count that decays exponentially.
+// window is a count that decays exponentially, at two speeds.
 type window struct {
-	value float64
-	at    time.Time
+	long, short float64
+	at          time.Time
 }
 
 func (w *window) add(now time.Time, n float64) {
-	w.value = w.get(now) + n
-	w.at = now
+	long, short := w.get(now)
+	w.long, w.short, w.at = long+n, short+n, now
 }
 
-func (w *window) get(now time.Time) float64 {
-	if w.value == 0 || !now.After(w.at) {
-		return w.value
+func (w *window) get(now time.Time) (long, short float64) {
+	if w.long == 0 || !now.After(w.at) {
+		return w.long, w.short
 	}
-	return w.value * decay(now.Sub(w.at), windowHalfLife)
+	passed := now.Sub(w.at)
+	return w.long * decay(passed, longHalfLife), w.short * decay(passed, shortHalfLife)
 }
 
-// gauge is a peer's window as it was last reported.
-type gauge = window
-
 // decay returns the share that is left after the given time.
 func decay(d, halfLife time.Duration) float64 {
 	return math.Exp2(-float64(d) / float64(halfLife))
--- a/test/decisions/measure.go
+++ b/test/decisions/measure.go
@@ -53,7 +53,7 @@
 	r.FalseSeconds += o.FalseSeconds
 }
 
-// detection returns the times from the sending of the first request that met the
+// detection returns the times from the failure of the first request that met the
 // fault until the first instance ejects the upstream, and until all that have
 // work for it do. An instance that never does counts with the end of the fault.
 func detection(t *Trace, w *Window, result Result) (first, all time.Duration, missed bool) {
