Parse offered documents outside the control goroutine

A text of 512 KiB takes tens of milliseconds to parse, in which the loop could not act on evidence. The caller's or link's goroutine parses it now.

--- a/internal/instance/control/documents.go
+++ b/internal/instance/control/documents.go
@@ -72,7 +72,7 @@
 // with mistakes is refused with errkind.InvalidDocument.
 func (l *Loop) Offer(ctx context.Context, envelope document.Envelope, source platform.DocumentSource) (uint64, error) {
 	reply := make(chan offerResult, 1)
-	if err := l.submit(ctx, offerEvent{envelope: envelope, source: source, reply: reply}); err != nil {
+	if err := l.submit(ctx, offerEvent{offer: l.prepare(envelope), source: source, reply: reply}); err != nil {
 		return 0, err
 	}
 	select {
@@ -91,29 +91,50 @@
 }
 
 type offerEvent struct {
-	envelope document.Envelope
-	source   platform.DocumentSource
-	reply    chan<- offerResult
+	offer  offer
+	source platform.DocumentSource
+	reply  chan<- offerResult
 }
 
 func (e offerEvent) apply(l *Loop, now time.Time) {
-	err := l.offer(now, e.envelope, e.source, "")
-	e.reply <- offerResult{l.documents.revision(e.envelope.Service), err}
+	err := l.offer(now, e.offer, e.source, "")
+	e.reply <- offerResult{l.documents.revision(e.offer.envelope.Service), err}
+}
+
+// offer is an envelope whose text was parsed before it reached the loop. With
+// neither parsed nor err it was not newer than the document in force.
+type offer struct {
+	envelope document.Envelope
+	parsed   *document.Document
+	err      error
+}
+
+// prepare parses an envelope on the goroutine of the caller. A text of 512 KiB
+// takes tens of milliseconds, in which the loop has other work. Revisions in
+// force only grow, so that a text that is not newer now never will be.
+func (l *Loop) prepare(envelope document.Envelope) offer {
+	o := offer{envelope: envelope}
+	if s, ok := l.Snapshot().Services[envelope.Service]; ok && envelope.Revision <= s.Revision {
+		return o
+	}
+	o.parsed, o.err = l.parse(&envelope)
+	return o
 }
 
 // offer applies an envelope and passes it on. The sender is the peer that
 // pushed it, or empty.
-func (l *Loop) offer(now time.Time, envelope document.Envelope, source platform.DocumentSource, sender string) error {
+func (l *Loop) offer(now time.Time, o offer, source platform.DocumentSource, sender string) error {
+	envelope := o.envelope
 	current := l.documents.byService[envelope.Service]
 	if current != nil && envelope.Revision <= current.envelope.Revision {
 		l.notNewer(current, &envelope, source, sender)
 		return nil
 	}
-	f, err := l.parse(&envelope)
-	if err != nil {
-		l.refuse(&envelope, source, sender, err)
-		return err
+	if o.err != nil {
+		l.refuse(&envelope, source, sender, o.err)
+		return o.err
 	}
+	f := &inForce{envelope: envelope, parsed: o.parsed}
 	l.documents.set(f)
 	l.cfg.Log.Info("document_in_force",
 		zap.String("service", envelope.Service), zap.Uint64("revision", envelope.Revision),
@@ -129,7 +150,7 @@
 	return nil
 }
 
-func (l *Loop) parse(envelope *document.Envelope) (*inForce, error) {
+func (l *Loop) parse(envelope *document.Envelope) (*document.Document, error) {
 	parsed, err := l.cfg.Parse(envelope.Service, []byte(envelope.Text))
 	if err != nil {
 		return nil, errkind.Wrap(errkind.InvalidDocument, err, "document %s revision %d", envelope.Service, envelope.Revision)
@@ -137,7 +158,7 @@
 	if parsed.Service != envelope.Service {
 		return nil, errkind.New(errkind.InvalidDocument, "document of service %s in the envelope of %s", parsed.Service, envelope.Service)
 	}
-	return &inForce{envelope: *envelope, parsed: parsed}, nil
+	return parsed, nil
 }
 
 // notNewer logs two texts under one revision. The document in force stays. A
--- a/internal/instance/control/heartbeat.go
+++ b/internal/instance/control/heartbeat.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"knapweedreel/internal/health"
-	"knapweedreel/internal/instance/platform"
 	"knapweedreel/internal/member"
 	"knapweedreel/internal/wire"
 )
@@ -86,9 +85,3 @@
 		Region: m.Evidence.Region, Evidence: m.Evidence.Evidence,
 	}})
 }
-
-func (l *Loop) receiveDocument(now time.Time, from string, p *wire.DocumentPush) {
-	// A refusal is logged by offer; the link of the sender stays up, as the
-	// sender may only have passed the document on.
-	_ = l.offer(now, p.Envelope, platform.SourcePeer, from)
-}
--- a/internal/instance/control/links.go
+++ b/internal/instance/control/links.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"knapweedreel/internal/health"
+	"knapweedreel/internal/instance/platform"
 	"knapweedreel/internal/member"
 	"knapweedreel/internal/wire"
 )
@@ -26,7 +27,13 @@
 func (l *Loop) LinkDown(id string) { l.post(linkDown{id}) }
 
 // Message hands over a message of an authenticated member.
-func (l *Loop) Message(from string, m wire.Message) { l.post(received{from, m}) }
+func (l *Loop) Message(from string, m wire.Message) {
+	e := received{from: from, message: m}
+	if m.DocumentPush != nil {
+		e.offer = l.prepare(m.DocumentPush.Envelope)
+	}
+	l.post(e)
+}
 
 type linkUp struct{ info member.Info }
 
@@ -144,6 +151,7 @@
 type received struct {
 	from    string
 	message wire.Message
+	offer   offer // of a DocumentPush
 }
 
 func (e received) apply(l *Loop, now time.Time) {
@@ -163,7 +171,9 @@
 	case m.Leaving != nil:
 		l.receiveLeaving(now, m.Leaving)
 	case m.DocumentPush != nil:
-		l.receiveDocument(now, e.from, m.DocumentPush)
+		// A refusal is logged by offer. The sender's link stays up, as it may
+		// only have passed the document on.
+		_ = l.offer(now, e.offer, platform.SourcePeer, e.from)
 	case m.RevisionVector != nil:
 		l.receiveRevisions(e.from, m.RevisionVector)
 	case m.AuditEvents != nil:
