--- a/internal/instance/platform/child.go
+++ b/internal/instance/platform/child.go
@@ -87,6 +87,7 @@
 func (c *Child) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return c.readDocuments(ctx) })
+	g.Go(func() error { return c.readWhileIsolated(ctx) })
 	g.Go(func() error { return c.runLease(ctx) })
 	g.Go(func() error { return c.runList(ctx) })
 	g.Go(func() error { return c.runRegistration(ctx) })
--- a/internal/instance/platform/documents.go
+++ b/internal/instance/platform/documents.go
@@ -15,6 +15,10 @@
 	// store recovers does not overload it.
 	readRetry    = 500 * time.Millisecond
 	maxReadRetry = 8 * time.Second
+	// isolatedRead is the mean time between reads of the store by an instance
+	// that hears no peer. With the 3 s after which peers count as lost it keeps
+	// an accepted document within 5 s, as long as the store answers.
+	isolatedRead = time.Second
 	// watchRetry is the mean wait after a failed watch.
 	watchRetry = time.Second
 	// watchPace is the mean time between two watches. Without it each change
@@ -44,6 +48,38 @@
 	}
 }
 
+// readWhileIsolated reads all documents again and again while this instance
+// hears none of the other members, since no peer can push documents to it.
+func (c *Child) readWhileIsolated(ctx context.Context) error {
+	for c.random.sleep(ctx, isolatedRead) {
+		if !c.isolated() {
+			continue
+		}
+		kvs, err := c.store.List(ctx, documentPrefix)
+		if err != nil {
+			c.log.Warn("documents_read_failed", zap.Error(err))
+			continue
+		}
+		c.offerAll(ctx, kvs)
+	}
+	return nil
+}
+
+// isolated reports whether other members are known and none is live.
+func (c *Child) isolated() bool {
+	others := 0
+	for _, m := range c.control.Snapshot().Members {
+		if m.ID == c.config.Self.ID {
+			continue
+		}
+		if m.Live {
+			return false
+		}
+		others++
+	}
+	return others > 0
+}
+
 // offerAll puts stored documents in force where they are newer. One that cannot
 // be decoded is logged and left out, so that it does not stop the others.
 func (c *Child) offerAll(ctx context.Context, kvs []store.KeyValue) {
--- a/test/proofs/cluster_test.go
+++ b/test/proofs/cluster_test.go
@@ -61,6 +61,7 @@
 	services  []serviceSpec
 	proxied   bool // puts a fault proxy before every upstream
 	storeLink bool // puts a fault proxy between instances and the store
+	peerLinks bool // puts a fault proxy before every instance's peer address
 	settings  func(i int, s *settings.Settings)
 }
 
@@ -87,6 +88,7 @@
 	entry    string
 	peer     string
 	admin    string
+	peerCtl  string // control address of the proxy before the peer address
 	settings string // path
 	region   string
 }
@@ -211,6 +213,11 @@
 		EntryAddress: in.entry, PeerAddress: in.peer, AdminAddress: in.admin, StoreAddress: f.storeVia,
 		Keys: settings.Keys{CertificateFile: certificate, KeyFile: key, AuthorityFile: f.keys.authority},
 	}
+	if f.opts.peerLinks {
+		s.PeerListenAddress = in.peer
+		in.peer, in.peerCtl = f.startProxy("proxy-"+name, "udp", s.PeerListenAddress)
+		s.PeerAddress = in.peer
+	}
 	for _, other := range f.live() {
 		s.InitialPeers = append(s.InitialPeers, settings.InitialPeer{Instance: other.name, PeerAddress: other.peer})
 	}
--- a/test/proofs/operator_test.go
+++ b/test/proofs/operator_test.go
@@ -16,6 +16,7 @@
 	"knapweedreel/internal/document"
 	"knapweedreel/internal/errkind"
 	"knapweedreel/internal/health"
+	"knapweedreel/internal/instance/admin"
 	"knapweedreel/internal/instance/platform"
 	"knapweedreel/internal/keys"
 	"knapweedreel/internal/settings"
@@ -176,17 +177,33 @@
 			if err != nil {
 				return false, err.Error()
 			}
-			live := 0
-			for _, m := range status.Members {
-				if m.Live {
-					live++
-				}
-			}
+			live := countLive(status)
 			return status.Ready && live >= len(f.live()), fmt.Sprintf("ready %v, %d live members", status.Ready, live)
 		})
 	}
 }
 
+func countLive(s admin.Status) int {
+	live := 0
+	for _, m := range s.Members {
+		if m.Live {
+			live++
+		}
+	}
+	return live
+}
+
+// liveMembers returns how many members an instance hears, itself included.
+func (f *fleet) liveMembers(in *instance) int {
+	client, ctx, cancel := f.operator(in)
+	defer cancel()
+	status, err := client.Status(ctx)
+	if err != nil {
+		return 0
+	}
+	return countLive(status)
+}
+
 // explain returns the state of an upstream at an instance and its changes.
 func (f *fleet) explain(in *instance, service, upstream string) (health.View, []health.Change, error) {
 	client, ctx, cancel := f.operator(in)
--- a/test/proofs/process_test.go
+++ b/test/proofs/process_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -86,10 +87,13 @@
 	}
 }
 
-// tail returns the last lines of the process's output.
+// tail returns the last lines of the process's output without those of
+// requests.
 func (p *process) tail(lines int) string {
 	text, _ := os.ReadFile(p.log)
-	all := strings.Split(strings.TrimSpace(string(text)), "\n")
+	all := slices.DeleteFunc(strings.Split(strings.TrimSpace(string(text)), "\n"), func(line string) bool {
+		return strings.Contains(line, "event=request ")
+	})
 	if len(all) > lines {
 		all = all[len(all)-lines:]
 	}
