--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -156,7 +156,7 @@
 		x.Route = routeName(e.route)
 	}
 	s.ring.add(*x)
-	scope := s.cfg.Scope
+	scope := unknownServiceScope(s.cfg.Scope)
 	if e.st != nil {
 		scope = e.st.metrics.scope
 		e.st.metrics.total.RecordDuration(x.Total)
--- a/internal/instance/entry/metrics.go
+++ b/internal/instance/entry/metrics.go
@@ -24,6 +24,12 @@
 	overhead tally.Histogram
 }
 
+// unknownServiceScope is for requests that belong to no service, such as locate
+// requests. Counters of a name all need the same labels.
+func unknownServiceScope(scope tally.Scope) tally.Scope {
+	return scope.Tagged(map[string]string{"service": "none"})
+}
+
 func newServiceMetrics(scope tally.Scope, service string) *serviceMetrics {
 	sc := scope.Tagged(map[string]string{"service": service})
 	return &serviceMetrics{
