Stop the demonstration in order and on every interrupt

Its processes have groups of their own, so that Ctrl-C reaches only the script: when it also reached the stand-ins, requests in flight failed and the instances took up to 9 s to stop. The instances stop before the store, which they tell of it.

--- a/scripts/run-demo.sh
+++ b/scripts/run-demo.sh
@@ -5,22 +5,25 @@
 # and stops everything within 30 s. The exit code is not 0 when a request went
 # wrong. "make build" has to be run before.
 set -euo pipefail
+set -m # processes in groups of their own: Ctrl-C reaches only this script, which stops them in order
 cd "$(dirname "$0")/.."
 
 knapweedreel=$PWD/bin/knapweedreel
 standin=$PWD/bin/standin
 examples=$PWD/examples/bloomtally
 folder=$(mktemp -d)
+exec 3>&1 4>&2
 instances=() # processes that have to stop with exit code 0
 
 start() { # start LOG COMMAND...: runs a process in the background
   local log=$1
   shift
-  "$@" >"$folder/$log" 2>&1 &
+  "$@" >"$folder/$log" 2>&1 3>&- 4>&- &
 }
 
-# Runs a command for at most 15 s. It waits for it in the background, because a
-# signal to this script is handled only while no command is in the foreground.
+# Runs a command for at most 15 s, in the background: bash handles a signal only
+# after a command in the foreground, and drops an interrupt that the command
+# has handled itself.
 limited() {
   timeout 15 "$@" &
   wait $!
@@ -46,30 +49,39 @@
   done
 }
 
-running_jobs() { mapfile -t running < <(jobs -pr); }
-
-stop_all() {
-  local status=$? pid
-  trap - EXIT INT TERM
-  running_jobs
-  ((${#running[@]} == 0)) || kill -TERM "${running[@]}" 2>/dev/null || true
+stop() { # stop PID...: ends processes with SIGTERM, after 8 s with SIGKILL
+  (($# > 0)) || return 0
+  kill -TERM "$@" 2>/dev/null || true
+  local pid left i
   for ((i = 0; i < 80; i++)); do
-    running_jobs
-    ((${#running[@]} > 0)) || break
+    left=()
+    for pid in $(jobs -pr); do
+      if [[ " $* " == *" $pid "* ]]; then left+=("$pid"); fi
+    done
+    ((${#left[@]} > 0)) || return 0
     sleep 0.1
   done
-  if ((${#running[@]} > 0)); then
-    echo "killed because they did not stop within 8 s: ${running[*]}" >&2
-    kill -KILL "${running[@]}" 2>/dev/null || true
-    status=1
-  fi
+  echo "killed because they did not stop within 8 s: ${left[*]}" >&2
+  kill -KILL "${left[@]}" 2>/dev/null || true
+  return 1
+}
+
+stop_all() {
+  local status=$? pid running
+  trap '' INT TERM # a second signal must not leave processes behind
+  trap - EXIT
+  exec >&3 2>&4 # the signal may have come while a command's output was redirected
+  # The instances first: a planned stop tells the store.
+  stop "${instances[@]}" || status=1
   for pid in "${instances[@]}"; do
     wait "$pid" || { echo "an instance ended with exit code $?" >&2; status=1; }
   done
+  mapfile -t running < <(jobs -pr)
+  stop "${running[@]}" || status=1
   wait 2>/dev/null || true
   if ((status != 0)); then
     echo "failed; last lines of the instances' logs:" >&2
-    tail -n 5 "$folder"/i?.log >&2 || true
+    tail -n 20 "$folder"/i?.log >&2 || true
   fi
   rm -rf "$folder"
   echo
@@ -93,8 +105,8 @@
 regions=(south north northwest)
 
 echo "keys and settings in a temporary folder"
-"$knapweedreel" keys authority --folder "$folder" >/dev/null
-"$knapweedreel" keys operator show-office --folder "$folder" >/dev/null
+limited "$knapweedreel" keys authority --folder "$folder" >/dev/null
+limited "$knapweedreel" keys operator show-office --folder "$folder" >/dev/null
 export KNAPWEEDREEL_CERTIFICATE=$folder/show-office.pem
 export KNAPWEEDREEL_KEY=$folder/show-office.key
 export KNAPWEEDREEL_AUTHORITY=$folder/authority.pem
@@ -125,11 +137,11 @@
   name=i$((n + 1)) region=${regions[$n]}
   entry+=("${free[9 + 3 * n]}")
   admin+=("${free[11 + 3 * n]}")
-  "$knapweedreel" keys instance $name --folder "$folder" >/dev/null
+  limited "$knapweedreel" keys instance $name --folder "$folder" >/dev/null
   fill "$examples/settings.jsonc" instance=$name region="$region" failure_domain="$region-a" folder="$folder" \
     entry_address="${free[9 + 3 * n]}" peer_address="${free[10 + 3 * n]}" admin_address="${free[11 + 3 * n]}" \
     store_address="$store" >"$folder/$name.jsonc"
-  "$knapweedreel" settings check "$folder/$name.jsonc" >/dev/null
+  limited "$knapweedreel" settings check "$folder/$name.jsonc" >/dev/null
   start $name.log "$knapweedreel" serve "$folder/$name.jsonc"
   instances+=($!)
 done
