Hold no slot for slow callers and probe unreachable upstreams singly

Short bodies are read before a slot is taken, so that a caller on a slow line does not keep others from the upstream. After a failed connection one request at a time finds out whether the upstream is back, since each may wait for the connect timeout, which is at most half of the time that is left. A refusal that proves nothing is neutral for the upstream's health. Near the limit of callers' connections answers close theirs, so that idle ones do not keep callers out. A planned stop waits for quiet only for the drain time again; callers that ignore Connection: close would have cut off requests in flight at the stop limit.

Tests check the replay of bodies as a property, late answers, dead pooled connections and, with goleak, that no goroutine outlives its request.

--- a/internal/instance/entry/answer.go
+++ b/internal/instance/entry/answer.go
@@ -132,7 +132,7 @@
 func (e *exchange) beforeHeader(streaming bool) {
 	_ = e.rc.SetWriteDeadline(e.writeLimit())
 	complete := e.body == nil || e.body.complete() || !streaming && e.body.finish(settleLimit)
-	if !complete || e.s.drain.started.Load() {
+	if !complete || e.s.drain.started.Load() || e.conn != nil && e.conn.crowded() {
 		e.w.Header().Set("Connection", "close")
 	}
 }
--- a/internal/instance/entry/body.go
+++ b/internal/instance/entry/body.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"sync"
@@ -120,6 +121,23 @@
 	}
 }
 
+// await waits until the body has arrived or failed, but not for one that is too
+// long to be kept.
+func (b *requestBody) await(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.changed.Broadcast()
+	})
+	defer stop()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.startLocked()
+	for b.err == nil && b.start == 0 && len(b.buf) < b.keep && ctx.Err() == nil {
+		b.changed.Wait()
+	}
+}
+
 // replayable reports whether another attempt can read the body from its start.
 func (b *requestBody) replayable() bool {
 	b.mu.Lock()
--- a/internal/instance/entry/drain.go
+++ b/internal/instance/entry/drain.go
@@ -20,19 +20,16 @@
 const quietInterval = 20 * time.Millisecond
 
 // drainState is the state of a planned stop.
-type drainState struct {
-	started atomic.Bool
-	ended   chan struct{} // closed when Drain returns
-	once    sync.Once
-}
+type drainState struct{ started atomic.Bool }
 
 // Drain stops the server in a planned way. For the drain time it goes on
 // accepting requests, because callers may keep its address for that long;
 // answers carry Connection: close. Then it waits until no request is in flight
 // and none arrives, and stops accepting. Requests that are still in flight when
 // the stop limit has passed after the drain time are cut off, and the error
-// says so. If ctx ends first, Drain returns its error and leaves the server
-// running.
+// says so. Callers that go on opening connections delay the end for at most
+// the drain time again. If ctx ends first, Drain returns its error and leaves
+// the server running.
 //
 // Run returns only when its own context ends.
 func (s *Server) Drain(ctx context.Context) error {
@@ -42,20 +39,15 @@
 	}
 	limit, cancel := context.WithTimeout(ctx, milliseconds(s.cfg.Times.StopLimitMS))
 	defer cancel()
-	err := s.callers.waitQuiet(limit)
+	s.callers.waitQuiet(limit, milliseconds(s.cfg.Times.DrainMS))
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
 	server := s.server()
-	s.drain.once.Do(func() { close(s.drain.ended) })
 	if server == nil {
 		return nil
 	}
-	if err == nil {
-		// Requests that have just begun are still served to their end.
-		err = server.Shutdown(limit)
-	}
-	if err != nil {
+	if err := server.Shutdown(limit); err != nil {
 		_ = server.Close()
 		return errors.Mark(errors.Wrap(err, "planned stop"), errDrainLimit)
 	}
@@ -100,16 +92,17 @@
 }
 
 // waitQuiet waits until no request is in flight and none has been for
-// quietTime.
-func (t *callerTable) waitQuiet(ctx context.Context) error {
+// quietTime, or the time is over.
+func (t *callerTable) waitQuiet(ctx context.Context, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	tick := time.NewTicker(quietInterval)
 	defer tick.Stop()
 	for !t.quiet(time.Now()) {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
-			return ctx.Err()
+			return
 		}
 	}
-	return nil
 }
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -92,7 +92,6 @@
 		rand:     cfg.Rand,
 	}
 	s.callers.active = make(map[net.Conn]struct{})
-	s.drain.ended = make(chan struct{})
 	return s
 }
 
--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"maps"
@@ -76,6 +77,13 @@
 	var cancel context.CancelFunc
 	e.ctx, cancel = context.WithDeadline(e.r.Context(), e.deadline)
 	defer cancel()
+	if n := e.r.ContentLength; n > 0 && n <= int64(s.cfg.Limits.BufferedBodyBytes) && !e.body.asked {
+		// A caller that sends slowly does not hold a slot meanwhile.
+		e.body.await(e.ctx)
+		if err := cmp.Or(e.body.failure(), e.ctx.Err()); err != nil {
+			return e.verdict(err)
+		}
+	}
 	return s.proxy(e)
 }
 
--- a/internal/instance/entry/harness_test.go
+++ b/internal/instance/entry/harness_test.go
@@ -6,10 +6,13 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"sync"
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"knapweedreel/internal/document"
 	"knapweedreel/internal/health"
 	"knapweedreel/internal/instance/entry/upstream"
@@ -21,6 +24,20 @@
 // waitLimit is the generous limit for any event a test waits for.
 const waitLimit = 20 * time.Second
 
+// callers holds the connections of the tests' callers.
+var callers = &http.Transport{}
+
+// TestMain guards against goroutines that outlive their request or server.
+func TestMain(m *testing.M) {
+	code := m.Run()
+	callers.CloseIdleConnections()
+	if err := goleak.Find(); err != nil && code == 0 {
+		fmt.Fprintln(os.Stderr, err)
+		code = 1
+	}
+	os.Exit(code)
+}
+
 // fakeControl is a Control with a fixed snapshot that records outcomes.
 type fakeControl struct {
 	mu       sync.Mutex
--- a/internal/instance/entry/late.go
+++ b/internal/instance/entry/late.go
@@ -75,9 +75,7 @@
 		return
 	}
 	l.sent = true
-	out := a.outcome(health.OK, "late")
-	out.Latency = waited
-	a.s.control.ReportOutcome(out)
+	a.s.control.ReportOutcome(a.outcome(health.OK, "late", waited))
 	if mayCut && a.e.route.Idempotent && a.number < a.e.retryLimit() {
 		l.cut = time.AfterFunc(cutIn, func() { l.cutOff(a) })
 	}
--- /dev/null
+++ b/internal/instance/entry/late_test.go
@@ -0,0 +1,133 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/health"
+)
+
+// warm makes the estimate of the test document's routes usable.
+func warm(s *Server, latency time.Duration) {
+	for range minSamples {
+		for _, route := range []string{"* /read/*", "* /write/*"} {
+			s.service("svc").observe(route, latency)
+		}
+	}
+}
+
+// Guards against an upstream that accepts requests and stays silent without
+// being noticed before the deadline, and against an idempotent request that
+// waits for it although another upstream is free.
+func TestLateAnswer(t *testing.T) {
+	silent := standin(t, "u1", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	silent.Region = "south"
+	c := &fakeControl{snap: snapshotOf(testDocument(), silent, standin(t, "u2", succeed))}
+	s, url := startServer(t, c, nil)
+	warm(s, time.Millisecond)
+	began := time.Now()
+	resp, _ := do(t, request(t, http.MethodGet, url+"/read/x", nil))
+	if resp.StatusCode != http.StatusOK || time.Since(began) > 5*time.Second {
+		t.Errorf("status %d after %v", resp.StatusCode, time.Since(began))
+	}
+	out := c.reported()
+	if len(out) != 2 || out[0].Upstream.Upstream != "u1" || out[0].Class != health.OK || out[0].Latency < minLate {
+		t.Errorf("outcomes %+v", out)
+	}
+	if len(s.InFlight()) != 0 {
+		t.Errorf("in flight %v", s.InFlight())
+	}
+}
+
+// Guards against a request that is not idempotent being sent twice because its
+// answer is late.
+func TestLateAnswerIsAwaited(t *testing.T) {
+	finish := make(chan struct{})
+	up := standin(t, "u1", func(_ http.ResponseWriter, _ *http.Request) { <-finish })
+	up.Region = "south"
+	c := &fakeControl{snap: snapshotOf(testDocument(), up, standin(t, "u2", func(http.ResponseWriter, *http.Request) {
+		t.Error("sent again")
+	}))}
+	s, url := startServer(t, c, nil)
+	warm(s, time.Millisecond)
+	time.AfterFunc(2*minCut, func() { close(finish) })
+	if resp, _ := do(t, request(t, http.MethodGet, url+"/write/x", nil)); resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+	if out := c.reported(); len(out) != 1 || out[0].Latency < minLate {
+		t.Errorf("outcomes %+v", out)
+	}
+}
+
+// Guards against a dead pooled connection that counts against its upstream, and
+// against an upstream whose fresh connections die too and that does not count.
+func TestDeadConnections(t *testing.T) {
+	die := make(chan bool, 1) // whether the connection dies without an answer
+	up := rawStandin(t, "u1", func(c net.Conn, req *http.Request) {
+		if <-die {
+			return
+		}
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+		buf := make([]byte, 1)
+		_, _ = c.Read(buf) // the connection dies at the first byte of the next request
+	})
+	c := &fakeControl{snap: snapshotOf(testDocument(), up)}
+	_, url := startServer(t, c, nil)
+	die <- false
+	do(t, request(t, http.MethodGet, url+"/read/x", nil))
+	die <- false
+	if resp, _ := do(t, request(t, http.MethodGet, url+"/read/x", nil)); resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+	out := c.reported()
+	if len(out) != 3 || out[1].Class != health.Neutral || out[2].Class != health.OK {
+		t.Fatalf("outcomes %+v", out)
+	}
+	go func() {
+		for range 3 {
+			die <- true
+		}
+	}()
+	resp, _ := do(t, request(t, http.MethodGet, url+"/read/x", nil))
+	if kind := resp.Header.Get(errkind.HeaderError); kind != string(errkind.UpstreamReset) {
+		t.Errorf("kind %s", kind)
+	}
+	for _, o := range c.reported()[4:] {
+		if o.Class != health.Failed {
+			t.Errorf("outcome %+v", o)
+		}
+	}
+}
+
+// Guards against callers beyond the limit that are refused, and against idle
+// callers that keep others out.
+func TestCallerConnectionLimit(t *testing.T) {
+	c := &fakeControl{snap: snapshotOf(testDocument(), standin(t, "u1", succeed))}
+	_, url := startServer(t, c, func(cfg *Config) { cfg.Limits.CallerConnections = 1 })
+	idle, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		if resp, _ := do(t, request(t, http.MethodGet, url+"/read/x", nil)); resp.StatusCode != http.StatusOK || !resp.Close {
+			t.Errorf("status %d, close %t", resp.StatusCode, resp.Close)
+		}
+	}()
+	select {
+	case <-answered:
+		t.Error("a caller beyond the limit was served")
+	case <-time.After(100 * time.Millisecond):
+	}
+	_ = idle.Close()
+	select {
+	case <-answered:
+	case <-time.After(waitLimit):
+		t.Error("the waiting caller was not served")
+	}
+}
--- a/internal/instance/entry/listener.go
+++ b/internal/instance/entry/listener.go
@@ -39,9 +39,13 @@
 		<-l.places
 		return nil, err
 	}
-	return &callerConn{Conn: c, leave: func() { <-l.places }}, nil
+	return &callerConn{Conn: c, l: l}, nil
 }
 
+// crowded reports whether nine places in ten are taken. Connections are then
+// closed after their answer, so that idle ones do not keep callers out.
+func (l *listener) crowded() bool { return 10*len(l.places) >= 9*cap(l.places) }
+
 // Close ends Accept.
 func (l *listener) Close() error {
 	l.once.Do(func() { close(l.closed) })
@@ -51,17 +55,19 @@
 // callerConn is a caller's connection.
 type callerConn struct {
 	net.Conn
-	leave   func()
+	l       *listener
 	once    sync.Once
 	serving atomic.Bool // a request is being served and its answer not yet written
 }
 
 // Close gives the place back.
 func (c *callerConn) Close() error {
-	c.once.Do(c.leave)
+	c.once.Do(func() { <-c.l.places })
 	return c.Conn.Close()
 }
 
+func (c *callerConn) crowded() bool { return c.l.crowded() }
+
 // Write replaces the answers that net/http makes up for requests that it cannot
 // read, because these carry no error kind. It writes them while no request is
 // being served, in one call.
--- a/internal/instance/entry/outcome.go
+++ b/internal/instance/entry/outcome.go
@@ -44,12 +44,15 @@
 func (a *attempt) avoid() {
 	id := a.choice.upstream.ID
 	switch {
-	case a.refused == upstream.Shed:
+	case a.refused == upstream.Shed, a.trace.Unproven:
 		a.st.avoidFor(id, avoidAfterShed)
 	case a.refused == upstream.Draining:
 		a.st.avoidFor(id, avoidAfterDraining)
 	case a.err != nil && !a.trace.Sent && a.trace.Fresh && errkind.Of(a.err) == errkind.ConnectFailed && a.ctxAlive():
 		a.st.avoidFor(id, avoidAfterConnect)
+		a.st.setUnreached(id, true)
+	case a.trace.Sent:
+		a.st.setUnreached(id, false)
 	}
 }
 
@@ -73,18 +76,21 @@
 	if a.refused != upstream.NotRefused {
 		a.st.metrics.refusals.Inc(1)
 	}
-	a.s.control.ReportOutcome(a.outcome(class, reason))
+	out := a.outcome(class, reason, a.trace.Latency)
+	out.Draining = a.refused == upstream.Draining
+	a.s.control.ReportOutcome(out)
 }
 
-func (a *attempt) outcome(class health.Class, reason string) health.Outcome {
+// outcome returns an outcome of the attempt. It reads nothing that changes
+// while the attempt runs.
+func (a *attempt) outcome(class health.Class, reason string, latency time.Duration) health.Outcome {
 	return health.Outcome{
 		Upstream: health.Key{Service: a.e.svc.Name, Upstream: a.choice.upstream.ID},
 		Route:    routeName(a.e.route),
 		Caller:   xxhash.Sum64String(a.e.caller),
 		Class:    class,
-		Latency:  a.trace.Latency,
+		Latency:  latency,
 		Reason:   reason,
-		Draining: a.refused == upstream.Draining,
 	}
 }
 
@@ -95,7 +101,7 @@
 	}
 	kind := a.e.kindOf(a.err)
 	switch {
-	case a.refused != upstream.NotRefused, a.trace.Local, kind == errkind.CallerGone,
+	case a.refused != upstream.NotRefused, a.trace.Unproven, a.trace.Local, kind == errkind.CallerGone,
 		kind == errkind.CallerBodyFailed, kind == errkind.BodyLimitExceeded:
 		return health.Neutral, string(kind)
 	case errors.Is(a.err, errCallerWrite):
--- a/internal/instance/entry/pick.go
+++ b/internal/instance/entry/pick.go
@@ -90,7 +90,10 @@
 // its slots.
 func (st *service) candidate(u *routing.Upstream, w *want) (candidate, bool) {
 	own := st.inFlight[u.ID]
-	if own >= max(1, u.MaxConnections) || u.Weight < 1 && st.rand.Float64() >= u.Weight {
+	if own >= max(1, u.MaxConnections) || own > 0 && st.unreached[u.ID] {
+		return candidate{}, false
+	}
+	if u.Weight < 1 && st.rand.Float64() >= u.Weight {
 		return candidate{}, false
 	}
 	weight := min(1, u.Weight)
--- a/internal/instance/entry/service.go
+++ b/internal/instance/entry/service.go
@@ -24,6 +24,7 @@
 	rand      *rand.Rand
 	inFlight  map[string]int       // by upstream
 	avoid     map[string]time.Time // upstream gets nothing before that time
+	unreached map[string]bool      // last connection failed: one request at a time
 	queue     fairQueue
 	recheck   *time.Timer // runs while requests wait
 	retries   bucket
@@ -45,6 +46,7 @@
 			rand:      rand.New(rand.NewPCG(s.rand.Uint64(), s.rand.Uint64())),
 			inFlight:  make(map[string]int),
 			avoid:     make(map[string]time.Time),
+			unreached: make(map[string]bool),
 			retries:   newBucket(retryShare, retryReserve, 2*retryReserve),
 			refusals:  newBucket(refusalShare, refusalReserve, 2*refusalReserve),
 			probes:    newBucket(probeShare, 0, 1),
@@ -84,6 +86,19 @@
 	}
 }
 
+// setUnreached records whether the last connection to the upstream failed. If
+// so, one request at a time finds out whether it can be reached again, because
+// each may wait for the connection until the timeout.
+func (st *service) setUnreached(id string, unreached bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if unreached {
+		st.unreached[id] = true
+	} else {
+		delete(st.unreached, id)
+	}
+}
+
 // release gives back the slot at an upstream.
 func (st *service) release(id string) {
 	st.mu.Lock()
@@ -118,8 +133,8 @@
 	return st.latency(route).high()
 }
 
-// forget drops what is known of routes that are no longer in the document, and
-// avoidances that are over. A removed service is nil.
+// forget drops what is known of routes and upstreams that are no longer in the
+// document, and avoidances that are over. A removed service is nil.
 func (st *service) forget(svc *routing.Service, now time.Time) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -128,6 +143,11 @@
 			delete(st.avoid, id)
 		}
 	}
+	for id := range st.unreached {
+		if svc == nil || !slices.ContainsFunc(svc.Upstreams, func(u routing.Upstream) bool { return u.ID == id }) {
+			delete(st.unreached, id)
+		}
+	}
 	for route := range st.latencies {
 		if svc == nil || svc.Document == nil || !slices.ContainsFunc(svc.Document.Routes, func(r document.Route) bool { return routeName(&r) == route }) {
 			delete(st.latencies, route)
--- a/internal/instance/entry/upstream/attempt.go
+++ b/internal/instance/entry/upstream/attempt.go
@@ -56,6 +56,7 @@
 	Fresh    bool // the connection was opened for this attempt
 	Sent     bool // bytes of the request may have been written
 	Received bool // bytes of an answer were received
+	Unproven bool // refused in a way that does not prove that it was not run
 	Local    bool // failed for lack of a resource of this machine
 	// Latency is the time from the end of writing the request to the end of the
 	// answer header, 0 for an answer that came before. The time that a caller
@@ -201,6 +202,7 @@
 	// for another one: it names this request, or no other request was ever sent
 	// on the connection.
 	if !echoed && !x.conn.fresh {
+		x.trace.Unproven = true
 		return errkind.New(errkind.BadAnswer, "a refusal without request identity on a reused connection")
 	}
 	ans.Refused = refused
--- a/internal/instance/entry/upstream/conn.go
+++ b/internal/instance/entry/upstream/conn.go
@@ -179,9 +179,14 @@
 	fresh    bool      // has carried no request before the current one
 }
 
-// open opens a connection.
+// open opens a connection. It takes at most half of the time that is left, so
+// that a request whose upstream cannot be reached has time for another one.
 func (p *Pools) open(ctx context.Context, address string) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.cfg.ConnectTimeout)
+	timeout := p.cfg.ConnectTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(deadline)/2)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	slot := new(dialSlot)
 	cc, err := p.transport.NewClientConn(context.WithValue(ctx, dialSlotKey{}, slot), "http", address)
