Count only answers from after a pause, and drop half-dead links sooner

A revision vector that waited in the socket while the process was paused made it ready without a comparison; vectors now repeat the number of the question. After a pause of one side the other side's new link lost against the half-dead one for up to 3 s, because the smaller ID had dialed that one; a link that comes up later than two crossing dials can now replaces it.

--- a/internal/instance/control/antientropy.go
+++ b/internal/instance/control/antientropy.go
@@ -30,12 +30,13 @@
 	}
 	revisions := l.documents.revisions()
 	for _, id := range ids {
-		l.send(id, wire.Message{RevisionVector: &wire.RevisionVector{Revisions: revisions, Reply: true}})
+		l.send(id, wire.Message{RevisionVector: &wire.RevisionVector{Revisions: revisions, Reply: true, Round: l.ready.round}})
 	}
 }
 
 // receiveRevisions answers a peer's revisions with the documents of which this
-// instance has a higher one and, if asked, with its own revisions.
+// instance has a higher one and, if asked, with its own revisions. The answer
+// follows the documents on the same stream.
 func (l *Loop) receiveRevisions(from string, v *wire.RevisionVector) {
 	for _, service := range slices.Sorted(maps.Keys(l.documents.byService)) {
 		f := l.documents.byService[service]
@@ -44,10 +45,11 @@
 		}
 	}
 	if v.Reply {
-		l.send(from, wire.Message{RevisionVector: &wire.RevisionVector{Revisions: l.documents.revisions()}})
+		l.send(from, wire.Message{RevisionVector: &wire.RevisionVector{Revisions: l.documents.revisions(), Round: v.Round}})
+		return
 	}
 	if row, ok := l.table.Row(from); ok && row.State != member.Starting {
-		l.ready.heard(v.Revisions)
+		l.ready.heard(v.Round, v.Revisions)
 		l.checkReady()
 	}
 }
--- a/internal/instance/control/loop.go
+++ b/internal/instance/control/loop.go
@@ -70,6 +70,7 @@
 func New(cfg Config) *Loop {
 	l := &Loop{
 		cfg:      cfg,
+		ready:    readiness{round: 1},
 		events:   make(chan event, EventQueue),
 		outcomes: make(chan health.Outcome, OutcomeQueue),
 		audited:  make(chan audit.Record, auditBuffer),
--- a/internal/instance/control/loop_test.go
+++ b/internal/instance/control/loop_test.go
@@ -161,6 +161,26 @@
 	}
 }
 
+// Guards against an answer that waited in a socket during a pause and is taken
+// for a comparison after it.
+func TestAnswerFromBeforeThePauseDoesNotCount(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	f.nodes["i00"].handle(readyEvent{})
+	f.run(2 * time.Second)
+	n := f.nodes["i01"]
+	stale := wire.Message{Version: wire.Version, Sender: "i00", Boot: f.nodes["i00"].self.Boot,
+		RevisionVector: &wire.RevisionVector{Round: n.ready.round}}
+	f.clock.now = f.clock.now.Add(RecheckLimit + time.Second)
+	n.deliver("i00", stale)
+	if n.Snapshot().Ready {
+		t.Fatal("ready by an answer from before the pause")
+	}
+	f.settle()
+	if !n.Snapshot().Ready {
+		t.Error("not ready by an answer from after the pause")
+	}
+}
+
 // Guards against evidence of a paused process that counts, and against peers
 // that are called lost because this process did not run.
 func TestPauseIsReportedAndForgiven(t *testing.T) {
--- a/internal/instance/control/readiness.go
+++ b/internal/instance/control/readiness.go
@@ -12,19 +12,22 @@
 // or a peer since the start or the last long pause.
 type readiness struct {
 	done   bool
+	round  uint64            // grows with every comparison
 	needed map[string]uint64 // revisions of an answering peer; nil before any answer
 }
 
 // begin requires a new comparison.
 func (r *readiness) begin() {
 	r.done = false
+	r.round++
 	r.needed = nil
 }
 
 // heard takes in the revisions of a peer that has its documents. One peer's
-// answer suffices; the newest counts.
-func (r *readiness) heard(revisions map[string]uint64) {
-	if !r.done {
+// answer suffices; the newest counts. An answer to an earlier round, which may
+// have waited in a socket while this process was paused, proves nothing.
+func (r *readiness) heard(round uint64, revisions map[string]uint64) {
+	if !r.done && round == r.round {
 		r.needed = revisions
 	}
 }
--- a/internal/instance/peering/duplicate.go
+++ b/internal/instance/peering/duplicate.go
@@ -1,7 +1,6 @@
 package peering
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -10,23 +9,27 @@
 	"knapweedreel/internal/member"
 )
 
-// preferred orders the links of one member; the greatest is kept and used.
+// crossing is the longest time between two links that both members dialed at
+// the same moment: each takes up to HelloTimeout to connect and again for the
+// Hello.
+const crossing = 2 * HelloTimeout
+
+// replaces reports whether a new link to a member is kept instead of the one in
+// use. Both ends must keep the same link.
 //
-// Both ends must keep the same link. A link of a later boot wins, because the
-// earlier process is gone. Then the link that the member with the smaller ID
-// dialed wins. Of two links that the same side dialed the newer wins, as the
-// dialing side only dials when it has none.
-func preferred(self string, a, b *link) int {
-	if c := cmp.Compare(a.info.Boot, b.info.Boot); c != 0 {
-		return c
-	}
-	if a.dialed != b.dialed {
-		if a.dialed == (self < a.info.ID) {
-			return 1
-		}
-		return -1
+// A link of a later boot is kept, because the earlier process is gone. A link
+// that comes up later than two crossing dials can is kept too: its dialer had
+// no link any more, so that the one in use is half-dead. Of two crossing links
+// the one that the member with the smaller ID dialed is kept, and of two that
+// the same member dialed the newer one.
+func replaces(self string, fresh, used *link) bool {
+	switch {
+	case fresh.info.Boot != used.info.Boot:
+		return fresh.info.Boot > used.info.Boot
+	case fresh.up.Sub(used.up) > crossing || fresh.dialed == used.dialed:
+		return true
 	}
-	return cmp.Compare(a.serial, b.serial)
+	return fresh.dialed == (self < fresh.info.ID)
 }
 
 // handover is the time for which a replaced link stays open. The other side may
@@ -43,14 +46,16 @@
 		n.mu.Unlock()
 		return false
 	}
-	n.serial++
-	k.serial = n.serial
 	n.links++
 	p := n.peerLocked(k.info.ID)
-	p.links = append(p.links, k)
-	slices.SortFunc(p.links, func(a, b *link) int { return preferred(n.cfg.ID, a, b) })
+	last := len(p.links) - 1
+	used := last < 0 || replaces(n.cfg.ID, k, p.links[last])
+	if used {
+		p.links = append(p.links, k)
+	} else {
+		p.links = slices.Insert(p.links, last, k)
+	}
 	replaced := slices.Clone(p.links[:len(p.links)-1])
-	used := p.links[len(p.links)-1] == k
 	p.signal()
 	n.metrics.links.Update(float64(n.links))
 	n.mu.Unlock()
--- a/internal/instance/peering/link.go
+++ b/internal/instance/peering/link.go
@@ -34,7 +34,7 @@
 	in     *wire.Reader
 	info   member.Info // from the Hello
 	dialed bool        // opened by this instance
-	serial uint64      // order in which links came up here
+	up     time.Time   // when the Hello arrived
 
 	queue       chan *wire.Message
 	queuedBytes atomic.Int64
@@ -87,6 +87,7 @@
 		return nil, errors.Wrap(err, "clear deadline")
 	}
 	k.info = *m.Hello
+	k.up = time.Now()
 	return k, nil
 }
 
--- a/internal/instance/peering/node.go
+++ b/internal/instance/peering/node.go
@@ -28,13 +28,12 @@
 	peers  map[string]*peer
 	wanted map[string]member.Info
 	run    *run // nil while Run does not run
-	serial uint64
 	links  int
 }
 
 // peer is a member with its links and its dialer.
 type peer struct {
-	links   []*link
+	links   []*link       // the last one is in use, the others were replaced
 	changed chan struct{} // holds one element after links changed
 	cancel  context.CancelFunc
 }
--- a/internal/instance/peering/peering_test.go
+++ b/internal/instance/peering/peering_test.go
@@ -262,6 +262,27 @@
 	}
 }
 
+// Guards against two ends that keep different links, and against a half-dead
+// link that is kept instead of the one with which the peer replaced it.
+func TestReplacesAgreesAtBothEnds(t *testing.T) {
+	at := time.Unix(0, 0)
+	ends := func(byA bool, boot uint64, up time.Time) (atA, atB *link) {
+		return &link{info: member.Info{ID: "b", Boot: boot}, dialed: byA, up: up}, &link{info: member.Info{ID: "a", Boot: 1}, dialed: !byA, up: up}
+	}
+	a1, b1 := ends(true, 1, at)
+	a2, b2 := ends(false, 1, at.Add(time.Second))
+	// The two ends may see crossing links in either order.
+	if replaces("a", a2, a1) || !replaces("a", a1, a2) || replaces("b", b2, b1) || !replaces("b", b1, b2) {
+		t.Error("of two crossing links the one that a dialed is not kept at both ends")
+	}
+	if late, _ := ends(false, 1, at.Add(crossing+1)); !replaces("a", late, a1) {
+		t.Error("a half-dead link is kept")
+	}
+	if old, _ := ends(true, 0, at.Add(time.Hour)); replaces("a", old, a1) {
+		t.Error("a link of an earlier boot is taken into use")
+	}
+}
+
 // filtered drops incoming packets while blocked, as a one-way cut does.
 type filtered struct {
 	net.PacketConn
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -81,6 +81,9 @@
 type RevisionVector struct {
 	Revisions map[string]uint64 `cbor:"1,keyasint"`
 	Reply     bool              `cbor:"2,keyasint"`
+	// Round is chosen by the asker and repeated in the answer, so that an
+	// answer to an earlier question is not taken for one to this.
+	Round uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // AuditEvents carries events to the holder of the shard's lease, which writes
