--- a/internal/instance/control/documents_test.go
+++ b/internal/instance/control/documents_test.go
@@ -58,10 +58,14 @@
 			n := f.nodes[rapid.SampledFrom(f.ids()).Draw(rt, "node")]
 			service := rapid.SampledFrom([]string{"schedules", "entries", "photos"}).Draw(rt, "service")
 			split := rapid.IntRange(1, 5).Draw(rt, "split")
-			switch rapid.SampledFrom([]string{"put", "old", "cut", "heal", "restart", "lose"}).Draw(rt, "step") {
+			switch rapid.SampledFrom([]string{"put", "old", "cut", "heal", "restart", "put and lose"}).Draw(rt, "step") {
 			case "put":
 				stored[service]++
 				f.put(n, envelope(service, stored[service], fmt.Sprint(stored[service])), platform.SourcePut)
+			case "put and lose":
+				stored[service]++
+				f.put(n, envelope(service, stored[service], fmt.Sprint(stored[service])), platform.SourcePut)
+				f.queue = nil
 			case "old":
 				if r := stored[service]; r > 0 {
 					r = rapid.Uint64Range(1, r).Draw(rt, "revision")
@@ -81,8 +85,6 @@
 					}
 				}
 				f.start(n.id)
-			case "lose":
-				f.queue = nil
 			}
 			f.run(300 * time.Millisecond)
 		}
