--- a/internal/instance/control/documents_test.go
+++ b/internal/instance/control/documents_test.go
@@ -53,6 +53,9 @@
 func TestAntiEntropyConvergesWithoutReverting(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		f := newFleet(t, rapid.Uint64().Draw(rt, "seed"), 6)
+		for _, n := range f.nodes {
+			n.handle(readyEvent{}) // one that is not ready asks without comparing digests
+		}
 		stored := make(map[string]uint64) // compare-and-swap gives each revision once
 		for range rapid.IntRange(1, 20).Draw(rt, "steps") {
 			n := f.nodes[rapid.SampledFrom(f.ids()).Draw(rt, "node")]
@@ -84,7 +87,7 @@
 						f.nodes[id].handle(linkDown{n.id})
 					}
 				}
-				f.start(n.id)
+				f.start(n.id).handle(readyEvent{})
 			}
 			f.run(300 * time.Millisecond)
 		}
