--- a/internal/jsonc/jsonc.go
+++ b/internal/jsonc/jsonc.go
@@ -5,11 +5,11 @@
 package jsonc
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"reflect"
 	"regexp"
+	"sort"
 	"strconv"
 	"strings"
 
@@ -44,7 +44,7 @@
 		s.addSyntax(err)
 		return s
 	}
-	r := reader{source: s, text: text}
+	r := reader{source: s, lineEnds: lineEnds(text)}
 	r.value("", &value, reflect.ValueOf(into).Elem())
 	return s
 }
@@ -124,11 +124,23 @@
 
 // reader decodes one text.
 type reader struct {
-	source *Source
-	text   []byte
+	source   *Source
+	lineEnds []int // offsets of line feeds
 }
 
-func (r *reader) line(offset int) int { return 1 + bytes.Count(r.text[:offset], []byte("\n")) }
+// lineEnds is computed once: counting line feeds for each field would take
+// time quadratic in the length of a text.
+func lineEnds(text []byte) []int {
+	var ends []int
+	for i, b := range text {
+		if b == '\n' {
+			ends = append(ends, i)
+		}
+	}
+	return ends
+}
+
+func (r *reader) line(offset int) int { return 1 + sort.SearchInts(r.lineEnds, offset) }
 
 func (r *reader) fail(v *hujson.Value, path, format string, args ...any) {
 	r.source.add(r.line(v.StartOffset), path, fmt.Sprintf(format, args...))
--- a/scripts/run-demo.sh
+++ b/scripts/run-demo.sh
@@ -163,7 +163,7 @@
   show "$standin" caller --entry "$(comma "${entry[@]}")" --service "$service" --host "$service.bloomtally.example" --region "$region" "$@"
 }
 for region in "${regions[@]}"; do
-  call schedules "$region" --account "steward-$region" --path /schedules/show-7/class-12 --count 60 --concurrency 6 \
+  call schedules "$region" --account "steward-$region" --accounts 4 --path /schedules/show-7/class-12 --rate 100 --duration 1s \
     --check-runs "$(comma "${schedules[@]}")"
 done
 call entries south --account exhibitor --accounts 5 --method POST --path /entries --body-bytes 400 --count 60 --concurrency 6 \
