--- /dev/null
+++ b/internal/document/fields_test.go
@@ -0,0 +1,98 @@
+package document
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+
+	"knapweedreel/internal/jsonc"
+)
+
+// leaves calls visit for each field of a document that holds no other field.
+// Paths have the form of Validate's.
+func leaves(path string, v reflect.Value, visit func(string, reflect.Value)) {
+	switch {
+	case v.Kind() == reflect.Struct:
+		for i := range v.NumField() {
+			name, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("json"), ",")
+			leaves(strings.TrimPrefix(path+"."+name, "."), v.Field(i), visit)
+		}
+	case v.Kind() == reflect.Slice && v.Type().Elem().Kind() == reflect.Struct:
+		for i := range v.Len() {
+			leaves(fmt.Sprintf("%s[%d]", path, i), v.Index(i), visit)
+		}
+	case v.Kind() == reflect.Pointer:
+		leaves(path, v.Elem(), visit)
+	default:
+		visit(path, v)
+	}
+}
+
+// change gives a field another value.
+func change(v reflect.Value) {
+	switch v.Kind() {
+	case reflect.String:
+		v.SetString(v.String() + "x")
+	case reflect.Bool:
+		v.SetBool(!v.Bool())
+	case reflect.Int, reflect.Int64:
+		v.SetInt(v.Int() + 1)
+	case reflect.Float64:
+		v.SetFloat(v.Float() + 1)
+	case reflect.Slice:
+		v.Set(reflect.Append(v, reflect.Zero(v.Type().Elem())))
+	}
+}
+
+// Guards against a field, such as one added later, whose change is not
+// reported.
+func TestDiffReportsEachField(t *testing.T) {
+	fields := 0
+	leaves("", reflect.ValueOf(parseValid(t)).Elem(), func(string, reflect.Value) { fields++ })
+	for n := range fields {
+		updated, i, changed := parseValid(t), 0, ""
+		leaves("", reflect.ValueOf(updated).Elem(), func(path string, v reflect.Value) {
+			if i == n {
+				change(v)
+				changed = path
+			}
+			i++
+		})
+		if lines := Diff(parseValid(t), updated); len(lines) == 0 {
+			t.Errorf("the change of %s is not reported", changed)
+		}
+	}
+}
+
+// Guards against a number, such as one added later, that is not validated.
+func TestValidateRefusesEachNegativeNumber(t *testing.T) {
+	fields := 0
+	leaves("", reflect.ValueOf(parseValid(t)).Elem(), func(string, reflect.Value) { fields++ })
+	for n := range fields {
+		d, i, changed := parseValid(t), 0, ""
+		leaves("", reflect.ValueOf(d).Elem(), func(path string, v reflect.Value) {
+			if i == n && v.CanInt() {
+				v.SetInt(-1)
+				changed = path
+			}
+			if i == n && v.CanFloat() {
+				v.SetFloat(-1)
+				changed = path
+			}
+			i++
+		})
+		if changed != "" && !names(d.Validate(), changed) {
+			t.Errorf("-1 in %s is accepted", changed)
+		}
+	}
+}
+
+func names(problems []jsonc.Problem, field string) bool {
+	for _, p := range problems {
+		if p.Field == field {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,10 +3,14 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
+	"slices"
 	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"knapweedreel/internal/jsonc"
 )
 
 const valid = `{
@@ -78,3 +82,27 @@
 		t.Errorf("got %v, want 10 problems", err)
 	}
 }
+
+// Guards against a limit or time, such as one added later, that has no default
+// or is not validated.
+func TestEachLimitAndTimeHasDefaultAndRange(t *testing.T) {
+	for _, group := range []string{"Limits", "Times"} {
+		fields := reflect.TypeOf(Settings{})
+		structure, _ := fields.FieldByName(group)
+		for i := range structure.Type.NumField() {
+			s, err := Parse("s", []byte(valid))
+			if err != nil {
+				t.Fatal(err)
+			}
+			field := reflect.ValueOf(&s).Elem().FieldByName(group).Field(i)
+			if field.Int() <= 0 {
+				t.Errorf("%s has no default", structure.Type.Field(i).Name)
+			}
+			field.SetInt(-1)
+			path := structure.Tag.Get("json") + "." + structure.Type.Field(i).Tag.Get("json")
+			if !slices.ContainsFunc(s.Validate(), func(p jsonc.Problem) bool { return p.Field == path }) {
+				t.Errorf("-1 in %s is accepted", path)
+			}
+		}
+	}
+}
