--- a/scripts/run-demo.sh
+++ b/scripts/run-demo.sh
@@ -166,9 +166,11 @@
   call schedules "$region" --account "steward-$region" --accounts 4 --path /schedules/show-7/class-12 --rate 100 --duration 1s \
     --check-runs "$(comma "${schedules[@]}")"
 done
+failed=0
 call entries south --account exhibitor --accounts 5 --method POST --path /entries --body-bytes 400 --count 60 --concurrency 6 \
-  --once --check-runs "$(comma "${entries[@]}")" >"$folder/entries.out"
+  --once --check-runs "$(comma "${entries[@]}")" >"$folder/entries.out" || failed=$?
 cat "$folder/entries.out"
+((failed == 0)) || exit "$failed"
 call photos northwest --account judge --method PUT --path /photos/bench-3 --body-bytes 8388608 --count 2 \
   --check-runs "$(comma "${photos[@]}")"
 
