--- a/test/decisions/fault.go
+++ b/test/decisions/fault.go
@@ -12,7 +12,10 @@
 	faultFrom = 14 * time.Second
 	faultTo   = 34 * time.Second
 	traceEnd  = 44 * time.Second
-	surgeFrom = 13 * time.Second
+	// periodFrom is when quiet hours or a surge begin, after normal traffic. In
+	// quiet hours alone the engines would hardly learn the routes' medians
+	// before the fault.
+	periodFrom = 12 * time.Second
 	// connectLimit is the time after which a connection attempt fails when
 	// nothing answers.
 	connectLimit = 500 * time.Millisecond
--- a/test/decisions/generate.go
+++ b/test/decisions/generate.go
@@ -145,8 +145,8 @@
 	rate := normalUse * float64(g.shape.Slots) / mean
 	free := make([]time.Duration, g.shape.Slots) // when each slot is free again
 	for at := from; ; {
-		traffic := min(g.period.Traffic, 1)
-		if g.period.Traffic > 1 && at >= surgeFrom {
+		traffic := 1.0
+		if at >= periodFrom {
 			traffic = g.period.Traffic
 		}
 		at += time.Duration(rng.ExpFloat64() / (rate * traffic) * float64(time.Second))
