--- a/internal/health/property_test.go
+++ b/internal/health/property_test.go
@@ -25,7 +25,9 @@
 	return &history{t: t, now: time.Unix(1000, 0), peers: map[string]*PeerEvidence{}, counts: map[string]map[Key]Evidence{}}
 }
 
-func (h *history) int(low, high int, name string) int { return rapid.IntRange(low, high).Draw(h.t, name) }
+func (h *history) int(low, high int, name string) int {
+	return rapid.IntRange(low, high).Draw(h.t, name)
+}
 
 func (h *history) key() Key {
 	return Key{Service: fmt.Sprintf("s%d", h.int(0, 1, "service")), Upstream: fmt.Sprintf("u%d", h.int(0, 4, "upstream"))}
