--- /dev/null
+++ b/internal/instance/entry/handler.go
@@ -0,0 +1,179 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"crypto/rand"
+	"maps"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/instance/entry/upstream"
+)
+
+// ServeHTTP serves one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e := &exchange{
+		s: s, w: w, rc: http.NewResponseController(w), r: r,
+		started: time.Now(), caller: callerOf(r),
+	}
+	if r.ContentLength != 0 {
+		// Answers may begin before the body has ended.
+		_ = e.rc.EnableFullDuplex()
+		e.body = newRequestBody(r, s.cfg.Limits.BufferedBodyBytes)
+	}
+	e.conn = callerConnOf(r)
+	e.setServing(true)
+	defer s.record(e)
+	defer e.after()
+	if strings.HasPrefix(r.URL.Path, localPrefix) {
+		s.serveLocal(e)
+		return
+	}
+	if err := s.serve(e); err != nil {
+		e.fail(err)
+	}
+}
+
+// callerOf returns the caller account of a request, else its remote IP.
+func callerOf(r *http.Request) string {
+	if c := r.Header.Get(headerCaller); c != "" {
+		return c
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
+// serve matches the request and proxies it. An error means that nothing was
+// written to the caller.
+func (s *Server) serve(e *exchange) error {
+	if err := e.checkRequest(); err != nil {
+		return err
+	}
+	var err error
+	if e.svc, err = matchService(s.control.Snapshot(), e.r.Host); err != nil {
+		return err
+	}
+	if e.route, err = matchRoute(e.svc.Document, e.r); err != nil {
+		return err
+	}
+	if e.deadline, err = e.deadlineOf(); err != nil {
+		return err
+	}
+	if limit := maxBody(e.route); e.r.ContentLength > limit {
+		return errkind.New(errkind.BodyTooLarge, "the body of %d bytes is over the route's limit of %d", e.r.ContentLength, limit)
+	}
+	if e.body != nil {
+		e.body.setLimit(maxBody(e.route))
+	}
+	var cancel context.CancelFunc
+	e.ctx, cancel = context.WithDeadline(e.r.Context(), e.deadline)
+	defer cancel()
+	if n := e.r.ContentLength; n > 0 && n <= int64(s.cfg.Limits.BufferedBodyBytes) && !e.body.asked {
+		// A caller that sends slowly does not hold a slot meanwhile.
+		e.body.await(e.ctx)
+		if err := cmp.Or(e.body.failure(), e.ctx.Err()); err != nil {
+			return e.verdict(err)
+		}
+	}
+	return s.proxy(e)
+}
+
+// maxRequestID is the largest length of a request identity, in bytes.
+const maxRequestID = 128
+
+// checkRequest refuses requests that cannot be proxied, and gives the request
+// an identity.
+func (e *exchange) checkRequest() error {
+	ids := e.r.Header[upstream.HeaderRequestID]
+	switch {
+	case len(ids) == 0 || len(ids) == 1 && ids[0] == "":
+		e.id = rand.Text()
+	case len(ids) > 1 || !validID(ids[0]):
+		e.id = rand.Text()
+		return errkind.New(errkind.BadRequest, "%s must be one value of at most %d visible characters", upstream.HeaderRequestID, maxRequestID)
+	default:
+		e.id = ids[0]
+	}
+	switch {
+	case e.r.Method == http.MethodConnect:
+		return errkind.New(errkind.BadRequest, "the method CONNECT is not proxied")
+	case e.r.Header.Get("Upgrade") != "":
+		return errkind.New(errkind.BadRequest, "protocol upgrades are not proxied")
+	case hasDotSegment(e.r.URL.Path):
+		return errkind.New(errkind.BadRequest, "the path has a . or .. segment")
+	}
+	return nil
+}
+
+func validID(id string) bool {
+	if len(id) > maxRequestID {
+		return false
+	}
+	for i := range len(id) {
+		if id[i] <= ' ' || id[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// hasDotSegment reports whether a path has a segment that an upstream may
+// resolve. The request would then be run under another path than the one by
+// which its route, and with it its idempotence, was chosen.
+func hasDotSegment(path string) bool {
+	for seg := range strings.FieldsFuncSeq(path, func(r rune) bool { return r == '/' || r == '\\' }) {
+		if seg == "." || seg == ".." {
+			return true
+		}
+	}
+	return false
+}
+
+// fail answers the request with an error.
+func (e *exchange) fail(err error) {
+	answer := errkind.Lookup(errkind.Of(err))
+	e.explanation.Kind, e.explanation.Run, e.explanation.Status = string(answer.Kind), string(answer.Run), answer.Status
+	w := errorAnswer(answer.Kind, err.Error())
+	maps.Copy(e.w.Header(), w.header)
+	if e.id != "" {
+		e.w.Header().Set(upstream.HeaderRequestID, e.id)
+	}
+	e.beforeHeader(false)
+	e.w.WriteHeader(w.status)
+	_ = e.write(w.body.Bytes())
+}
+
+// record keeps the explanation of a request, counts it and writes its log line.
+func (s *Server) record(e *exchange) {
+	x := &e.explanation
+	x.RequestID, x.Instance, x.Time, x.Caller = e.id, s.cfg.Instance, e.started, e.caller
+	x.Total = time.Since(e.started)
+	if e.svc != nil {
+		x.Service, x.Revision = e.svc.Name, e.svc.Revision
+	}
+	if e.route != nil {
+		x.Route = routeName(e.route)
+	}
+	s.ring.add(*x)
+	scope := unknownServiceScope(s.cfg.Scope)
+	if e.st != nil {
+		scope = e.st.metrics.scope
+		e.st.metrics.total.RecordDuration(x.Total)
+		e.st.metrics.queued.RecordDuration(x.Queued)
+		e.st.metrics.overhead.RecordDuration(max(0, x.Total-x.Queued-e.upstreamTime))
+	}
+	requestCounter(scope, x.Status, x.Kind).Inc(1)
+	s.log.Info("request", zap.String("request_id", x.RequestID), zap.String("service", x.Service),
+		zap.String("route", x.Route), zap.String("caller", x.Caller), zap.Int("status", x.Status),
+		zap.String("kind", x.Kind), zap.String("run", x.Run), zap.Int("attempts", len(x.Attempts)),
+		zap.String("upstream", lastUpstream(x.Attempts)), zap.Duration("queued", x.Queued), zap.Duration("total", x.Total))
+}
--- /dev/null
+++ b/internal/instance/entry/service.go
@@ -0,0 +1,179 @@
+package entry
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"knapweedreel/internal/document"
+	"knapweedreel/internal/health"
+	"knapweedreel/internal/routing"
+	"knapweedreel/internal/wire"
+)
+
+// service is what this instance knows of the requests of one service. It
+// outlives revisions of the document.
+type service struct {
+	name    string
+	control Control
+	metrics *serviceMetrics
+
+	mu        sync.Mutex
+	rand      *rand.Rand
+	inFlight  map[string]int       // by upstream
+	avoid     map[string]time.Time // upstream gets nothing before that time
+	unreached map[string]bool      // last connection failed: one request at a time
+	queue     fairQueue
+	recheck   *time.Timer // runs while requests wait
+	retries   bucket
+	refusals  bucket
+	probes    bucket
+	latencies map[string]*estimate // by route
+}
+
+// service returns the state of the named service.
+func (s *Server) service(name string) *service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.services[name]
+	if st == nil {
+		st = &service{
+			name:      name,
+			control:   s.control,
+			metrics:   newServiceMetrics(s.cfg.Scope, name),
+			rand:      rand.New(rand.NewPCG(s.rand.Uint64(), s.rand.Uint64())),
+			inFlight:  make(map[string]int),
+			avoid:     make(map[string]time.Time),
+			unreached: make(map[string]bool),
+			retries:   newBucket(retryShare, retryReserve, 2*retryReserve),
+			refusals:  newBucket(refusalShare, refusalReserve, 2*refusalReserve),
+			probes:    newBucket(probeShare, 0, 1),
+			latencies: make(map[string]*estimate),
+		}
+		s.services[name] = st
+	}
+	return st
+}
+
+// arrive counts a new request for the budgets.
+func (st *service) arrive() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.retries.earn()
+	st.refusals.earn()
+	st.probes.earn()
+}
+
+// spend takes a token for a further attempt. A cheap attempt follows one that
+// was provably not run.
+func (st *service) spend(cheap bool) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if cheap {
+		return st.refusals.spend()
+	}
+	return st.retries.spend()
+}
+
+// avoidFor gives the upstream nothing new for the time d.
+func (st *service) avoidFor(id string, d time.Duration) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if until := time.Now().Add(d); until.After(st.avoid[id]) {
+		st.avoid[id] = until
+	}
+}
+
+// setUnreached records whether the last connection to the upstream failed. If
+// so, one request at a time finds out whether it can be reached again, because
+// each may wait for the connection until the timeout.
+func (st *service) setUnreached(id string, unreached bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if unreached {
+		st.unreached[id] = true
+	} else {
+		delete(st.unreached, id)
+	}
+}
+
+// release gives back the slot at an upstream.
+func (st *service) release(id string) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.inFlight[id]--; st.inFlight[id] <= 0 {
+		delete(st.inFlight, id)
+	}
+	st.dispatchLocked()
+}
+
+// latency returns the estimate for a route. The caller holds st.mu.
+func (st *service) latency(route string) *estimate {
+	l := st.latencies[route]
+	if l == nil {
+		l = new(estimate)
+		st.latencies[route] = l
+	}
+	return l
+}
+
+// observe adds the latency of a good answer to the estimate of its route.
+func (st *service) observe(route string, d time.Duration) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.latency(route).add(d)
+}
+
+// highLatency returns a time that healthy answers of a route rarely exceed.
+func (st *service) highLatency(route string) (time.Duration, bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.latency(route).high()
+}
+
+// forget drops what is known of routes and upstreams that are no longer in the
+// document, and avoidances that are over. A removed service is nil.
+func (st *service) forget(svc *routing.Service, now time.Time) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for id, until := range st.avoid {
+		if !now.Before(until) {
+			delete(st.avoid, id)
+		}
+	}
+	for id := range st.unreached {
+		if svc == nil || !slices.ContainsFunc(svc.Upstreams, func(u routing.Upstream) bool { return u.ID == id }) {
+			delete(st.unreached, id)
+		}
+	}
+	for route := range st.latencies {
+		if svc == nil || svc.Document == nil || !slices.ContainsFunc(svc.Document.Routes, func(r document.Route) bool { return routeName(&r) == route }) {
+			delete(st.latencies, route)
+		}
+	}
+}
+
+// InFlight returns the number of requests in flight at each upstream where it
+// is not zero, in the order of services and upstreams.
+func (s *Server) InFlight() []wire.InFlight {
+	s.mu.Lock()
+	services := make([]*service, 0, len(s.services))
+	for _, st := range s.services {
+		services = append(services, st)
+	}
+	s.mu.Unlock()
+	var all []wire.InFlight
+	for _, st := range services {
+		st.mu.Lock()
+		for id, n := range st.inFlight {
+			all = append(all, wire.InFlight{Upstream: health.Key{Service: st.name, Upstream: id}, Count: uint32(n)})
+		}
+		st.mu.Unlock()
+	}
+	slices.SortFunc(all, func(a, b wire.InFlight) int {
+		return cmp.Or(cmp.Compare(a.Upstream.Service, b.Upstream.Service), cmp.Compare(a.Upstream.Upstream, b.Upstream.Upstream))
+	})
+	return all
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -37,6 +37,9 @@
 
 // Heartbeat is sent on every link once per heartbeat interval.
 type Heartbeat struct {
+	// Info has only Sequence and State set. The rest is in the Hello of the
+	// link, or in the message itself; a shard of 44 members exchanges 44
+	// heartbeats a second at each instance.
 	Info     member.Info `cbor:"1,keyasint"`
 	Digest   uint64      `cbor:"2,keyasint"` // hash of all services and revisions
 	InFlight []InFlight  `cbor:"3,keyasint"` // upstreams with requests in flight
@@ -78,6 +81,9 @@
 type RevisionVector struct {
 	Revisions map[string]uint64 `cbor:"1,keyasint"`
 	Reply     bool              `cbor:"2,keyasint"`
+	// Round is chosen by the asker and repeated in the answer, so that an
+	// answer to an earlier question is not taken for one to this.
+	Round uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // AuditEvents carries events to the holder of the shard's lease, which writes
