health: keep one faulty reporter from failing every probation

An instance that cannot reach an upstream would fail each of its probations and so keep it out of service at all instances. A reporter that failed the last probation does not decide the next one alone.

--- a/internal/health/baseline.go
+++ b/internal/health/baseline.go
@@ -68,32 +68,41 @@
 	}
 }
 
+// quietBaseline is the baseline of a service without failures.
+var quietBaseline = baselineOf(0, 0)
+
+// reportedTraffic is a peer's number of outcomes as it was last reported.
+type reportedTraffic struct {
+	outcomes uint64
+	at       time.Time
+}
+
 // updateBaseline estimates the failure rates of the service's upstreams from the
 // failures that all reporters saw and the traffic that they announced. Traffic
 // is taken as spread evenly over the upstreams in service, and as steady.
 func (e *Engine) updateBaseline(s *service) {
 	before := s.baseline
-	if !s.hasFailures(e.now) {
-		s.baseline = baselineOf(0, 0)
+	if before == quietBaseline && !s.isSuspicious() {
 		return
 	}
-	traffic, _ := s.traffic.get(e.now)
-	for _, name := range sortedKeys(e.peers) {
-		reported := e.peers[name].traffic[s.name]
-		long, _ := reported.get(e.now)
-		traffic += long
+	long, _ := s.traffic.get(e.now)
+	traffic := uint64(long)
+	for _, r := range s.reported {
+		if e.now.Sub(r.at) < RecentWindow {
+			traffic += r.outcomes
+		}
 	}
 	var failed, slow [2][]float64 // long and short
 	for _, u := range s.upstreams {
 		if u.state != InService {
 			continue
 		}
-		long, short := u.recent.failed.get(e.now)
-		failed[0], failed[1] = append(failed[0], long), append(failed[1], short)
-		long, short = u.recent.slow.get(e.now)
-		slow[0], slow[1] = append(slow[0], long), append(slow[1], short)
+		l, sh := u.recent.failed.get(e.now)
+		failed[0], failed[1] = append(failed[0], l), append(failed[1], sh)
+		l, sh = u.recent.slow.get(e.now)
+		slow[0], slow[1] = append(slow[0], l), append(slow[1], sh)
 	}
-	long := max(traffic/float64(max(len(failed[0]), 1)), 1)
+	long = max(float64(traffic)/float64(max(len(failed[0]), 1)), 1)
 	short := max(long*float64(shortHalfLife)/float64(longHalfLife), 1)
 	s.baseline = baselineOf(
 		max(trimmedMean(failed[0])/long, trimmedMean(failed[1])/short),
@@ -117,10 +126,10 @@
 	return math.Log(to.faulty/to.healthy) / math.Log(r.faulty/r.healthy)
 }
 
-// hasFailures reports whether any upstream failed within the last long windows.
-func (s *service) hasFailures(now time.Time) bool {
+// isSuspicious reports whether any upstream of the service has a score.
+func (s *service) isSuspicious() bool {
 	for _, u := range s.upstreams {
-		if now.Sub(u.recent.failed.at) < 4*longHalfLife || now.Sub(u.recent.slow.at) < 4*longHalfLife {
+		if u.score() > 0 {
 			return true
 		}
 	}
--- a/internal/health/documents.go
+++ b/internal/health/documents.go
@@ -118,7 +118,7 @@
 }
 
 func (e *Engine) addService(name string) *service {
-	s := &service{name: name, baseline: baselineOf(0, 0), routes: routes{}}
+	s := &service{name: name, baseline: quietBaseline, reported: map[string]reportedTraffic{}, routes: routes{}}
 	e.services[name] = s
 	at, _ := slices.BinarySearch(e.names, name)
 	e.names = slices.Insert(e.names, at, name)
@@ -133,9 +133,6 @@
 	s.upstreams, s.byID = nil, nil
 	s.document = &document.Document{Service: s.name}
 	e.recordUpstreams(s, old)
-	for _, p := range e.peers {
-		delete(p.traffic, s.name)
-	}
 	delete(e.services, s.name)
 	e.names = slices.DeleteFunc(e.names, func(n string) bool { return n == s.name })
 }
--- a/internal/health/engine.go
+++ b/internal/health/engine.go
@@ -32,7 +32,8 @@
 	limits    limits
 	upstreams []*upstream // in the order of the document
 	byID      map[string]*upstream
-	traffic   window // own outcomes
+	traffic   window                     // own outcomes
+	reported  map[string]reportedTraffic // by peer
 	baseline  baseline
 	callers   callers
 	routes    routes
--- a/internal/health/evidence.go
+++ b/internal/health/evidence.go
@@ -27,8 +27,7 @@
 	boot, sequence uint64
 	region         string
 	heard          time.Time
-	seen           map[Key]seen      // of upstreams that documents name
-	traffic        map[string]window // outcomes by service, as last reported
+	seen           map[Key]seen // of upstreams that documents name
 }
 
 // seen is the latest report of a peer on one upstream.
@@ -119,7 +118,7 @@
 	}
 	if known == nil || p.Boot > known.boot {
 		e.makeRoomForPeer()
-		known = &peer{boot: p.Boot, seen: map[Key]seen{}, traffic: map[string]window{}}
+		known = &peer{boot: p.Boot, seen: map[Key]seen{}}
 		e.peers[p.Reporter] = known
 	}
 	known.sequence, known.region, known.heard = p.Sequence, p.Region, e.now
@@ -146,7 +145,7 @@
 		slow:      max(before.slow, ev.Slow),
 	}}
 	p.seen[u.key] = now
-	p.traffic[s.name] = window{long: float64(ev.Traffic), at: e.now}
+	s.reported[reporter] = reportedTraffic{ev.Traffic, e.now}
 	if ev.SelfSuspect {
 		u.failed.drop(reporter)
 		u.slow.drop(reporter)
@@ -184,12 +183,19 @@
 			oldest = name
 		}
 	}
-	delete(e.peers, oldest)
+	e.forgetPeer(oldest)
 }
 
 // applyPeerLost forgets a peer's counts. What it reported stays in the scores,
 // where it decays.
-func (e *Engine) applyPeerLost(p PeerLost) { delete(e.peers, p.Reporter) }
+func (e *Engine) applyPeerLost(p PeerLost) { e.forgetPeer(p.Reporter) }
+
+func (e *Engine) forgetPeer(name string) {
+	delete(e.peers, name)
+	for _, s := range e.services {
+		delete(s.reported, name)
+	}
+}
 
 // merge adds a report to the upstream's evidence.
 func (e *Engine) merge(s *service, u *upstream, r report) {
--- a/internal/health/recovery.go
+++ b/internal/health/recovery.go
@@ -37,6 +37,10 @@
 	ejectedAt time.Time
 	rampFrom  time.Time // zero: no ramp
 	probation probation
+	// failedBy is the reporter that failed the last probation. It does not decide
+	// the next one alone: an instance that cannot reach the upstream would keep
+	// it out of service everywhere.
+	failedBy string
 }
 
 // probation counts what was seen since it began.
@@ -100,7 +104,10 @@
 	p.successes += successes
 	p.outcomes += successes + failures
 	switch {
+	case failures > 0 && r.reporter == u.recovery.failedBy:
+		p.outcomes -= failures
 	case failures > 0:
+		u.recovery.failedBy = r.reporter
 		e.takeOut(s, u, RuleProbationFailed, "failure seen by "+r.reporter)
 	case p.successes >= probationSuccesses:
 		e.passProbation(s, u, fmt.Sprintf("%d successes", p.successes))
@@ -109,6 +116,7 @@
 
 func (e *Engine) passProbation(s *service, u *upstream, detail string) {
 	u.resetScores()
+	u.recovery.failedBy = ""
 	e.setState(s, u, InService, RuleProbationPassed, detail)
 	u.recovery.rampFrom = e.now
 }
