--- a/internal/health/evidence.go
+++ b/internal/health/evidence.go
@@ -27,8 +27,7 @@
 	boot, sequence uint64
 	region         string
 	heard          time.Time
-	seen           map[Key]seen      // of upstreams that documents name
-	traffic        map[string]window // outcomes by service, as last reported
+	seen           map[Key]seen // of upstreams that documents name
 }
 
 // seen is the latest report of a peer on one upstream.
@@ -84,12 +83,13 @@
 		r.failed = 1
 	}
 	if r.failed+r.slow > 0 {
-		s.callers.fail(o.Caller, u, e.now)
+		s.callers.fail(o.Caller, u, s.baseline.failed.healthy, e.now)
 		u.own.addFailure(o.Caller, slow)
 	} else if u.suspected() {
 		u.own.now.successes++
 	}
 	e.merge(s, u, r)
+	e.decide(s, u)
 }
 
 // isStale reports whether the attempt says nothing about the upstream's present
@@ -118,7 +118,7 @@
 	}
 	if known == nil || p.Boot > known.boot {
 		e.makeRoomForPeer()
-		known = &peer{boot: p.Boot, seen: map[Key]seen{}, traffic: map[string]window{}}
+		known = &peer{boot: p.Boot, seen: map[Key]seen{}}
 		e.peers[p.Reporter] = known
 	}
 	known.sequence, known.region, known.heard = p.Sequence, p.Region, e.now
@@ -127,6 +127,13 @@
 			e.applyEvidence(s, u, p.Reporter, known, ev)
 		}
 	}
+	// The whole report is merged before anything is decided: what it says of
+	// other upstreams tells a common fault from a single one.
+	for _, ev := range p.Evidence {
+		if s, u := e.find(ev.Upstream); u != nil {
+			e.decide(s, u)
+		}
+	}
 }
 
 // applyEvidence takes one upstream's counts of a peer.
@@ -138,7 +145,7 @@
 		slow:      max(before.slow, ev.Slow),
 	}}
 	p.seen[u.key] = now
-	p.traffic[s.name] = window{long: float64(ev.Traffic), at: e.now}
+	s.reported[reporter] = reportedTraffic{ev.Traffic, e.now}
 	if ev.SelfSuspect {
 		u.failed.drop(reporter)
 		u.slow.drop(reporter)
@@ -176,26 +183,34 @@
 			oldest = name
 		}
 	}
-	delete(e.peers, oldest)
+	e.forgetPeer(oldest)
 }
 
 // applyPeerLost forgets a peer's counts. What it reported stays in the scores,
 // where it decays.
-func (e *Engine) applyPeerLost(p PeerLost) { delete(e.peers, p.Reporter) }
+func (e *Engine) applyPeerLost(p PeerLost) { e.forgetPeer(p.Reporter) }
 
-// merge adds a report to the upstream's evidence and decides.
+func (e *Engine) forgetPeer(name string) {
+	delete(e.peers, name)
+	for _, s := range e.services {
+		delete(s.reported, name)
+	}
+}
+
+// merge adds a report to the upstream's evidence.
 func (e *Engine) merge(s *service, u *upstream, r report) {
 	if r.successes+r.failed+r.slow == 0 {
 		return
 	}
 	u.seen.add(r.reporter, e.now)
-	callers := e.soundCallers(s, u, &r)
+	e.noteSide(u, r)
 	if r.failed > 0 {
 		u.recent.failed.add(e.now, float64(r.failed))
 	}
 	if r.slow > 0 {
 		u.recent.slow.add(e.now, float64(r.slow))
 	}
+	callers := e.soundCallers(s, u, &r)
 	switch u.state {
 	case Probation:
 		e.probationOutcomes(s, u, r)
@@ -208,7 +223,6 @@
 		}
 		u.failed.take(e.now, b, s.baseline.failed, callers, r.failed, r.successes+r.slow)
 		u.slow.take(e.now, b, s.baseline.slow, callers, r.slow, r.successes)
-		e.decide(s, u)
 	}
 }
 
