Cut what libraries write to the standard logger

net/http writes all bytes that arrive on an idle connection, which filled the log with callers' answers when a link duplicated them. Also test that peering runs again after it ended.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -21,10 +21,7 @@
 func Run(ctx context.Context, s settings.Settings, log *zap.Logger) error {
 	s.Normalize()
 	log = log.With(zap.String("instance", s.Instance))
-	// Libraries such as quic-go report through the standard logger.
-	if restore, err := zap.RedirectStdLogAt(log, zap.WarnLevel); err == nil {
-		defer restore()
-	}
+	defer redirectStandardLog(log)()
 	p, err := build(s, log)
 	if err != nil {
 		return err
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -15,6 +16,7 @@
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest"
+	"go.uber.org/zap/zaptest/observer"
 
 	"knapweedreel/internal/adminclient"
 	"knapweedreel/internal/health"
@@ -102,10 +104,10 @@
 	i.admin = adminclient.New(i.settings.AdminAddress, f.operator.AdminClient())
 	ctx, cancel := context.WithCancel(context.Background())
 	i.stop = cancel
-	log := zaptest.NewLogger(f.t, zaptest.Level(zap.WarnLevel))
+	logger := zaptest.NewLogger(f.t, zaptest.Level(zap.WarnLevel))
 	go func() {
 		defer close(i.ended)
-		i.err = Run(ctx, i.settings, log)
+		i.err = Run(ctx, i.settings, logger)
 	}()
 	f.t.Cleanup(func() {
 		cancel()
@@ -203,6 +205,19 @@
 	return u
 }
 
+// Guards against bytes of callers' answers in the log, which net/http writes
+// when they arrive on an idle connection.
+func TestLibraryLinesAreCut(t *testing.T) {
+	core, logs := observer.New(zap.WarnLevel)
+	restore := redirectStandardLog(zap.New(core))
+	log.Print("Unsolicited response: " + strings.Repeat("x", 10_000))
+	restore()
+	entries := logs.FilterMessage("library").All()
+	if len(entries) != 1 || len(entries[0].ContextMap()["text"].(string)) != maxLibraryLine {
+		t.Errorf("got %d lines: %.200v", len(entries), entries)
+	}
+}
+
 // Guards against a fleet whose parts work alone and not together: documents
 // reach every instance, requests are answered, and a late instance catches up.
 func TestFleetServes(t *testing.T) {
--- a/internal/instance/peering/peering_test.go
+++ b/internal/instance/peering/peering_test.go
@@ -215,6 +215,27 @@
 	}
 }
 
+// Guards against a node that cannot run again after its socket failed, which the
+// supervisor relies on.
+func TestRunAgainAfterSocketFailure(t *testing.T) {
+	ca := newAuthority(t)
+	b := start(t, "b", ca.tls(t, "b"), socket(t), 0)
+	a := start(t, "a", ca.tls(t, "a"), socket(t), 0)
+	a.Connect([]member.Info{b.info})
+	receive(t, "link", a.up)
+	a.stop()
+	receive(t, "end of link", a.down)
+	a.cfg.Listen = func() (net.PacketConn, error) { return socket(t), nil }
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- a.Run(ctx) }()
+	receive(t, "link of the second run", a.up)
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against an instance that poses as another one, and against one that a
 // foreign authority has certified.
 func TestWrongIdentityIsRefused(t *testing.T) {
