Split the peering tests, and show nobody by the list alone when cut off

An instance without any link cannot tell whether members of other shards are live, and the platform child reads the store again only when it sees none.

--- a/internal/instance/control/snapshot.go
+++ b/internal/instance/control/snapshot.go
@@ -123,9 +123,14 @@
 }
 
 // usable reports whether callers may be sent to a member. A member of another
-// shard to which no link is kept counts as the list shows it.
+// shard to which no link is kept counts as the list shows it, unless this
+// instance has no link at all and may be cut off itself.
 func (l *Loop) usable(row member.Row) bool {
-	return row.Presence == member.Live || row.Presence == member.Known && !l.watched[row.ID] && row.State == member.Active
+	if row.Presence == member.Live {
+		return true
+	}
+	unheard := row.Presence == member.Known && !l.watched[row.ID]
+	return unheard && row.State == member.Active && len(l.links) > 0
 }
 
 // presentMembers returns the members of the own shard that share slots and
--- a/internal/instance/peering/peering_test.go
+++ b/internal/instance/peering/peering_test.go
@@ -2,24 +2,15 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
 	"fmt"
-	"math/big"
 	"net"
-	"sync"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/quic-go/quic-go"
-	"github.com/uber-go/tally/v4"
-	"go.uber.org/goleak"
-	"go.uber.org/zap"
 
 	"knapweedreel/internal/document"
 	"knapweedreel/internal/health"
@@ -27,165 +18,14 @@
 	"knapweedreel/internal/wire"
 )
 
-// limit is generous: a test waits for events and not for this time.
-const limit = 30 * time.Second
-
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
-
-// authority signs certificates for tests.
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-	pool *x509.CertPool
-}
-
-func newAuthority(t *testing.T) *authority {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true,
-		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign, NotAfter: time.Now().Add(time.Hour),
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	cert, err := x509.ParseCertificate(der)
-	if err != nil {
-		t.Fatal(err)
-	}
-	pool := x509.NewCertPool()
-	pool.AddCert(cert)
-	return &authority{cert, key, pool}
-}
-
-// tls returns the settings of an instance with a certificate for name.
-func (a *authority) tls(t *testing.T, name string) *tls.Config {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, DNSNames: []string{"peer"},
-		NotAfter:    time.Now().Add(time.Hour),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return &tls.Config{
-		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
-		RootCAs:      a.pool, ClientCAs: a.pool, ClientAuth: tls.RequireAndVerifyClientCert, ServerName: "peer",
-	}
-}
-
-// endpoint is a node with a record of what its handler was told.
-type endpoint struct {
-	*Node
-	info     member.Info
-	up       chan member.Info
-	down     chan string
-	messages chan wire.Message
-	stop     func()
-	scope    tally.TestScope
-}
-
-func (e *endpoint) LinkUp(info member.Info)          { e.up <- info }
-func (e *endpoint) LinkDown(id string)               { e.down <- id }
-func (e *endpoint) Message(_ string, m wire.Message) { e.messages <- m }
-func (e *endpoint) dropped() int64                   { return e.count("peer_messages_dropped") }
-func (e *endpoint) count(name string) int64          { return e.scope.Snapshot().Counters()[name+"+"].Value() }
-func (e *endpoint) message(set func(*wire.Message)) wire.Message {
-	m := wire.Message{Version: wire.Version, Sender: e.info.ID, Boot: e.info.Boot, Sequence: 1}
-	set(&m)
-	return m
-}
-
-func socket(t *testing.T) net.PacketConn {
-	c, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	return c
-}
-
-// start runs a node on its own loopback socket.
-func start(t *testing.T, id string, config *tls.Config, conn net.PacketConn, grace time.Duration) *endpoint {
-	t.Helper()
-	e := &endpoint{
-		info: member.Info{ID: id, Boot: uint64(time.Now().UnixNano()), PeerAddress: conn.LocalAddr().String(), State: member.Active},
-		up:   make(chan member.Info, 64), down: make(chan string, 64), messages: make(chan wire.Message, 4096),
-		scope: tally.NewTestScope("", nil),
-	}
-	e.Node = New(Config{
-		ID: id, Self: func() member.Info { return e.info },
-		Listen:    func() (net.PacketConn, error) { return conn, nil },
-		ServerTLS: config, ClientTLS: config, DialGrace: grace,
-		Jitter: func() float64 { return 0.5 }, Log: zap.NewNop(), Scope: e.scope,
-	}, e)
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- e.Run(ctx) }()
-	e.stop = sync.OnceFunc(func() {
-		cancel()
-		if err := <-ended; err != nil {
-			t.Errorf("%s: %v", id, err)
-		}
-	})
-	t.Cleanup(e.stop)
-	return e
-}
-
-func receive[T any](t *testing.T, what string, c <-chan T) T {
-	t.Helper()
-	select {
-	case v := <-c:
-		return v
-	case <-time.After(limit):
-		t.Fatalf("no %s within %v", what, limit)
-		panic("unreachable")
-	}
-}
-
-func await(t *testing.T, what string, done func() bool) {
-	t.Helper()
-	deadline := time.After(limit)
-	tick := time.NewTicker(5 * time.Millisecond)
-	defer tick.Stop()
-	for !done() {
-		select {
-		case <-tick.C:
-		case <-deadline:
-			t.Fatalf("not within %v: %s", limit, what)
-		}
-	}
-}
-
-func pair(t *testing.T) (a, b *endpoint) {
-	ca := newAuthority(t)
-	a = start(t, "a", ca.tls(t, "a"), socket(t), 0)
-	b = start(t, "b", ca.tls(t, "b"), socket(t), 0)
-	a.Connect([]member.Info{b.info})
-	b.Connect([]member.Info{a.info})
-	receive(t, "link at a", a.up)
-	receive(t, "link at b", b.up)
-	return a, b
-}
-
 // Guards against messages that are lost, cut or out of order on a healthy link,
 // up to the largest document.
 func TestMessagesArriveInOrder(t *testing.T) {
 	a, b := pair(t)
-	text := make([]byte, 1<<20)
-	for i := range text {
-		text[i] = 'a'
-	}
+	text := strings.Repeat("a", 1<<20)
 	for revision := uint64(1); revision <= 3; revision++ {
 		a.Send("b", a.message(func(m *wire.Message) {
-			m.DocumentPush = &wire.DocumentPush{Envelope: document.Envelope{Service: "entries", Revision: revision, Text: string(text)}}
+			m.DocumentPush = &wire.DocumentPush{Envelope: document.Envelope{Service: "entries", Revision: revision, Text: text}}
 		}))
 	}
 	for revision := uint64(1); revision <= 3; revision++ {
@@ -304,21 +144,6 @@
 	}
 }
 
-// filtered drops incoming packets while blocked, as a one-way cut does.
-type filtered struct {
-	net.PacketConn
-	blocked *atomic.Bool
-}
-
-func (f filtered) ReadFrom(b []byte) (int, net.Addr, error) {
-	for {
-		n, from, err := f.PacketConn.ReadFrom(b)
-		if err != nil || !f.blocked.Load() {
-			return n, from, err
-		}
-	}
-}
-
 // Guards against members that stay apart when the one that should dial has no
 // address of the other, as with a list that is wrong.
 func TestOtherMemberDialsAfterGrace(t *testing.T) {
@@ -380,37 +205,6 @@
 	}
 }
 
-// rawPeer opens a link by hand up to the Hello.
-func rawPeer(t *testing.T, config *tls.Config, address string) (*quic.Conn, *quic.SendStream) {
-	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	t.Cleanup(cancel)
-	conn, err := quic.DialAddr(ctx, address, withProtocol(config), quicConfig())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = conn.CloseWithError(0, "") })
-	out, err := conn.OpenUniStreamSync(ctx)
-	if err != nil {
-		t.Fatal(err)
-	}
-	info := member.Info{ID: "evil", Boot: 1, State: member.Active}
-	hello := mustEncode(t, wire.Message{Version: wire.Version, Sender: "evil", Boot: 1, Hello: &info})
-	if _, err := out.Write(hello); err != nil {
-		t.Fatal(err)
-	}
-	return conn, out
-}
-
-func mustEncode(t *testing.T, m wire.Message) []byte {
-	t.Helper()
-	b, err := wire.Encode(m)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return b
-}
-
 // Guards against a protocol version that is understood by accident.
 func TestOtherProtocolVersionIsRefused(t *testing.T) {
 	ca := newAuthority(t)
