--- a/internal/cli/locate.go
+++ b/internal/cli/locate.go
@@ -103,7 +103,8 @@
 		return locations{}, exitWith(ExitUnreachable, "%s: %v", entry, err)
 	}
 	if kind := answer.Header.Get(errkind.HeaderError); kind != "" {
-		return locations{}, errkind.New(errkind.Kind(kind), "%s: %s", entry, strings.TrimSpace(string(body)))
+		message := strings.TrimPrefix(strings.TrimSpace(string(body)), kind+": ")
+		return locations{}, errkind.New(errkind.Kind(kind), "%s: %s", entry, message)
 	}
 	var found locations
 	if err := json.Unmarshal(body, &found); err != nil {
--- a/internal/cli/session.go
+++ b/internal/cli/session.go
@@ -35,5 +35,6 @@
 	}
 	e := json.NewEncoder(s.stdout)
 	e.SetIndent("", "  ")
+	e.SetEscapeHTML(false) // arrows and comparisons in messages stay readable
 	return errors.Wrap(e.Encode(data), "print")
 }
