--- a/cmd/standin/ports.go
+++ b/cmd/standin/ports.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +19,15 @@
 	return command{sub: sc, run: func(context.Context) error { return printFreeAddresses(count) }}
 }
 
+// The range of ports to choose from lies below the one from which systems take
+// ports for outgoing connections and for port 0: a port of that range was taken
+// by another process between its choice and its use in one of 8 runs.
+const (
+	lowestPort  = 10_000
+	highestPort = 30_000
+	maxTries    = 1_000 // for each address
+)
+
 // printFreeAddresses holds all ports until the last is found, so that each is
 // printed once.
 func printFreeAddresses(count int) error {
@@ -27,19 +37,31 @@
 			c.Close()
 		}
 	}()
-	for printed := 0; printed < count; {
-		tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	for range count {
+		address, ports, err := holdFreeAddress()
+		held = append(held, ports...)
 		if err != nil {
-			return errors.Wrap(err, "find a free port")
+			return err
 		}
-		held = append(held, tcp)
-		udp, err := net.ListenPacket("udp", tcp.Addr().String())
+		fmt.Println(address)
+	}
+	return nil
+}
+
+// holdFreeAddress listens on a port that is free for TCP and UDP.
+func holdFreeAddress() (string, []io.Closer, error) {
+	for range maxTries {
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(highestPort-lowestPort))
+		tcp, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		udp, err := net.ListenPacket("udp", address)
 		if err != nil {
-			continue // taken for UDP
+			tcp.Close()
+			continue
 		}
-		held = append(held, udp)
-		fmt.Println(tcp.Addr())
-		printed++
+		return address, []io.Closer{tcp, udp}, nil
 	}
-	return nil
+	return "", nil, errors.Newf("found no free port in %d tries", maxTries)
 }
