--- a/scripts/run-demo.sh
+++ b/scripts/run-demo.sh
@@ -21,11 +21,16 @@
   "$@" >"$folder/$log" 2>&1 3>&- 4>&- &
 }
 
-# Runs a command for at most 15 s, in the background: bash handles a signal only
-# after a command in the foreground, and drops an interrupt that the command
-# has handled itself.
+# Commands end after 20 s together, and stopping takes 8 s at most.
+# Runs a command in the background: bash handles a signal only after a command
+# in the foreground, and drops an interrupt that the command has handled itself.
 limited() {
-  timeout 15 "$@" &
+  local left=$((20 - SECONDS))
+  if ((left < 1)); then
+    echo "the time for all commands is over: $*" >&2
+    return 1
+  fi
+  timeout "$left" "$@" &
   wait $!
 }
 
@@ -49,11 +54,13 @@
   done
 }
 
-stop() { # stop PID...: ends processes with SIGTERM, after 8 s with SIGKILL
+stop() { # stop SECONDS PID...: ends processes with SIGTERM, later with SIGKILL
+  local limit=$1
+  shift
   (($# > 0)) || return 0
   kill -TERM "$@" 2>/dev/null || true
   local pid left i
-  for ((i = 0; i < 80; i++)); do
+  for ((i = 0; i < 10 * limit; i++)); do
     left=()
     for pid in $(jobs -pr); do
       if [[ " $* " == *" $pid "* ]]; then left+=("$pid"); fi
@@ -61,7 +68,7 @@
     ((${#left[@]} > 0)) || return 0
     sleep 0.1
   done
-  echo "killed because they did not stop within 8 s: ${left[*]}" >&2
+  echo "killed because they did not stop within $limit s: ${left[*]}" >&2
   kill -KILL "${left[@]}" 2>/dev/null || true
   return 1
 }
@@ -72,12 +79,12 @@
   trap - EXIT
   exec >&3 2>&4 # the signal may have come while a command's output was redirected
   # The instances first: a planned stop tells the store.
-  stop "${instances[@]}" || status=1
+  stop 6 "${instances[@]}" || status=1
   for pid in "${instances[@]}"; do
     wait "$pid" || { echo "an instance ended with exit code $?" >&2; status=1; }
   done
   mapfile -t running < <(jobs -pr)
-  stop "${running[@]}" || status=1
+  stop 2 "${running[@]}" || status=1
   wait 2>/dev/null || true
   if ((status != 0)); then
     echo "failed; last lines of the instances' logs:" >&2
