--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -56,12 +56,17 @@
 func TestEveryCommandHasHelpWithExample(t *testing.T) {
 	for _, c := range commands() {
 		code, stdout, _ := runCommand(t, append(strings.Fields(c.name), "--help")...)
-		if code != ExitOK || !strings.Contains(stdout, c.description) || !strings.Contains(stdout, "knapweedreel "+c.name) {
+		title, usage, example := "\nknapweedreel "+c.name+" - "+c.description, "\n    knapweedreel "+c.name, "Examples:\n    knapweedreel "+c.name
+		if code != ExitOK || !strings.Contains(stdout, title) || strings.Count(stdout, usage) < 2 && usageShown(stdout) || !strings.Contains(stdout, example) {
 			t.Errorf("%s: exit code %d, help: %s", c.name, code, stdout)
 		}
 	}
 }
 
+// usageShown reports whether a help text has a usage; flaggy leaves it out for
+// a command without positional values.
+func usageShown(help string) bool { return strings.Contains(help, "  Usage:") }
+
 // Guards against mistakes in files that reach an instance.
 func TestDocumentCheckReportsMistakes(t *testing.T) {
 	file := writeFile(t, "{\n\"service\": \"S\"}")
--- a/internal/cli/table.go
+++ b/internal/cli/table.go
@@ -147,9 +147,33 @@
 	return ExitUsage
 }
 
+// writeHelp writes the help of the command that was parsed last. flaggy names
+// only the command's last word in its title and usage.
 func writeHelp(p *flaggy.Parser, w io.Writer, message string) {
 	var h flaggy.Help
 	h.ExtractValues(p, message)
+	full := fullName(&p.Subcommand, p.TrailingSubcommand())
+	for i, line := range h.Lines {
+		indent, rest := line[:len(line)-len(strings.TrimLeft(line, " "))], strings.TrimLeft(line, " ")
+		title := strings.HasPrefix(line, h.CommandName+" - ")
+		if title || i > 0 && h.Lines[i-1] == "  Usage:" {
+			h.Lines[i] = indent + full + strings.TrimPrefix(rest, h.CommandName)
+		}
+	}
 	_ = p.HelpTemplate.Execute(w, h) // nothing is left to do when the terminal is gone
 	_, _ = io.WriteString(w, "\n")
 }
+
+// fullName returns the words that lead from a command to one below it, or the
+// command's own name when wanted is not there.
+func fullName(from, wanted *flaggy.Subcommand) string {
+	for _, sub := range from.Subcommands {
+		if sub == wanted {
+			return from.Name + " " + sub.Name
+		}
+		if name := fullName(sub, wanted); name != sub.Name {
+			return from.Name + " " + name
+		}
+	}
+	return from.Name
+}
