Slow down calls to a list of instances that is away

When the list failed, every instance polled it each second: 2,800 instances would have kept a recovering list overloaded. The wait now doubles up to the usual interval. Registrations that the list does not show are repeated ever more rarely; with a lag over 15 s the stand-in never showed them, because each repeat began the lag anew. A certificate ends with its authority at the latest.

--- a/internal/instance/platform/child_test.go
+++ b/internal/instance/platform/child_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,10 +22,31 @@
 	child   *Child
 	control *fakeControl
 	store   *faultyStore
+	list    *awayList
 	counter *store.Counter
 	stop    func()
 }
 
+// awayList is a list of instances that can be away.
+type awayList struct {
+	*storeserver.Memory
+	away atomic.Bool
+}
+
+func (l *awayList) Instances(ctx context.Context) ([]store.Instance, error) {
+	if l.away.Load() {
+		return nil, store.ErrUnavailable
+	}
+	return l.Memory.Instances(ctx)
+}
+
+func (l *awayList) Register(ctx context.Context, i store.Instance) error {
+	if l.away.Load() {
+		return store.ErrUnavailable
+	}
+	return l.Memory.Register(ctx, i)
+}
+
 func start(t *testing.T, m *storeserver.Memory, h *hub, name string, seed uint64, prepare ...func(*running)) *running {
 	t.Helper()
 	r := &running{control: newFakeControl(name, h), store: &faultyStore{Store: m}, counter: store.NewCounter(nil)}
@@ -32,8 +54,9 @@
 		p(r)
 	}
 	self := store.Instance{ID: name, Address: "127.0.0.1:1", Region: "south", FailureDomain: "s1"}
+	r.list = &awayList{Memory: m}
 	r.child = New(Config{Self: self, Random: seeded(seed)}, r.control,
-		r.counter.Store(r.store), r.counter.InstanceList(m), r.counter.Registrar(m))
+		r.counter.Store(r.store), r.counter.InstanceList(r.list), r.counter.Registrar(r.list))
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	wg.Go(func() {
@@ -268,6 +291,14 @@
 		if n := calls(other) - otherBefore; n < want-3 || n > want {
 			t.Errorf("the other polled %d times in 120 s, want about %d", n, want)
 		}
+		other.list.away.Store(true)
+		otherBefore = calls(other)
+		<-time.After(10 * time.Minute)
+		want = uint64(10 * time.Minute / other.child.pollInterval())
+		if n := calls(other) - otherBefore; n > want+6 {
+			t.Errorf("the other polled %d times in 10 minutes without the list", n)
+		}
+		other.list.away.Store(false)
 		a.child.Leave()
 		waitFor(t, "leaving listed", 2*time.Second, func() bool {
 			is, _ := m.Instances(t.Context())
--- a/internal/instance/platform/list.go
+++ b/internal/instance/platform/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,23 +19,33 @@
 	// each 28 s and make 100 calls/s together.
 	otherPoll     = 10 * time.Second
 	otherPollEach = 10 * time.Millisecond
-	// registerRetry is the mean wait after a failed registration.
-	registerRetry = time.Second
-	// registerAgain is the time from which an entry that the list does not show
-	// is registered again. The list lags by seconds.
-	registerAgain = 15 * time.Second
+	// registerRetry is the mean first wait after a failed registration. It
+	// doubles up to maxRegisterRetry.
+	registerRetry    = time.Second
+	maxRegisterRetry = 8 * time.Second
+	// registerAgain is the time after which an entry that the list does not
+	// show is registered again. It doubles up to maxRegisterAgain, because a
+	// list that lags for long gains nothing by more registrations.
+	registerAgain    = 15 * time.Second
+	maxRegisterAgain = 4 * time.Minute
 )
 
-// runList polls the list of instances.
+// runList polls the list of instances. After a failure the wait grows up to the
+// usual interval: if all instances polled each second during an outage, the
+// recovering list would get more calls than it can answer.
 func (c *Child) runList(ctx context.Context) error {
 	if !pause(ctx, c.random.upTo(holderPoll/4)) {
 		return nil
 	}
-	var last time.Time // of the last successful poll
+	var due time.Time
+	retry := holderPoll
 	for {
-		if now := time.Now(); last.IsZero() || c.held() != nil || now.Sub(last) >= c.pollInterval() {
+		if now := time.Now(); c.held() != nil || !now.Before(due) {
+			interval := c.pollInterval()
 			if c.pollList(ctx) {
-				last = now
+				due, retry = now.Add(interval), holderPoll
+			} else {
+				due, retry = now.Add(c.random.around(retry)), min(2*retry, interval)
 			}
 		}
 		if !c.random.sleep(ctx, holderPoll) {
@@ -67,6 +78,7 @@
 	mu      sync.Mutex
 	entry   store.Instance
 	written time.Time     // of the last successful registration; zero when one is due
+	again   time.Duration // from written until an entry that is not shown is due again
 	wake    chan struct{} // has a value when a registration may be due
 }
 
@@ -77,7 +89,7 @@
 	if self.State == "" {
 		self.State = store.StateLive
 	}
-	return &registration{entry: self, wake: make(chan struct{}, 1)}
+	return &registration{entry: self, again: registerAgain, wake: make(chan struct{}, 1)}
 }
 
 func (r *registration) notify() {
@@ -102,14 +114,14 @@
 func (r *registration) seen(is []store.Instance, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.written.IsZero() || now.Sub(r.written) < registerAgain {
+	if slices.Contains(is, r.entry) {
+		r.again = registerAgain
 		return
 	}
-	for _, i := range is {
-		if i == r.entry {
-			return
-		}
+	if r.written.IsZero() || now.Sub(r.written) < r.again {
+		return
 	}
+	r.again = min(2*r.again, maxRegisterAgain)
 	r.written = time.Time{}
 	r.notify()
 }
@@ -141,10 +153,15 @@
 		case <-ctx.Done():
 			return nil
 		}
+		retry := registerRetry
 		for entry, due := c.entry.due(); due; entry, due = c.entry.due() {
-			if !c.register(ctx, entry) && !c.random.sleep(ctx, registerRetry) {
+			if c.register(ctx, entry) {
+				continue
+			}
+			if !c.random.sleep(ctx, retry) {
 				return nil
 			}
+			retry = min(2*retry, maxRegisterRetry)
 		}
 	}
 }
--- a/internal/keys/create.go
+++ b/internal/keys/create.go
@@ -40,13 +40,17 @@
 }
 
 // CreateCertificate creates a certificate signed by authority and writes it to
-// out. It fails when one of the files exists.
+// out. It is valid for the given time, but not longer than the authority. It
+// fails when one of the files exists.
 func CreateCertificate(authority, out Files, name string, role Role, validity time.Duration) error {
 	signer, err := tls.LoadX509KeyPair(authority.CertificateFile, authority.KeyFile)
 	if err != nil {
 		return errors.Wrapf(err, "load authority %s", authority.CertificateFile)
 	}
 	template := newTemplate(name, validity)
+	if end := signer.Leaf.NotAfter; template.NotAfter.After(end) {
+		template.NotAfter = end
+	}
 	template.Subject.OrganizationalUnit = []string{string(role)}
 	template.KeyUsage = x509.KeyUsageDigitalSignature
 	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}
--- a/internal/standin/storeserver/list.go
+++ b/internal/standin/storeserver/list.go
@@ -62,10 +62,14 @@
 	}
 }
 
-// Register implements store.Registrar.
+// Register implements store.Registrar. The same entry again does not begin the
+// lag anew.
 func (m *Memory) Register(_ context.Context, instance store.Instance) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if e, ok := m.listing.entries[instance.ID]; ok && e.latest == instance {
+		return nil
+	}
 	now := time.Now()
 	m.listing.entries[instance.ID] = listed{earlier: m.listing.visible(instance.ID, now), latest: instance, since: now}
 	return nil
