Settle unknown puts that were overtaken, and try for the right shard's lease

An unknown put stayed unknown for ever once another change had made its revision; the instance that ran it now reports the conflict. An instance waits for the first list before it tries for a lease, since the number of shards follows from the list, and a leaving instance takes no lease. A store timeout over 10 s no longer makes watches longer than 20 s.

--- a/internal/instance/platform/attempt.go
+++ b/internal/instance/platform/attempt.go
@@ -69,7 +69,7 @@
 	}
 	if stored.Revision != a.request.ExpectedRevision {
 		a.putter.offer(ctx, stored, SourceStore)
-		return a.conflict(stored), true
+		return conflict(stored, a.request.Service, a.request.ExpectedRevision), true
 	}
 	if a.refused > 0 && version+1 == a.refused {
 		return notAccepted(stored.Revision, errkind.StoreStale,
@@ -91,23 +91,30 @@
 // overtaken settles a put whose write may still be on the way. The write can
 // no longer take effect once another change has made the same revision.
 func (a *attempt) overtaken(ctx context.Context, stored document.Envelope) (PutResult, bool) {
+	if !madeRevision(stored, a.request.ExpectedRevision+1) {
+		return PutResult{}, false
+	}
+	a.putter.offer(ctx, stored, SourceStore)
+	return conflict(stored, a.request.Service, a.request.ExpectedRevision), true
+}
+
+// madeRevision reports whether the history tells who made the revision.
+func madeRevision(stored document.Envelope, revision uint64) bool {
 	for _, c := range stored.History {
-		if c.Revision == a.request.ExpectedRevision+1 {
-			a.putter.offer(ctx, stored, SourceStore)
-			return a.conflict(stored), true
+		if c.Revision == revision {
+			return true
 		}
 	}
-	return PutResult{}, false
+	return false
 }
 
-func (a *attempt) conflict(stored document.Envelope) PutResult {
+func conflict(stored document.Envelope, service string, expected uint64) PutResult {
 	if stored.Revision == 0 {
-		return notAccepted(0, errkind.Conflict,
-			"service %s has no document; expected revision %d", a.request.Service, a.request.ExpectedRevision)
+		return notAccepted(0, errkind.Conflict, "service %s has no document; expected revision %d", service, expected)
 	}
 	other := stored.Latest()
 	r := notAccepted(stored.Revision, errkind.Conflict,
-		"expected revision %d, but revision %d was made by %s at %s: %s", a.request.ExpectedRevision,
+		"expected revision %d, but revision %d was made by %s at %s: %s", expected,
 		stored.Revision, other.Author, other.Time.Format(time.RFC3339), other.Summary)
 	r.Other = other
 	return r
--- a/internal/instance/platform/child.go
+++ b/internal/instance/platform/child.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -48,6 +49,8 @@
 	holding   atomic.Pointer[holding]
 	queue     *auditQueue
 	entry     *registration
+	listed    chan struct{} // closed by firstList
+	firstList func()        // says that the list has been read once
 	metrics   metrics
 }
 
@@ -76,7 +79,9 @@
 		auditDropped: c.Scope.Counter("audit_records_dropped"),
 		storeStale:   c.Scope.Counter("store_stale_documents"),
 	}
+	listed := make(chan struct{})
 	return &Child{
+		listed: listed, firstList: sync.OnceFunc(func() { close(listed) }),
 		config: c, control: control, store: s, list: list, registrar: registrar,
 		random: newJitter(c.Random), log: c.Log, metrics: m,
 		queue: newAuditQueue(m.auditDropped), entry: newRegistration(c.Self),
--- a/internal/instance/platform/child_test.go
+++ b/internal/instance/platform/child_test.go
@@ -13,6 +13,7 @@
 
 	"knapweedreel/internal/audit"
 	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/member"
 	"knapweedreel/internal/standin/storeserver"
 	"knapweedreel/internal/store"
 )
@@ -337,6 +338,34 @@
 	})
 }
 
+// Guards against a lease for the shard that an instance was in before the fleet
+// grew, and against a leaving instance that takes a lease.
+func TestLeaseFollowsShardAndState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const name = "i1"
+		m, h := storeserver.NewMemory(), newHub()
+		r := start(t, m, h, name, 1)
+		waitFor(t, "holder", 10*time.Second, r.control.isHolder)
+		r.control.mu.Lock()
+		r.control.shards = 64
+		r.control.mu.Unlock()
+		shard := member.ShardOf(name, 64)
+		waitFor(t, "holder of the new shard", time.Minute, func() bool {
+			held := r.child.held()
+			return held != nil && held.shard == shard
+		})
+		if _, err := m.AcquireLease(t.Context(), leaseKey(0), "i2", time.Second); err != nil {
+			t.Errorf("lease of the old shard: %v", err)
+		}
+		leaving := start(t, m, newHub(), "i2", 2, func(r *running) { r.control.shards = 2 })
+		leaving.child.Leave()
+		<-time.After(time.Minute)
+		if leaving.control.isHolder() {
+			t.Error("a leaving instance took the lease")
+		}
+	})
+}
+
 // Guards against a put that is accepted but not shown by ChangeResult while the
 // store cannot be read: the result must stay unknown, not refused.
 func TestChangeResultWithoutStore(t *testing.T) {
--- a/internal/instance/platform/fake_test.go
+++ b/internal/instance/platform/fake_test.go
@@ -43,6 +43,7 @@
 	ready   int
 	lists   [][]store.Instance
 	members int
+	shards  int // 0 for 1
 	holder  *wire.Holder
 	lost    int // times the holder was set to nil after holding
 }
@@ -54,7 +55,7 @@
 func (c *fakeControl) Snapshot() *routing.Snapshot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := &routing.Snapshot{Shards: 1, Services: map[string]*routing.Service{}, Members: make([]routing.Member, c.members)}
+	s := &routing.Snapshot{Shards: max(1, c.shards), Services: map[string]*routing.Service{}, Members: make([]routing.Member, c.members)}
 	for name, e := range c.offered {
 		s.Services[name] = &routing.Service{Name: name, Revision: e.Revision}
 	}
--- a/internal/instance/platform/lease.go
+++ b/internal/instance/platform/lease.go
@@ -19,6 +19,9 @@
 	// heartbeat of a holder arrive, and spreads the instances of a fleet that
 	// starts at once.
 	leaseStartWait = 3 * time.Second
+	// leaseListWait bounds the wait for the list of instances before that.
+	// Without the list the number of shards is not known.
+	leaseListWait = 10 * time.Second
 	// leaseJitter spreads the tries after a holder was lost: the first to get
 	// the lease announces it within a heartbeat, and the others don't try.
 	leaseJitter = 5 * time.Second
@@ -57,6 +60,7 @@
 
 // runLease acquires the lease when it is vacant, and holds it.
 func (c *Child) runLease(ctx context.Context) error {
+	c.awaitList(ctx)
 	wait := c.random.upTo(leaseStartWait)
 	for c.awaitVacancy(ctx, wait) {
 		h, err := c.acquire(ctx)
@@ -75,13 +79,23 @@
 	return nil
 }
 
+func (c *Child) awaitList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaseListWait)
+	defer cancel()
+	select {
+	case <-c.listed:
+	case <-ctx.Done():
+	}
+}
+
 // awaitVacancy waits until no other holder has been known for the whole of
 // wait. Control forgets a holder that was not announced within the lease's
-// time, so a wait that begins after a holder was lost needs the jitter only.
+// time, so a wait that begins after a holder was lost needs the jitter only. An
+// instance that is leaving does not take the lease.
 func (c *Child) awaitVacancy(ctx context.Context, wait time.Duration) bool {
 	due := time.Now().Add(wait)
 	for {
-		if h := c.control.Holder(); h != nil && h.Instance != c.config.Self.ID {
+		if h := c.control.Holder(); h != nil && h.Instance != c.config.Self.ID || c.entry.leaving() {
 			due = time.Now().Add(c.random.upTo(leaseJitter))
 		}
 		left := time.Until(due)
--- a/internal/instance/platform/list.go
+++ b/internal/instance/platform/list.go
@@ -69,6 +69,7 @@
 		return false
 	}
 	c.control.Listed(is)
+	c.firstList()
 	c.entry.seen(is, time.Now())
 	return true
 }
@@ -109,6 +110,12 @@
 	}
 }
 
+func (r *registration) leaving() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.entry.State == store.StateLeaving
+}
+
 // seen compares the list with the entry and makes a registration due when the
 // list has had time to show it and does not.
 func (r *registration) seen(is []store.Instance, now time.Time) {
--- a/internal/instance/platform/put.go
+++ b/internal/instance/platform/put.go
@@ -73,6 +73,7 @@
 	control Control
 	store   store.Store
 	random  *jitter
+	unknown *unsettled
 }
 
 // NewPutter returns a Putter.
@@ -80,7 +81,7 @@
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
-	return &Putter{config: c, control: control, store: s, random: newJitter(c.Random)}
+	return &Putter{config: c, control: control, store: s, random: newJitter(c.Random), unknown: newUnsettled()}
 }
 
 // Put validates the document and writes it as revision ExpectedRevision+1 by
@@ -91,6 +92,9 @@
 	ctx, cancel := context.WithTimeout(ctx, putLimit)
 	defer cancel()
 	result := p.put(ctx, r)
+	if result.Outcome == Unknown {
+		p.unknown.add(r)
+	}
 	p.config.Log.Info("document_put",
 		zap.String("service", r.Service), zap.String("author", r.Author), zap.String("change", r.ChangeID),
 		zap.Uint64("expected_revision", r.ExpectedRevision), zap.String("outcome", string(result.Outcome)),
@@ -155,8 +159,9 @@
 }
 
 // ChangeResult tells what became of a put whose result was unknown. A change
-// that is not found is reported as unknown, because its write may still be on
-// the way to the store.
+// that is not found stays unknown, because its write may still be on the way to
+// the store. The instance that ran the put can tell that it was not accepted
+// once another change has made its revision.
 func (p *Putter) ChangeResult(ctx context.Context, service, changeID string) PutResult {
 	ctx, cancel := context.WithTimeout(ctx, putLimit)
 	defer cancel()
@@ -173,6 +178,9 @@
 		p.offer(ctx, e, SourceStore)
 		return PutResult{Outcome: Accepted, Revision: c.Revision}
 	}
+	if expected, ok := p.unknown.find(service, changeID); ok && madeRevision(e, expected+1) {
+		return conflict(e, service, expected)
+	}
 	return unknown(e.Revision, errkind.NotFound,
 		"the last %d changes of service %s, up to revision %d, do not hold change %s; put it again with the same ID to settle it",
 		len(e.History), service, e.Revision, changeID)
--- a/internal/instance/platform/put_test.go
+++ b/internal/instance/platform/put_test.go
@@ -223,6 +223,22 @@
 		if got := b.putter.ChangeResult(t.Context(), service, "c2"); got.Outcome != Accepted || got.Revision != 1 {
 			t.Errorf("ChangeResult = %+v", got)
 		}
+		b.store.set(func(kind store.CallKind) fault {
+			if kind == store.CallPut {
+				return faultLostBefore
+			}
+			return faultNone
+		})
+		if got := b.putter.Put(t.Context(), request(1, "anna", "c3")); got.Outcome != Unknown {
+			t.Errorf("write lost: %+v", got)
+		}
+		if got := b.putter.ChangeResult(t.Context(), service, "c3"); got.Outcome != Unknown {
+			t.Errorf("ChangeResult of a write that may come = %+v", got)
+		}
+		put(t, b.memory, 1, "c4")
+		if got := b.putter.ChangeResult(t.Context(), service, "c3"); got.Outcome != NotAccepted || got.Other.ChangeID != "c4" {
+			t.Errorf("ChangeResult of an overtaken write = %+v", got)
+		}
 	})
 }
 
--- a/internal/store/httpstore/client.go
+++ b/internal/store/httpstore/client.go
@@ -106,7 +106,7 @@
 // with prefix. An index below after means that the store has gone back, as
 // after a restore; all keys are returned then.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64) ([]store.KeyValue, uint64, error) {
-	wait := max(WatchTimeout-c.timeout, c.timeout)
+	wait := max(WatchTimeout-c.timeout, time.Second)
 	query := url.Values{
 		"prefix":  {prefix},
 		"after":   {strconv.FormatUint(after, 10)},
