Open a connection for each call of an operator again

Clients that are made for one call, as the command line and the proofs do, then left up to 64 connections open for 10 s, and the server accepted no more: TestAcceptedDocumentsStayInForce failed twice with a status call that got no connection.

--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -37,19 +37,10 @@
 // instance could be opened.
 var ErrUnreachable = errors.New("instance is not reachable")
 
-// readIdleLimit is below the time after which the server closes a kept
-// connection.
-const readIdleLimit = 10 * time.Second
-
 // Client calls one instance. It may be used by several goroutines.
 type Client struct {
 	address string
-	// reads keeps its connection between calls. http.Transport may send a read
-	// again when the kept connection breaks, which does no harm.
-	reads *http.Client
-	// writes opens a connection for each call. A write on a kept connection
-	// that breaks would have an unknown result although nothing was wrong.
-	writes *http.Client
+	http    *http.Client
 }
 
 // New returns a client of the instance at address, an IP:port. The TLS settings
@@ -62,16 +53,14 @@
 		c, err := dialer.DialContext(ctx, network, address)
 		return c, errors.Mark(err, ErrUnreachable)
 	}
-	return &Client{
-		address: address,
-		reads:   &http.Client{Transport: &http.Transport{DialTLSContext: dial, IdleConnTimeout: readIdleLimit}},
-		writes:  &http.Client{Transport: &http.Transport{DialTLSContext: dial, DisableKeepAlives: true}},
-	}
+	// Each call has a connection of its own. A write on a kept connection that
+	// breaks would have an unknown result although nothing was wrong, and kept
+	// connections of clients that are made for one call would use up the
+	// connections that the server accepts.
+	t := &http.Transport{DialTLSContext: dial, DisableKeepAlives: true}
+	return &Client{address: address, http: &http.Client{Transport: t}}
 }
 
-// Close closes idle connections.
-func (c *Client) Close() { c.reads.CloseIdleConnections() }
-
 // Document returns the document in force.
 func (c *Client) Document(ctx context.Context, service string) (document.Envelope, error) {
 	var e document.Envelope
@@ -215,12 +204,7 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "request"), ErrUnreachable)
 	}
-	client := c.reads
-	if method != http.MethodGet {
-		client = c.writes
-		req.GetBody = nil // http.Transport needs it to send a write again
-	}
-	resp, err := client.Do(req)
+	resp, err := c.http.Do(req)
 	return resp, errors.Wrapf(err, "%s %s", method, path)
 }
 
