--- a/internal/health/decide.go
+++ b/internal/health/decide.go
@@ -19,6 +19,15 @@
 // minPeersOut is the least number of peers to which that part is related.
 const minPeersOut = 4
 
+// An upstream with failures from several reporters and not one success in
+// silentTime after the first is ejected from silentShare of the threshold on. A
+// hanging upstream with few slots gives only a handful of failures for each
+// deadline, mostly at its home instances, whose shares are capped.
+const (
+	silentTime  = 500 * time.Millisecond
+	silentShare = 0.95
+)
+
 // threshold returns the score from which the upstream is ejected here.
 func (e *Engine) threshold(s *service, u *upstream) float64 {
 	out := 0
@@ -28,28 +37,33 @@
 		}
 	}
 	share := float64(out) / float64(max(len(e.peers), minPeersOut))
-	return s.limits.threshold * (1 - peersOutShare*share)
+	h := s.limits.threshold * (1 - peersOutShare*share)
+	if w := u.worst(); w.successes == 0 && len(w.reporters) > 1 && e.now.Sub(w.started) >= silentTime {
+		h *= silentShare
+	}
+	return h
 }
 
 // decide ejects an upstream in service whose score has reached the threshold,
 // unless the evidence points elsewhere.
 func (e *Engine) decide(s *service, u *upstream) {
 	h := s.limits.threshold
-	if u.score() < h*(1-peersOutShare) || u.score() < e.threshold(s, u) {
+	if u.state != InService || u.score() < h*(1-peersOutShare)*silentShare || u.score() < e.threshold(s, u) {
 		return
 	}
 	worst, slow := u.worst(), u.slow.sum > u.failed.sum
-	if s.isServiceWide(u, slow) || e.isPartition(u) {
+	if s.isServiceWide(u, slow, e.now) || e.isPartition(u) {
 		// The score restarts lower, so that the end of the common fault does
 		// not eject the upstream that happens to be reported last.
 		worst.shrink(h / 2)
 		return
 	}
-	kind := "failures"
+	kind, rates := "failures", s.baseline.failed
 	if slow {
-		kind = "slow answers"
+		kind, rates = "slow answers", s.baseline.slow
 	}
-	e.eject(s, u, fmt.Sprintf("%d %s seen by %d reporters from %d callers", worst.failures, kind, len(worst.reporters), len(worst.callers)))
+	e.eject(s, u, fmt.Sprintf("%d %s seen by %d reporters from %d callers; usual rate at most %.1f%%",
+		worst.failures, kind, len(worst.reporters), len(worst.callers), 100*rates.healthy))
 }
 
 // applyTick lets time pass.
@@ -60,6 +74,7 @@
 	}
 	e.ticked = e.now
 	e.updateDoubt()
+	e.updateCuts()
 	e.rotateOwn()
 	e.eachService(func(s *service) {
 		s.callers.forget(e.now)
@@ -68,8 +83,8 @@
 			if u.state == InService {
 				u.failed.shrink(u.failed.sum * decay(passed, scoreHalfLife))
 				u.slow.shrink(u.slow.sum * decay(passed, scoreHalfLife))
-				e.decide(s, u)
 			}
+			e.decide(s, u)
 		}
 		e.expireLeaving(s)
 		e.advance(s)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -21,6 +21,7 @@
 func Run(ctx context.Context, s settings.Settings, log *zap.Logger) error {
 	s.Normalize()
 	log = log.With(zap.String("instance", s.Instance))
+	defer redirectStandardLog(log)()
 	p, err := build(s, log)
 	if err != nil {
 		return err
--- a/internal/instance/peering/link.go
+++ b/internal/instance/peering/link.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/quic-go/quic-go"
+	"go.uber.org/zap"
 
 	"knapweedreel/internal/member"
 	"knapweedreel/internal/wire"
@@ -34,7 +35,7 @@
 	in     *wire.Reader
 	info   member.Info // from the Hello
 	dialed bool        // opened by this instance
-	serial uint64      // order in which links came up here
+	up     time.Time   // when the Hello arrived
 
 	queue       chan *wire.Message
 	queuedBytes atomic.Int64
@@ -87,6 +88,7 @@
 		return nil, errors.Wrap(err, "clear deadline")
 	}
 	k.info = *m.Hello
+	k.up = time.Now()
 	return k, nil
 }
 
@@ -137,8 +139,8 @@
 }
 
 // write sends queued messages until the connection ends. A message that cannot
-// be encoded is counted as dropped.
-func (k *link) write(metrics *metrics) error {
+// be encoded, because it is over a limit, is logged and counted as dropped.
+func (k *link) write(metrics *metrics, log *zap.Logger) error {
 	done := k.conn.Context().Done()
 	for {
 		select {
@@ -149,6 +151,7 @@
 			frame, err := wire.Encode(*m)
 			if err != nil {
 				metrics.dropped.Inc(1)
+				log.Error("peer_message_not_encoded", zap.String("member", k.info.ID), zap.Error(err))
 				continue
 			}
 			if _, err := k.out.Write(frame); err != nil {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,10 +3,14 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
+	"slices"
 	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"knapweedreel/internal/jsonc"
 )
 
 const valid = `{
@@ -31,7 +35,7 @@
 	}
 	want := Settings{
 		Instance: "i1", Region: "south", FailureDomain: "south-a",
-		EntryAddress: "127.0.0.1:7101", PeerAddress: "127.0.0.1:7101", AdminAddress: "127.0.0.1:7102",
+		EntryAddress: "127.0.0.1:7101", PeerAddress: "127.0.0.1:7101", PeerListenAddress: "127.0.0.1:7101", AdminAddress: "127.0.0.1:7102",
 		StoreAddress: "127.0.0.1:7000", ListAddress: "127.0.0.1:7000",
 		Keys:   Keys{CertificateFile: "i1.pem", KeyFile: "i1.key", AuthorityFile: "authority.pem"},
 		Limits: Limits{CallerConnections: 4096, HeaderBytes: 32 << 10, BufferedAnswerBytes: 64 << 10, BufferedBodyBytes: 64 << 10, Explanations: 1024},
@@ -78,3 +82,27 @@
 		t.Errorf("got %v, want 10 problems", err)
 	}
 }
+
+// Guards against a limit or time, such as one added later, that has no default
+// or is not validated.
+func TestEachLimitAndTimeHasDefaultAndRange(t *testing.T) {
+	for _, group := range []string{"Limits", "Times"} {
+		fields := reflect.TypeOf(Settings{})
+		structure, _ := fields.FieldByName(group)
+		for i := range structure.Type.NumField() {
+			s, err := Parse("s", []byte(valid))
+			if err != nil {
+				t.Fatal(err)
+			}
+			field := reflect.ValueOf(&s).Elem().FieldByName(group).Field(i)
+			if field.Int() <= 0 {
+				t.Errorf("%s has no default", structure.Type.Field(i).Name)
+			}
+			field.SetInt(-1)
+			path := structure.Tag.Get("json") + "." + structure.Type.Field(i).Tag.Get("json")
+			if !slices.ContainsFunc(s.Validate(), func(p jsonc.Problem) bool { return p.Field == path }) {
+				t.Errorf("-1 in %s is accepted", path)
+			}
+		}
+	}
+}
