Answer internal faults and count budgets by admitted requests

A panic is answered as internal and gives its slot back. Budgets for further attempts grow with requests that were given a slot; under a surge the requests that are shed before would otherwise pay for more further attempts than there is work. Request counters are kept per label instead of being looked up through a new scope for every request.

--- a/internal/instance/entry/attempt.go
+++ b/internal/instance/entry/attempt.go
@@ -117,6 +117,9 @@
 		return
 	}
 	a.ended = true
+	if a.answer == nil && a.err == nil {
+		a.err = errkind.New(errkind.Internal, "the attempt did not run to its end")
+	}
 	if a.answer != nil {
 		_ = a.answer.Body.Close()
 	}
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -51,6 +51,7 @@
 	log     *zap.Logger
 	pools   *upstream.Pools
 	ring    *ring
+	metrics *serviceMetrics // of requests that belong to no service
 
 	buffers *bufferPool
 
@@ -87,6 +88,7 @@
 		log:      cfg.Log,
 		pools:    upstream.New(cfg.Upstreams),
 		ring:     newRing(cfg.Limits.Explanations),
+		metrics:  newServiceMetrics(cfg.Scope, noService),
 		buffers:  &bufferPool{size: cfg.Limits.BufferedAnswerBytes + 1},
 		services: make(map[string]*service),
 		rand:     cfg.Rand,
--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -32,6 +32,7 @@
 	e.setServing(true)
 	defer s.record(e)
 	defer e.after()
+	defer s.recoverPanic(e)
 	if strings.HasPrefix(r.URL.Path, localPrefix) {
 		s.serveLocal(e)
 		return
@@ -41,6 +42,24 @@
 	}
 }
 
+// recoverPanic answers a request whose handling has panicked. An answer that has
+// begun is aborted.
+func (s *Server) recoverPanic(e *exchange) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if p == http.ErrAbortHandler {
+		panic(p)
+	}
+	s.log.Error("panic", zap.String("request_id", e.id), zap.Any("value", p), zap.StackSkip("stack", 1))
+	err := errkind.New(errkind.Internal, "the instance failed to handle the request")
+	if e.explanation.Status != 0 {
+		e.abort(err)
+	}
+	e.fail(err)
+}
+
 // callerOf returns the caller account of a request, else its remote IP.
 func callerOf(r *http.Request) string {
 	if c := r.Header.Get(headerCaller); c != "" {
@@ -176,14 +195,14 @@
 		x.Route = routeName(e.route)
 	}
 	s.ring.add(*x)
-	scope := unknownServiceScope(s.cfg.Scope)
+	metrics := s.metrics
 	if e.st != nil {
-		scope = e.st.metrics.scope
+		metrics = e.st.metrics
 		e.st.metrics.total.RecordDuration(x.Total)
 		e.st.metrics.queued.RecordDuration(x.Queued)
 		e.st.metrics.overhead.RecordDuration(max(0, x.Total-x.Queued-e.upstreamTime))
 	}
-	requestCounter(scope, x.Status, x.Kind).Inc(1)
+	metrics.request(x.Status, x.Kind).Inc(1)
 	s.log.Info("request", zap.String("request_id", x.RequestID), zap.String("service", x.Service),
 		zap.String("route", x.Route), zap.String("caller", x.Caller), zap.Int("status", x.Status),
 		zap.String("kind", x.Kind), zap.String("run", x.Run), zap.Int("attempts", len(x.Attempts)),
--- a/internal/instance/entry/handler_test.go
+++ b/internal/instance/entry/handler_test.go
@@ -91,3 +91,22 @@
 		}
 	}
 }
+
+// panickingControl fails when it is told an outcome.
+type panickingControl struct{ fakeControl }
+
+func (c *panickingControl) ReportOutcome(health.Outcome) { panic("broken") }
+
+// Guards against a fault of this program that leaves a caller without an
+// answer, a slot taken or the process dead.
+func TestPanicIsAnswered(t *testing.T) {
+	c := &panickingControl{fakeControl{snap: snapshotOf(testDocument(), standin(t, "u1", succeed))}}
+	s, url := startServer(t, c, nil)
+	resp, _ := do(t, request(t, http.MethodPost, url+"/write/x", []byte("b")))
+	if resp.Header.Get(errkind.HeaderError) != string(errkind.Internal) || resp.Header.Get(errkind.HeaderRun) != string(errkind.Unknown) {
+		t.Errorf("status %d, header %v", resp.StatusCode, resp.Header)
+	}
+	if len(s.InFlight()) != 0 {
+		t.Errorf("in flight %v", s.InFlight())
+	}
+}
--- a/internal/instance/entry/match.go
+++ b/internal/instance/entry/match.go
@@ -30,8 +30,10 @@
 
 // normalHost returns a Host header in lower case and without its port.
 func normalHost(host string) string {
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
+	if strings.Contains(host, ":") {
+		if h, _, err := net.SplitHostPort(host); err == nil {
+			host = h
+		}
 	}
 	return strings.ToLower(strings.TrimSuffix(host, "."))
 }
--- a/internal/instance/entry/metrics.go
+++ b/internal/instance/entry/metrics.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -16,6 +17,7 @@
 // serviceMetrics are the metrics of one service.
 type serviceMetrics struct {
 	scope    tally.Scope
+	requests sync.Map // requestLabels → tally.Counter
 	attempts tally.Counter
 	retries  tally.Counter
 	refusals tally.Counter
@@ -24,11 +26,9 @@
 	overhead tally.Histogram
 }
 
-// unknownServiceScope is for requests that belong to no service, such as locate
-// requests. Counters of a name all need the same labels.
-func unknownServiceScope(scope tally.Scope) tally.Scope {
-	return scope.Tagged(map[string]string{"service": "none"})
-}
+// noService is the service label of requests that belong to no service, such as
+// locate requests. Counters of a name all need the same labels.
+const noService = "none"
 
 func newServiceMetrics(scope tally.Scope, service string) *serviceMetrics {
 	sc := scope.Tagged(map[string]string{"service": service})
@@ -53,11 +53,20 @@
 	return statusClasses[0]
 }
 
-// requestCounter counts answers by the class of their status and, for the
-// fleet's own answers, their kind.
-func requestCounter(scope tally.Scope, status int, kind string) tally.Counter {
+// requestLabels are the labels of a counter of requests.
+type requestLabels struct{ status, kind string }
+
+// request returns the counter of answers of a status's class and, for the
+// fleet's own answers, a kind.
+func (m *serviceMetrics) request(status int, kind string) tally.Counter {
 	if kind == "" {
 		kind = "none"
 	}
-	return scope.Tagged(map[string]string{"status": statusClass(status), "kind": kind}).Counter("requests")
+	l := requestLabels{statusClass(status), kind}
+	if c, ok := m.requests.Load(l); ok {
+		return c.(tally.Counter)
+	}
+	c := m.scope.Tagged(map[string]string{"status": l.status, "kind": l.kind}).Counter("requests")
+	m.requests.Store(l, c)
+	return c
 }
--- a/internal/instance/entry/metrics_test.go
+++ b/internal/instance/entry/metrics_test.go
@@ -11,6 +11,6 @@
 func TestRequestsOfAnyServiceHaveTheSameLabels(t *testing.T) {
 	m := telemetry.NewMetrics(func(err error) { t.Error(err) })
 	defer m.Close()
-	requestCounter(unknownServiceScope(m.Scope), 404, "unknown-service").Inc(1)
-	requestCounter(newServiceMetrics(m.Scope, "entries").scope, 200, "").Inc(1)
+	newServiceMetrics(m.Scope, noService).request(404, "unknown-service").Inc(1)
+	newServiceMetrics(m.Scope, "entries").request(200, "").Inc(1)
 }
--- a/internal/instance/entry/outcome.go
+++ b/internal/instance/entry/outcome.go
@@ -64,7 +64,7 @@
 // nothing that was not reported before.
 func (a *attempt) report() {
 	class, reason := a.class()
-	if class == health.OK {
+	if class == health.OK && a.trace.Latency > 0 {
 		a.st.observe(routeName(a.e.route), a.trace.Latency)
 	}
 	if a.late.sent && a.refused == upstream.NotRefused {
@@ -101,7 +101,7 @@
 	}
 	kind := a.e.kindOf(a.err)
 	switch {
-	case a.refused != upstream.NotRefused, a.trace.Unproven, a.trace.Local, kind == errkind.CallerGone,
+	case a.refused != upstream.NotRefused, a.trace.Unproven, a.trace.Local, kind == errkind.Internal, kind == errkind.CallerGone,
 		kind == errkind.CallerBodyFailed, kind == errkind.BodyLimitExceeded:
 		return health.Neutral, string(kind)
 	case errors.Is(a.err, errCallerWrite):
--- a/internal/instance/entry/retry.go
+++ b/internal/instance/entry/retry.go
@@ -29,10 +29,12 @@
 	if err != nil {
 		return e.verdict(err)
 	}
-	var held *attempt // a whole answer with an unhealthy status
+	st.admitted()
+	var a, held *attempt       // held is a whole answer with an unhealthy status
+	defer func() { a.end() }() // gives the slot back, also after a panic
 	cause := ""
 	for n := 0; ; n++ {
-		a := &attempt{s: s, e: e, st: st, choice: c, cause: cause, number: n}
+		a = &attempt{s: s, e: e, st: st, choice: c, cause: cause, number: n}
 		a.run(e.ctx)
 		if a.err == nil && !(a.unhealthy() && a.whole) {
 			held.drop()
--- a/internal/instance/entry/run.go
+++ b/internal/instance/entry/run.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"log"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -74,12 +76,20 @@
 		ReadHeaderTimeout: milliseconds(s.cfg.Times.HeaderMS),
 		IdleTimeout:       milliseconds(s.cfg.Times.HeaderMS),
 		MaxHeaderBytes:    s.cfg.Limits.HeaderBytes,
-		ErrorLog:          zap.NewStdLog(s.log),
+		ErrorLog:          log.New(serverLog{s.log}, "", 0),
 		ConnContext:       withCallerConn,
 		ConnState:         s.callers.state,
 	}
 }
 
+// serverLog writes what the HTTP server reports as log lines.
+type serverLog struct{ log *zap.Logger }
+
+func (l serverLog) Write(p []byte) (int, error) {
+	l.log.Warn("http_server", zap.String("message", strings.TrimSpace(string(p))))
+	return len(p), nil
+}
+
 // server returns the HTTP server of the current Run, nil before.
 func (s *Server) server() *http.Server {
 	s.mu.Lock()
--- a/internal/instance/entry/service.go
+++ b/internal/instance/entry/service.go
@@ -58,13 +58,21 @@
 	return st
 }
 
-// arrive counts a new request for the budgets.
+// arrive counts a new request for the share of probes.
 func (st *service) arrive() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.probes.earn()
+}
+
+// admitted counts a request that has its first slot for the budgets. Requests
+// that are shed before do not count: under a surge these would pay for more
+// further attempts than there is work.
+func (st *service) admitted() {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.retries.earn()
 	st.refusals.earn()
-	st.probes.earn()
 }
 
 // spend takes a token for a further attempt. A cheap attempt follows one that
