Read an upstream's early answer although writing to it fails

An upstream that refuses a long body and closes its connection resets it. The transport then closed the connection on the failed write before it had read the refusal, and the caller was told unknown where not-run was true. A failed write is now held back for up to 100 ms while the answer is read.

--- a/internal/instance/entry/upstream/conn.go
+++ b/internal/instance/entry/upstream/conn.go
@@ -13,11 +13,18 @@
 // waiting after an answer was read. It only has to be scheduled.
 const parkLimit = 5 * time.Millisecond
 
+// answerGrace is the time for which a failed write is held back while an answer
+// may still be read. An upstream that answers without reading the whole body
+// and closes its connection makes writing fail, on which the transport closes
+// the connection before it has read the answer.
+const answerGrace = 100 * time.Millisecond
+
 // countedConn is a connection that knows what passed through it. An attempt
 // learns from it whether any byte of its request was written, and the pool
 // whether the connection carries bytes that nobody asked for.
 type countedConn struct {
 	net.Conn
+	over chan struct{} // closed when reading has ended or the connection is closed
 
 	mu       sync.Mutex
 	written  int64         // bytes accepted by the operating system
@@ -25,6 +32,7 @@
 	sealed   bool          // no further Write is let through
 	received int64         // bytes received
 	ended    bool          // reading failed or reached the end
+	isOver   bool          // over is closed
 	parked   bool          // the reader waits, with an empty buffer
 	onPark   chan struct{} // closed when the reader parks, nil if nobody waits
 	onClose  func()        // called when the connection is closed, may be nil
@@ -44,9 +52,30 @@
 	c.writing = false
 	c.written += int64(n)
 	c.mu.Unlock()
+	if err != nil {
+		c.awaitOver()
+	}
 	return n, err
 }
 
+// awaitOver waits until nothing more can be read, for at most answerGrace.
+func (c *countedConn) awaitOver() {
+	t := time.NewTimer(answerGrace)
+	defer t.Stop()
+	select {
+	case <-c.over:
+	case <-t.C:
+	}
+}
+
+// endLocked lets awaitOver return.
+func (c *countedConn) endLocked() {
+	if !c.isOver {
+		c.isOver = true
+		close(c.over)
+	}
+}
+
 // Read counts the bytes received. The transport calls it only when it has
 // nothing buffered.
 func (c *countedConn) Read(p []byte) (int, error) {
@@ -61,7 +90,10 @@
 	c.mu.Lock()
 	c.parked = false
 	c.received += int64(n)
-	c.ended = c.ended || err != nil
+	if err != nil {
+		c.ended = true
+		c.endLocked()
+	}
 	c.mu.Unlock()
 	return n, err
 }
@@ -70,6 +102,7 @@
 func (c *countedConn) Close() error {
 	c.mu.Lock()
 	f := c.onClose
+	c.endLocked()
 	c.mu.Unlock()
 	err := c.Conn.Close()
 	if f != nil {
@@ -164,7 +197,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &countedConn{Conn: nc}
+	c := &countedConn{Conn: nc, over: make(chan struct{})}
 	if s, ok := ctx.Value(dialSlotKey{}).(*dialSlot); ok {
 		s.conn = c
 	}
