Report silent upstreams as failures and slow ones as slow

The engine knows a route's median only after answers of three upstreams, which an instance with few home slots may never see; a late answer reported as OK then counted as a success of a hanging upstream. An answer over the document's slow_after_ms is still reported as slow before it is there. One that takes eight times as long as healthy answers rarely exceed, and at least 500 ms, is reported as a failure, and an idempotent request then moves on.

--- a/internal/instance/entry/late_test.go
+++ b/internal/instance/entry/late_test.go
@@ -20,6 +20,26 @@
 	}
 }
 
+// finishOnceReported sends a request, lets its upstream finish when an outcome
+// was reported, and returns the status of the answer, 0 for none.
+func finishOnceReported(t *testing.T, c *fakeControl, finish chan struct{}, req *http.Request) int {
+	t.Helper()
+	status := make(chan int, 1)
+	go func() {
+		resp, err := callers.RoundTrip(req)
+		if err != nil {
+			status <- 0
+			return
+		}
+		_ = resp.Body.Close()
+		status <- resp.StatusCode
+	}()
+	defer func() { close(finish) }()
+	eventually(t, "report", func() bool { return len(c.reported()) > 0 })
+	finish <- struct{}{}
+	return <-status
+}
+
 // Guards against an upstream that accepts requests and stays silent without
 // being noticed before the deadline, and against an idempotent request that
 // waits for it although another upstream is free.
@@ -35,7 +55,7 @@
 		t.Errorf("status %d after %v", resp.StatusCode, time.Since(began))
 	}
 	out := c.reported()
-	if len(out) != 2 || out[0].Upstream.Upstream != "u1" || out[0].Class != health.OK || out[0].Latency < minLate {
+	if len(out) != 2 || out[0].Upstream.Upstream != "u1" || out[0].Class != health.Failed || out[0].Latency < minSilent {
 		t.Errorf("outcomes %+v", out)
 	}
 	if len(s.InFlight()) != 0 {
@@ -54,11 +74,26 @@
 	}))}
 	s, url := startServer(t, c, nil)
 	warm(s, time.Millisecond)
-	time.AfterFunc(2*minCut, func() { close(finish) })
-	if resp, _ := do(t, request(t, http.MethodGet, url+"/write/x", nil)); resp.StatusCode != http.StatusOK {
-		t.Errorf("status %d", resp.StatusCode)
+	if status := finishOnceReported(t, c, finish, request(t, http.MethodGet, url+"/write/x", nil)); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+	if out := c.reported(); len(out) != 1 || out[0].Class != health.Failed || out[0].Latency < minSilent {
+		t.Errorf("outcomes %+v", out)
+	}
+}
+
+// Guards against an answer over the document's limit that is reported only when
+// it is there, or twice, or as a failure, for which cold starts do not count.
+func TestSlowAnswerIsReportedEarly(t *testing.T) {
+	finish := make(chan struct{})
+	doc := testDocument()
+	doc.Unhealthy.SlowAfterMS = 20
+	c := &fakeControl{snap: snapshotOf(doc, standin(t, "u1", func(http.ResponseWriter, *http.Request) { <-finish }))}
+	_, url := startServer(t, c, nil)
+	if status := finishOnceReported(t, c, finish, request(t, http.MethodGet, url+"/write/x", nil)); status != http.StatusOK {
+		t.Errorf("status %d", status)
 	}
-	if out := c.reported(); len(out) != 1 || out[0].Latency < minLate {
+	if out := c.reported(); len(out) != 1 || out[0].Class != health.OK || out[0].Latency != 20*time.Millisecond {
 		t.Errorf("outcomes %+v", out)
 	}
 }
--- a/internal/instance/entry/outcome.go
+++ b/internal/instance/entry/outcome.go
@@ -67,7 +67,7 @@
 	if class == health.OK && a.trace.Latency > 0 {
 		a.st.observe(routeName(a.e.route), a.trace.Latency)
 	}
-	if a.late.sent && a.refused == upstream.NotRefused {
+	if a.refused == upstream.NotRefused && a.late.reported(class) {
 		return
 	}
 	if reason == string(errkind.NoUpstream) {
--- a/internal/instance/entry/retry.go
+++ b/internal/instance/entry/retry.go
@@ -100,7 +100,7 @@
 // another returns the slot and the cause of the attempt after a, or false when
 // there is to be none.
 func (e *exchange) another(a *attempt) (c choice, cause string, ok bool) {
-	if next := a.late.next; next != nil { // cutOff has spent the budget
+	if next := a.late.next; next != nil { // takeSuccessor has spent the budget
 		e.tried(a)
 		return *next, causeLate, true
 	}
