Use upstreams in full while all of them ramp up

A weight below 1 protects an upstream whose capacity returns while others carry the work. Without others it only made requests wait. Reads of short bodies take no more memory than the body.

--- a/internal/instance/entry/body.go
+++ b/internal/instance/entry/body.go
@@ -31,6 +31,7 @@
 	trailer http.Header // of the caller's request, filled in at the end of src
 	limit   int64       // largest body in bytes
 	keep    int         // bytes kept for another attempt
+	chunk   int         // size of one read in bytes
 	asked   bool        // the caller waits for 100 Continue before it sends the body
 
 	mu      sync.Mutex
@@ -46,7 +47,13 @@
 }
 
 func newRequestBody(r *http.Request, keep int) *requestBody {
-	b := &requestBody{src: r.Body, trailer: r.Trailer, limit: defaultMaxBody, keep: keep, asked: r.Header.Get("Expect") != ""}
+	b := &requestBody{
+		src: r.Body, trailer: r.Trailer, limit: defaultMaxBody, keep: keep, chunk: bodyChunk,
+		asked: r.Header.Get("Expect") != "",
+	}
+	if n := r.ContentLength; n > 0 && n < bodyChunk {
+		b.chunk = int(n) // net/http gives the end together with the last byte
+	}
 	b.changed.L = &b.mu
 	return b
 }
@@ -61,13 +68,13 @@
 // run reads from the caller until the end of the body.
 func (b *requestBody) run() {
 	defer close(b.pump)
-	chunk := make([]byte, bodyChunk)
+	chunk := make([]byte, b.chunk)
 	for {
 		room := b.room()
 		if room == 0 {
 			return
 		}
-		n, err := b.src.Read(chunk[:room])
+		n, err := b.src.Read(chunk[:min(room, len(chunk))])
 		if !b.add(chunk[:n], err) {
 			return
 		}
--- a/internal/instance/entry/pick.go
+++ b/internal/instance/entry/pick.go
@@ -65,12 +65,13 @@
 	var best candidate
 	found := false
 	again := st.triedAll(svc, w)
+	top := st.topWeight(svc, now)
 	for _, i := range st.rand.Perm(len(svc.Upstreams)) {
 		u := &svc.Upstreams[i]
 		if u.State != health.InService || st.avoided(u.ID, now) || !again && slices.Contains(w.tried, u.ID) {
 			continue
 		}
-		c, ok := st.candidate(u, w, now)
+		c, ok := st.candidate(u, min(1, u.Weight/top), w, now)
 		if !ok {
 			continue
 		}
@@ -85,18 +86,33 @@
 	return choice{upstream: svc.Upstreams[best.index], home: best.home}, true
 }
 
+// topWeight returns the highest weight of the upstreams that can be chosen.
+// While capacity returns at all of them, they are used in full.
+func (st *service) topWeight(svc *routing.Service, now time.Time) float64 {
+	top := 0.0
+	for i := range svc.Upstreams {
+		u := &svc.Upstreams[i]
+		if u.State == health.InService && !st.avoided(u.ID, now) {
+			top = max(top, u.Weight)
+		}
+	}
+	if top == 0 {
+		return 1
+	}
+	return top
+}
+
 // candidate returns u as a candidate if it has a slot for w. An upstream whose
 // weight is below 1 takes part in that share of the choices, with that share of
 // its slots.
-func (st *service) candidate(u *routing.Upstream, w *want, now time.Time) (candidate, bool) {
+func (st *service) candidate(u *routing.Upstream, weight float64, w *want, now time.Time) (candidate, bool) {
 	own := st.inFlight[u.ID]
 	if own >= max(1, u.MaxConnections) || own > 0 && st.unreached[u.ID] {
 		return candidate{}, false
 	}
-	if u.Weight < 1 && st.rand.Float64() >= u.Weight {
+	if weight < 1 && st.rand.Float64() >= weight {
 		return candidate{}, false
 	}
-	weight := min(1, u.Weight)
 	c := candidate{
 		home: float64(own) < math.Ceil(float64(u.HomeSlots)*weight),
 		load: float64(own+u.PeerInFlight) / float64(max(1, u.Slots)),
--- a/internal/instance/entry/pick_test.go
+++ b/internal/instance/entry/pick_test.go
@@ -29,6 +29,19 @@
 	}
 }
 
+// Guards against a service that is held back because all its upstreams have
+// just come back.
+func TestWeightWithoutOtherUpstreams(t *testing.T) {
+	u := upstreamAt("u1", "127.0.0.1:1")
+	u.Weight, u.HomeSlots, u.Slots = 0.1, 4, 4
+	st := newService(&fakeControl{snap: snapshotOf(testDocument(), u)})
+	for i := range u.Slots {
+		if _, ok := st.tryAcquire(wantOf("x")); !ok {
+			t.Fatalf("slot %d is not used", i)
+		}
+	}
+}
+
 // Guards against many requests that wait for a connection to an upstream that
 // cannot be reached.
 func TestUnreachedUpstreamGetsOneRequest(t *testing.T) {
