--- a/internal/instance/control/documents.go
+++ b/internal/instance/control/documents.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,6 +27,7 @@
 // documents are the documents in force with the digest of their revisions.
 type documents struct {
 	byService map[string]*inForce
+	hosts     map[string]string // lower-case host to service
 	refused   map[string]uint64 // highest revision that did not parse
 	digest    uint64
 }
@@ -34,6 +36,7 @@
 	if d.byService == nil {
 		d.byService = make(map[string]*inForce)
 		d.refused = make(map[string]uint64)
+		d.hosts = make(map[string]string)
 	}
 }
 
@@ -46,11 +49,29 @@
 
 func (d *documents) set(f *inForce) {
 	service := f.envelope.Service
-	if old := d.revision(service); old > 0 {
-		d.digest ^= revisionHash(service, old)
+	old := d.byService[service]
+	if old != nil {
+		d.digest ^= revisionHash(service, old.envelope.Revision)
 	}
 	d.digest ^= revisionHash(service, f.envelope.Revision)
 	d.byService[service] = f
+	if old == nil || !slices.Equal(old.parsed.Hosts, f.parsed.Hosts) {
+		d.assignHosts()
+	}
+}
+
+// assignHosts maps hosts to services. Of several services that claim a host the
+// one with the smallest name gets it, at every instance alike.
+func (d *documents) assignHosts() {
+	clear(d.hosts)
+	for service, f := range d.byService {
+		for _, host := range f.parsed.Hosts {
+			host = strings.ToLower(host)
+			if owner, taken := d.hosts[host]; !taken || service < owner {
+				d.hosts[host] = service
+			}
+		}
+	}
 }
 
 func (d *documents) revisions() map[string]uint64 {
--- a/internal/instance/control/links.go
+++ b/internal/instance/control/links.go
@@ -68,12 +68,12 @@
 func (l *Loop) setInFlight(k *link, inFlight map[health.Key]uint32) {
 	for key, n := range inFlight {
 		if k.inFlight[key] != n {
-			l.publisher.service(key.Service, false)
+			l.publisher.loaded[key.Service] = true
 		}
 	}
 	for key := range k.inFlight {
 		if _, ok := inFlight[key]; !ok {
-			l.publisher.service(key.Service, false)
+			l.publisher.loaded[key.Service] = true
 		}
 	}
 	k.inFlight = inFlight
--- a/internal/instance/control/loop.go
+++ b/internal/instance/control/loop.go
@@ -192,12 +192,12 @@
 	l.feed(now, health.Event{Tick: &health.Tick{}})
 	l.expireMembers(now)
 	l.sendEvidence(now)
+	l.refresh()
 	l.heartbeats(now, l.cfg.Heartbeat)
 	if now.Sub(l.lastSync) >= SyncInterval {
 		l.lastSync = now
 		l.metrics.observe(l)
 		l.synchronize()
-		l.refreshWeights()
 		if l.relink {
 			l.chooseLinks()
 		}
--- a/internal/instance/control/snapshot.go
+++ b/internal/instance/control/snapshot.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"knapweedreel/internal/document"
@@ -21,6 +20,7 @@
 	services map[string]bool // services whose upstreams changed
 	shares   map[string]share
 	rising   map[string]bool // services with an upstream whose weight grows with time
+	loaded   map[string]bool // services whose requests in flight at peers changed
 	present  []string        // members that share slots, as of the last snapshot
 	last     time.Time
 }
@@ -33,7 +33,7 @@
 }
 
 func newPublisher() publisher {
-	return publisher{services: make(map[string]bool), shares: make(map[string]share), rising: make(map[string]bool)}
+	return publisher{services: make(map[string]bool), shares: make(map[string]share), rising: make(map[string]bool), loaded: make(map[string]bool)}
 }
 
 func (p *publisher) service(name string, urgent bool) {
@@ -50,12 +50,19 @@
 
 func (p *publisher) all(urgent bool) { p.members(urgent) }
 
-// refreshWeights lets the next snapshot show the weights of returning upstreams,
-// which grow without an event.
-func (l *Loop) refreshWeights() {
-	for name := range l.publisher.rising {
-		l.publisher.service(name, false)
+// refresh lets the next snapshot show what changes all the time: the weights of
+// returning upstreams, which grow without an event, and peers' requests in
+// flight, which come with every heartbeat. It is called on ticks, because a
+// snapshot for each heartbeat costs more than all else in the loop.
+func (l *Loop) refresh() {
+	p := &l.publisher
+	for name := range p.rising {
+		p.service(name, false)
+	}
+	for name := range p.loaded {
+		p.service(name, false)
 	}
+	clear(p.loaded)
 }
 
 type publishEvent struct{}
@@ -91,22 +98,15 @@
 	}
 	if p.fleet || previous == nil {
 		next.Members = l.routingMembers()
-		p.present = l.presentMembers(next.Shards)
-		l.followShards(now, next.Shards)
-		clear(p.shares)
-		for name := range l.documents.byService {
-			p.services[name] = true
-		}
+		l.followMembers(now, next.Shards)
 	}
 	for name := range p.services {
 		if f, ok := l.documents.byService[name]; ok {
 			next.Services[name] = l.routingService(f, next.Shards)
 		}
 	}
-	for _, name := range slices.Backward(slices.Sorted(maps.Keys(next.Services))) {
-		for _, host := range next.Services[name].Document.Hosts {
-			next.Hosts[strings.ToLower(host)] = next.Services[name]
-		}
+	for host, name := range l.documents.hosts {
+		next.Hosts[host] = next.Services[name]
 	}
 	l.snapshot.Store(next)
 	l.metrics.snapshots.Inc(1)
@@ -114,6 +114,24 @@
 	p.dirty, p.urgent, p.fleet, p.last = false, false, false, now
 }
 
+// followMembers divides slots and connections again when the members that share
+// them changed, and services between shards when their number did.
+func (l *Loop) followMembers(now time.Time, shards int) {
+	p := &l.publisher
+	present := l.presentMembers(shards)
+	if shards == l.shards && slices.Equal(present, p.present) {
+		return
+	}
+	p.present = present
+	clear(p.shares)
+	for name := range l.documents.byService {
+		if shards != l.shards || l.serves(name, shards) {
+			p.services[name] = true
+		}
+	}
+	l.followShards(now, shards)
+}
+
 func (l *Loop) routingMembers() []routing.Member {
 	out := make([]routing.Member, 0, l.table.Len())
 	for row := range l.table.All() {
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -3,6 +3,7 @@
 import (
 	"iter"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -47,7 +48,7 @@
 	self    string
 	timeout time.Duration
 	rows    map[string]*Row
-	order   []string // the keys of rows, sorted
+	order   []*Row // all rows in the order of their IDs
 }
 
 // NewTable returns a table that holds only the given instance. A peer counts
@@ -60,8 +61,8 @@
 
 func (t *Table) insert(row *Row) {
 	t.rows[row.ID] = row
-	at, _ := slices.BinarySearch(t.order, row.ID)
-	t.order = slices.Insert(t.order, at, row.ID)
+	at, _ := slices.BinarySearchFunc(t.order, row.ID, func(r *Row, id string) int { return strings.Compare(r.ID, id) })
+	t.order = slices.Insert(t.order, at, row)
 }
 
 // SetSelf replaces what this instance says of itself.
@@ -178,10 +179,9 @@
 // Transitions are in the order of the members' IDs.
 func (t *Table) Expire(now time.Time, watched func(id string) bool) []Transition {
 	var out []Transition
-	for _, id := range t.order {
-		row := t.rows[id]
-		to := row.expired(now.Sub(row.since()), t.timeout, func() bool { return watched(id) })
-		if id == t.self || to == row.Presence {
+	for _, row := range t.order {
+		to := row.expired(now.Sub(row.since()), t.timeout, watched)
+		if to == row.Presence || row.ID == t.self {
 			continue
 		}
 		out = append(out, Transition{Member: row.Info, From: row.Presence, To: to, State: row.State})
@@ -194,13 +194,13 @@
 }
 
 // expired returns the presence after the given silence.
-func (r *Row) expired(silence, timeout time.Duration, watched func() bool) Presence {
+func (r *Row) expired(silence, timeout time.Duration, watched func(id string) bool) Presence {
 	switch {
 	case r.Presence == Live && silence >= timeout:
 		return Lost
-	case r.Presence == Known && silence >= timeout && watched():
+	case r.Presence == Known && silence >= timeout && watched(r.ID):
 		return Lost
-	case r.Presence == Lost && silence >= lostMemory && r.Listed && !watched():
+	case r.Presence == Lost && silence >= lostMemory && r.Listed && !watched(r.ID):
 		return Known
 	}
 	return r.Presence
@@ -229,12 +229,11 @@
 // there were any.
 func (t *Table) prune() bool {
 	before := len(t.order)
-	t.order = slices.DeleteFunc(t.order, func(id string) bool {
-		row := t.rows[id]
-		if id == t.self || row.Presence == Live || row.Listed {
+	t.order = slices.DeleteFunc(t.order, func(row *Row) bool {
+		if row.ID == t.self || row.Presence == Live || row.Listed {
 			return false
 		}
-		delete(t.rows, id)
+		delete(t.rows, row.ID)
 		return true
 	})
 	return len(t.order) != before
@@ -253,8 +252,8 @@
 // the order of their IDs. The table must not be changed meanwhile.
 func (t *Table) All() iter.Seq[Row] {
 	return func(yield func(Row) bool) {
-		for _, id := range t.order {
-			if !yield(*t.rows[id]) {
+		for _, row := range t.order {
+			if !yield(*row) {
 				return
 			}
 		}
