--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -70,18 +71,22 @@
 	return settings.Keys{CertificateFile: out.CertificateFile, KeyFile: out.KeyFile, AuthorityFile: f.authority.CertificateFile}
 }
 
-// freeAddress returns a loopback address that nothing listens on at the moment.
-func (f *testFleet) freeAddress(network string) string {
-	if network == "udp" {
-		c, err := net.ListenPacket("udp", "127.0.0.1:0")
-		f.must(err)
-		defer c.Close()
-		return c.LocalAddr().String()
+// freeAddress returns a loopback address that nothing uses at the moment. The
+// port is below the range from which the system takes ports for connections,
+// so that none of them takes it before the instance listens.
+func (f *testFleet) freeAddress() string {
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(20_000))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		l.Close()
+		if c, err := net.ListenPacket("udp", address); err == nil {
+			c.Close()
+			return address
+		}
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	f.must(err)
-	defer l.Close()
-	return l.Addr().String()
 }
 
 // testInstance is a running instance.
@@ -96,7 +101,7 @@
 func (f *testFleet) start(name string) *testInstance {
 	i := &testInstance{ended: make(chan struct{}), settings: settings.Settings{
 		Instance: name, Region: "south", FailureDomain: "south-1",
-		EntryAddress: f.freeAddress("tcp"), PeerAddress: f.freeAddress("udp"), AdminAddress: f.freeAddress("tcp"),
+		EntryAddress: f.freeAddress(), PeerAddress: f.freeAddress(), AdminAddress: f.freeAddress(),
 		StoreAddress: f.storeAddr, Keys: f.certificate(name, keys.RoleInstance),
 		Times: settings.Times{KeepMS: 500, DrainMS: 1000},
 	}}
