--- a/internal/instance/control/antientropy.go
+++ b/internal/instance/control/antientropy.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"iter"
 	"maps"
 	"slices"
 
@@ -12,7 +11,7 @@
 // synchronize compares the digest with one random linked peer's and exchanges
 // revisions when they differ. While documents are unchecked it asks anyway.
 func (l *Loop) synchronize() {
-	peers := l.sample(slices.Sorted(l.linkedIDs()), 1)
+	peers := l.sample(l.linkedIDs(), 1)
 	if len(peers) == 0 {
 		return
 	}
@@ -21,7 +20,9 @@
 	}
 }
 
-func (l *Loop) linkedIDs() iter.Seq[string] { return maps.Keys(l.links) }
+// linkedIDs returns the peers with a link in order, so that what a loop sends
+// depends only on its inputs and its random source.
+func (l *Loop) linkedIDs() []string { return slices.Sorted(maps.Keys(l.links)) }
 
 // askRevisions sends the own revisions and asks for the receivers'.
 func (l *Loop) askRevisions(ids ...string) {
--- a/internal/instance/control/documents.go
+++ b/internal/instance/control/documents.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -221,8 +220,7 @@
 // pushDocument passes a new document on: to every link when it was accepted
 // here, else to a few random ones.
 func (l *Loop) pushDocument(envelope document.Envelope, source platform.DocumentSource, sender string) {
-	targets := slices.Sorted(maps.Keys(l.links))
-	targets = slices.DeleteFunc(targets, func(id string) bool { return id == sender })
+	targets := slices.DeleteFunc(l.linkedIDs(), func(id string) bool { return id == sender })
 	if source != platform.SourcePut {
 		targets = l.sample(targets, Fanout)
 	}
--- a/internal/instance/control/heartbeat.go
+++ b/internal/instance/control/heartbeat.go
@@ -20,7 +20,8 @@
 // heartbeats sends a heartbeat on every link whose last one is as old as the
 // given time, less half a tick.
 func (l *Loop) heartbeats(now time.Time, after time.Duration) {
-	for id, k := range l.links {
+	for _, id := range l.linkedIDs() {
+		k := l.links[id]
 		if now.Sub(k.beat) >= after-health.TickInterval/2 {
 			l.heartbeat(now, id, k)
 		}
--- a/internal/instance/control/leaving.go
+++ b/internal/instance/control/leaving.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -36,12 +37,12 @@
 
 // setListedLeaving takes in the upstreams that the list calls leaving.
 func (l *Loop) setListedLeaving(now time.Time, leaving map[health.Key]bool) {
-	for key := range leaving {
+	for _, key := range sortedKeys(leaving) {
 		if !l.leavings.listed[key] {
 			l.leaving(now, key, health.LeavingList, true)
 		}
 	}
-	for key := range l.leavings.listed {
+	for _, key := range sortedKeys(l.leavings.listed) {
 		if !leaving[key] {
 			l.leaving(now, key, health.LeavingList, false)
 		}
@@ -100,9 +101,18 @@
 			out = append(out, key)
 		}
 	}
+	slices.SortFunc(out, compareKeys)
 	return out
 }
 
+func sortedKeys[V any](m map[health.Key]V) []health.Key {
+	return slices.SortedFunc(maps.Keys(m), compareKeys)
+}
+
+func compareKeys(a, b health.Key) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Upstream, b.Upstream))
+}
+
 func (l *Loop) leaves(key health.Key) bool {
 	for _, v := range l.engine.Views(key.Service) {
 		if v.Upstream == key {
--- a/internal/instance/control/links.go
+++ b/internal/instance/control/links.go
@@ -104,12 +104,11 @@
 	shards := l.table.Shards()
 	own := member.ShardOf(l.self.ID, shards)
 	var out []string
-	for id := range l.links {
+	for _, id := range l.linkedIDs() {
 		if member.ShardOf(id, shards) == own {
 			out = append(out, id)
 		}
 	}
-	slices.Sort(out)
 	return out
 }
 
--- a/internal/instance/control/loop.go
+++ b/internal/instance/control/loop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -220,13 +219,19 @@
 	urgent := c.To == health.Ejected || c.To == health.Leaves || c.Rule == health.RuleFloorReinstate
 	l.publisher.service(c.Upstream.Service, urgent)
 	l.metrics.decision(c)
-	l.cfg.Log.Info("upstream_state",
+	// Every document brings its upstreams, and a split of shards moves
+	// thousands, so that only decisions are worth a line.
+	level, decision := zap.InfoLevel, c.Rule != health.RuleNewUpstream && c.Rule != health.RuleRemoved
+	if !decision {
+		level = zap.DebugLevel
+	}
+	l.cfg.Log.Log(level, "upstream_state",
 		zap.String("service", c.Upstream.Service), zap.String("upstream", c.Upstream.Upstream),
 		zap.String("from", string(c.From)), zap.String("to", string(c.To)), zap.String("rule", string(c.Rule)),
 		zap.Uint64("revision", c.Revision), zap.Float64("score", c.Score), zap.Float64("threshold", c.Threshold),
 		zap.Strings("reporters", c.Reporters), zap.Uint64("successes", c.Successes), zap.Uint64("failures", c.Failures),
 		zap.Int("healthy", c.Healthy), zap.Int("floor", c.Floor), zap.String("detail", c.Detail))
-	if c.Rule != health.RuleNewUpstream && c.Rule != health.RuleRemoved {
+	if decision {
 		l.record(changeRecord(l.self.ID, c))
 	}
 }
@@ -240,6 +245,6 @@
 	if d > RecheckLimit && l.ready.done {
 		l.ready.begin()
 		l.publisher.all(true)
-		l.askRevisions(slices.Sorted(l.linkedIDs())...)
+		l.askRevisions(l.linkedIDs()...)
 	}
 }
--- a/internal/instance/control/members.go
+++ b/internal/instance/control/members.go
@@ -131,7 +131,7 @@
 	l.table.SetSelf(l.self)
 	l.publisher.members(true)
 	info := l.self
-	for id := range l.links {
+	for _, id := range l.linkedIDs() {
 		l.send(id, wire.Message{Hello: &info})
 	}
 	l.cfg.Log.Info("own_state", zap.String("state", string(s)))
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -15,17 +15,20 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest"
 	"go.uber.org/zap/zaptest/observer"
 
 	"knapweedreel/internal/adminclient"
+	"knapweedreel/internal/errkind"
 	"knapweedreel/internal/health"
 	"knapweedreel/internal/instance/admin"
 	"knapweedreel/internal/instance/platform"
 	"knapweedreel/internal/keys"
 	"knapweedreel/internal/settings"
 	"knapweedreel/internal/standin/storeserver"
+	"knapweedreel/internal/supervisor"
 )
 
 // limit is generous: a test waits for events and not for this time.
@@ -312,6 +315,24 @@
 	}
 }
 
+// Guards against an instance that lives on without its entry, and against an
+// error that does not lead to the exit code of a failed child.
+func TestEntryThatCannotListenEndsTheInstance(t *testing.T) {
+	f := newTestFleet(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	f.must(err)
+	defer l.Close()
+	s := settings.Settings{
+		Instance: "a", EntryAddress: l.Addr().String(), PeerAddress: f.freeAddress(), AdminAddress: f.freeAddress(),
+		StoreAddress: f.storeAddr, Keys: f.certificate("a", keys.RoleInstance),
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	if err := Run(ctx, s, zap.NewNop()); errkind.Of(err) != errkind.Internal || !errors.Is(err, supervisor.ErrTooManyFailures) {
+		t.Errorf("got %v", err)
+	}
+}
+
 // Guards against evidence that does not lead to an ejection at an instance that
 // saw no failure itself.
 func TestEjectionReachesEveryInstance(t *testing.T) {
