Record traces that replay to the last bit

The engine got times with a monotonic reading, which the trace cannot hold, and a trace began between two ticks without the documents. The engine's time is now a wall time that advances with the monotonic clock, so that a clock that is set back does not stop it, and a trace begins with the documents and a tick. The test of Run waits for the beginning of the trace for that reason.

--- a/internal/instance/control/heartbeat.go
+++ b/internal/instance/control/heartbeat.go
@@ -82,7 +82,7 @@
 
 // sendEvidence sends the evidence that is due to the peers of the own shard.
 func (l *Loop) sendEvidence(now time.Time) {
-	evidence := l.engine.Outgoing(now)
+	evidence := l.engine.Outgoing(l.engineClock.time(now))
 	if len(evidence) == 0 {
 		return
 	}
--- a/internal/instance/control/loop.go
+++ b/internal/instance/control/loop.go
@@ -41,26 +41,28 @@
 	metrics  metrics
 
 	// The fields below belong to the goroutine of Run.
-	started   time.Time
-	ran       bool
-	pause     pauseDetector
-	engine    Engine
-	self      member.Info
-	sequence  uint64 // of sent messages
-	table     *member.Table
-	links     map[string]*link
-	chosen    map[string]bool // random links outside the shard
-	watched   map[string]bool // members to which links are to be kept
-	relink    bool            // links are to be chosen again
-	shards    int             // number of shards that the engine's documents follow
-	documents documents
-	ready     readiness
-	audits    auditQueue
-	decisions decisions
-	traces    []*trace
-	leavings  leavings
-	publisher publisher
-	lastSync  time.Time
+	started     time.Time
+	ran         bool
+	pause       pauseDetector
+	engine      Engine
+	engineClock engineClock
+	self        member.Info
+	sequence    uint64 // of sent messages
+	table       *member.Table
+	links       map[string]*link
+	chosen      map[string]bool // random links outside the shard
+	watched     map[string]bool // members to which links are to be kept
+	relink      bool            // links are to be chosen again
+	shards      int             // number of shards that the engine's documents follow
+	documents   documents
+	ready       readiness
+	audits      auditQueue
+	decisions   decisions
+	newTraces   []*trace // begin with the next tick
+	traces      []*trace
+	leavings    leavings
+	publisher   publisher
+	lastSync    time.Time
 }
 
 // New returns a loop. Snapshot answers from the start; nothing else happens
@@ -81,6 +83,7 @@
 	}
 	now := cfg.Clock.Now()
 	l.started = now
+	l.engineClock = newEngineClock(now)
 	l.pause = newPauseDetector(0, now.Round(0))
 	l.table = member.NewTable(l.self, cfg.PeerTimeout, now)
 	l.links = make(map[string]*link)
@@ -188,6 +191,7 @@
 type tickEvent struct{}
 
 func (tickEvent) apply(l *Loop, now time.Time) {
+	l.beginTraces(now)
 	l.feed(now, health.Event{Tick: &health.Tick{}})
 	l.expireMembers(now)
 	l.sendEvidence(now)
@@ -206,8 +210,9 @@
 
 // feed gives an event to the health engine and acts on its decisions.
 func (l *Loop) feed(now time.Time, e health.Event) {
-	l.traceEvent(now, e)
-	changes := l.engine.Apply(now, e)
+	at := l.engineClock.time(now)
+	l.traceEvent(at, e)
+	changes := l.engine.Apply(at, e)
 	for _, c := range changes {
 		l.decided(c)
 	}
@@ -241,6 +246,7 @@
 	l.metrics.pauses.Inc(1)
 	l.cfg.Log.Warn("process_paused", zap.Duration("duration", d))
 	l.table.Resume(d)
+	l.engineClock.catchUp(now)
 	l.feed(now, health.Event{Paused: &health.Paused{Duration: d}})
 	if d > RecheckLimit && l.ready.done {
 		l.ready.begin()
--- a/internal/instance/control/loop_test.go
+++ b/internal/instance/control/loop_test.go
@@ -199,6 +199,26 @@
 	}
 }
 
+// Guards against a clock that is set back and stops the engine, and against one
+// that lets it miss the time in which a machine was suspended.
+func TestEngineClockOnlyGoesForward(t *testing.T) {
+	now := time.Now()
+	c := newEngineClock(now)
+	set := func(wall time.Duration) time.Time { return now.Round(0).Add(wall) }
+	if got := c.time(now.Add(time.Second)); !got.Equal(set(time.Second)) || got != got.Round(0) {
+		t.Errorf("after 1 s: %v", got)
+	}
+	c.catchUp(set(-time.Hour))
+	if got := c.time(now.Add(time.Second)); !got.Equal(set(time.Second)) {
+		t.Errorf("after the clock was set back: %v", got)
+	}
+	c.wall = set(-time.Minute) // as if the machine was suspended for a minute
+	c.catchUp(now)
+	if got := c.time(now); !got.Equal(now) {
+		t.Errorf("after a suspension: %v, want %v", got, now)
+	}
+}
+
 // Guards against a pause that one of the clocks does not show.
 func TestPauseDetectorUsesBothClocks(t *testing.T) {
 	wall := time.Unix(0, 0)
@@ -311,6 +331,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if first := <-events; first.Event.Document == nil || first.Event.Document.Service != "entries" {
+		t.Errorf("the trace begins with %+v", first.Event)
+	}
 	n.ReportOutcome(failure(u1))
 	for e := range events {
 		if e.Event.Outcome != nil {
--- a/internal/instance/control/trace.go
+++ b/internal/instance/control/trace.go
@@ -29,21 +29,27 @@
 
 type traceStarted struct{ trace *trace }
 
-// apply begins a trace with the documents that the engine has, so that a replay
-// knows the upstreams.
-func (e traceStarted) apply(l *Loop, now time.Time) {
-	for _, name := range slices.Sorted(maps.Keys(l.documents.byService)) {
-		f := l.documents.byService[name]
-		if l.serves(name, l.shards) {
-			e.trace.add(l, now, health.Event{Document: documentChanged(f)})
+func (e traceStarted) apply(l *Loop, _ time.Time) { l.newTraces = append(l.newTraces, e.trace) }
+
+// beginTraces begins the traces that were asked for since the last tick. A trace
+// begins with the documents that the engine has and a tick, so that a replay
+// knows the upstreams and lets scores decay from the same moments.
+func (l *Loop) beginTraces(now time.Time) {
+	at := l.engineClock.time(now)
+	for _, t := range l.newTraces {
+		for _, name := range slices.Sorted(maps.Keys(l.documents.byService)) {
+			if l.serves(name, l.shards) {
+				t.add(l, at, health.Event{Document: documentChanged(l.documents.byService[name])})
+			}
 		}
 	}
-	l.traces = append(l.traces, e.trace)
+	l.traces = append(l.traces, l.newTraces...)
+	l.newTraces = nil
 }
 
-func (t *trace) add(l *Loop, now time.Time, e health.Event) {
+func (t *trace) add(l *Loop, at time.Time, e health.Event) {
 	select {
-	case t.events <- admin.TracedEvent{Time: now, Event: e}:
+	case t.events <- admin.TracedEvent{Time: at, Event: e}:
 	default:
 		l.metrics.traceDropped.Inc(1)
 	}
@@ -51,13 +57,13 @@
 
 // closeTraces ends all readers when the loop ends.
 func (l *Loop) closeTraces() {
-	for _, t := range l.traces {
+	for _, t := range append(l.traces, l.newTraces...) {
 		close(t.events)
 	}
-	l.traces = nil
+	l.traces, l.newTraces = nil, nil
 }
 
-func (l *Loop) traceEvent(now time.Time, e health.Event) {
+func (l *Loop) traceEvent(at time.Time, e health.Event) {
 	if len(l.traces) == 0 {
 		return
 	}
@@ -66,7 +72,7 @@
 			close(t.events)
 			return true
 		}
-		t.add(l, now, e)
+		t.add(l, at, e)
 		return false
 	})
 }
