Spread requests over the region's upstreams at low load

Cause: with home slots first, a quiet service's upstream is seen by few instances, and an instance sees few upstreams, so that evidence lacks reporters and comparisons. Up to a third of the slots in use, requests now go to the region's upstreams with the fewest own requests in flight.

Also adds the benchmark of detection with real processes, and removes a data race of the test of planned stops.

--- a/internal/instance/entry/pick.go
+++ b/internal/instance/entry/pick.go
@@ -38,14 +38,44 @@
 	index  int
 	home   bool
 	remote bool    // in another region than this instance
+	own    int     // requests in flight from this instance
 	load   float64 // known requests in flight per slot
 }
 
-// better reports whether c is to be preferred to d: home slots come before
-// borrowed ones. Among home slots the region decides before the load, because
-// a home slot is free whatever the load; among borrowed slots it is the other
-// way round.
-func (c candidate) better(d candidate) bool {
+// spreadLoad is the known load of a service, in requests in flight per slot, up
+// to which requests are spread over all upstreams of the region. With home slots
+// only, each upstream is seen by few instances and each instance sees few
+// upstreams: a faulty upstream then lacks reporters, and an instance has nothing
+// to compare its failures with. At higher load home slots avoid refusals.
+const spreadLoad = 1.0 / 3
+
+// spreads reports whether the service's known load is low enough to spread.
+func (st *service) spreads(svc *routing.Service) bool {
+	load, slots := 0, 0
+	for i := range svc.Upstreams {
+		u := &svc.Upstreams[i]
+		if u.State == health.InService {
+			load += st.inFlight[u.ID] + u.PeerInFlight
+			slots += u.Slots
+		}
+	}
+	return float64(load) <= spreadLoad*float64(slots)
+}
+
+// better reports whether c is to be preferred to d. When requests are spread,
+// the region decides before the load. Otherwise home slots come before borrowed
+// ones; among home slots the region decides before the load, because a home
+// slot is free whatever the load, and among borrowed slots it is the other way
+// round.
+func (c candidate) better(d candidate, spread bool) bool {
+	if spread && c.remote != d.remote {
+		return d.remote
+	}
+	if spread {
+		// What peers have in flight is up to a heartbeat old. Following it
+		// would send the requests of all instances to the same upstreams.
+		return c.own < d.own
+	}
 	switch {
 	case c.home != d.home:
 		return c.home
@@ -66,6 +96,7 @@
 	found := false
 	again := st.triedAll(svc, w)
 	top := st.topWeight(svc, now)
+	spread := st.spreads(svc)
 	for _, i := range st.rand.Perm(len(svc.Upstreams)) {
 		u := &svc.Upstreams[i]
 		if u.State != health.InService || st.avoided(u.ID, now) || !again && slices.Contains(w.tried, u.ID) {
@@ -76,7 +107,7 @@
 			continue
 		}
 		c.index, c.remote = i, u.Region != snap.Self.Region
-		if !found || c.better(best) {
+		if !found || c.better(best, spread) {
 			best, found = c, true
 		}
 	}
@@ -115,6 +146,7 @@
 	}
 	c := candidate{
 		home: float64(own) < math.Ceil(float64(u.HomeSlots)*weight),
+		own:  own,
 		load: float64(own+u.PeerInFlight) / float64(max(1, u.Slots)),
 	}
 	mayBorrow := w.borrowed < maxBorrows && st.borrow.over(now) && float64(own+u.PeerInFlight) < math.Ceil(float64(u.Slots)*weight)
--- /dev/null
+++ b/test/proofs/detection_test.go
@@ -0,0 +1,117 @@
+package proofs
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"knapweedreel/internal/document"
+	"knapweedreel/internal/health"
+)
+
+// BenchmarkDetection measures with real processes how long a faulty upstream
+// goes on receiving work, and which healthy upstreams are taken out. Its health
+// endpoint says all the time that it is well.
+func BenchmarkDetection(b *testing.B) {
+	for _, fault := range []struct {
+		name        string
+		sensitivity float64
+		rate        int // requests a second, of 1,800 that the slots allow
+		faults      upstreamFaults
+		limit       time.Duration
+	}{
+		{"all-work-fails", 0.8, 360, upstreamFaults{FailFraction: 1, Status: 500}, 10 * time.Second},
+		{"20%-fails", 0.8, 360, upstreamFaults{FailFraction: 0.2, Status: 500}, 30 * time.Second},
+		{"20-times-slower", 0.8, 360, upstreamFaults{SlowFactor: 20}, 30 * time.Second},
+		{"hangs", 0.8, 360, upstreamFaults{Hang: true}, 30 * time.Second},
+		{"all-work-fails-quiet", 0.8, 36, upstreamFaults{FailFraction: 1, Status: 500}, 20 * time.Second},
+		{"all-work-fails-careful-quiet", 0.2, 36, upstreamFaults{FailFraction: 1, Status: 500}, 30 * time.Second},
+		{"all-work-fails-careful", 0.2, 360, upstreamFaults{FailFraction: 1, Status: 500}, 20 * time.Second},
+	} {
+		b.Run(fault.name, func(b *testing.B) {
+			f := newFleet(b, options{instances: 12, services: []serviceSpec{{
+				name: "jars", upstreams: 12, slots: 3, workMS: 20, change: func(d *document.Document) {
+					d.Unhealthy.Sensitivity = &fault.sensitivity
+					d.Unhealthy.ColdStartMS = new(1)
+					d.DeadlineMS = 3_000
+				},
+			}}})
+			loading, stopLoad := context.WithCancel(b.Context())
+			var load sync.WaitGroup
+			load.Go(func() { f.steadyLookups(loading, "jars", fault.rate) })
+			<-time.After(3 * time.Second) // the routes' usual times are learned
+			for b.Loop() {
+				f.detect(b, f.upstreams["jars"][5], fault.faults, fault.limit)
+			}
+			stopLoad()
+			load.Wait()
+		})
+	}
+}
+
+// steadyLookups sends lookups at a constant rate until ctx ends.
+func (f *fleet) steadyLookups(ctx context.Context, service string, rate int) {
+	c := newCaller("steady")
+	next := f.lookups(service)
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	started := time.Now()
+	var wg sync.WaitGroup
+	for sent := 0; ctx.Err() == nil; <-tick.C {
+		for due := int(time.Since(started).Seconds() * float64(rate)); sent < due; sent++ {
+			wg.Go(func() { c.do(context.WithoutCancel(ctx), next(sent)) })
+		}
+	}
+	wg.Wait()
+}
+
+// detect makes an upstream faulty and reports when the first and the last
+// instance have ejected it. The times are those of the instances' own records.
+func (f *fleet) detect(b *testing.B, u *standinUpstream, faults upstreamFaults, limit time.Duration) {
+	u.set(b, faults)
+	began := time.Now()
+	var first, last time.Duration
+	missed := 0
+	for _, in := range f.instances {
+		at, ok := f.ejectedAt(in, "jars", u.id, began, limit)
+		if !ok {
+			missed++
+			continue
+		}
+		if first == 0 || at < first {
+			first = at
+		}
+		last = max(last, at)
+	}
+	wrong := 0
+	for _, in := range f.instances {
+		for _, c := range f.changes(in, "jars") {
+			if c.To == health.Ejected && c.Upstream.Upstream != u.id {
+				wrong++
+			}
+		}
+	}
+	b.ReportMetric(first.Seconds(), "first-s")
+	b.ReportMetric(last.Seconds(), "last-s")
+	b.ReportMetric(float64(missed), "missed")
+	b.ReportMetric(float64(wrong), "false-ejections")
+	b.ReportMetric(0, "ns/op")
+}
+
+// ejectedAt waits until the instance has ejected the upstream.
+func (f *fleet) ejectedAt(in *instance, service, upstream string, since time.Time, limit time.Duration) (time.Duration, bool) {
+	for time.Since(since) < limit {
+		_, changes, err := f.explain(in, service, upstream)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		for _, c := range changes {
+			if c.To == health.Ejected && c.Time.After(since) {
+				return c.Time.Sub(since), true
+			}
+		}
+	}
+	f.t.Logf("%s has not ejected %s within %v", in.name, upstream, limit)
+	return 0, false
+}
--- a/test/proofs/stop_test.go
+++ b/test/proofs/stop_test.go
@@ -35,7 +35,8 @@
 	}
 	var wg sync.WaitGroup
 	for w := range 8 {
-		wg.Go(func() { f.callWithKeptAddresses(ctx, w, keep, note) })
+		first := f.instances[w%len(f.instances)].entry
+		wg.Go(func() { callWithKeptAddresses(ctx, w, first, keep, note) })
 	}
 	for i := range f.instances {
 		old := f.instances[i]
@@ -60,9 +61,8 @@
 
 // callWithKeptAddresses calls as callers do: it asks an instance for addresses,
 // keeps the answer for the whole allowed time and uses it to the end.
-func (f *fleet) callWithKeptAddresses(ctx context.Context, worker int, keep time.Duration, note func(answer)) {
+func callWithKeptAddresses(ctx context.Context, worker int, known string, keep time.Duration, note func(answer)) {
 	c := newCaller(fmt.Sprintf("stop%d", worker))
-	known := f.instances[worker%len(f.instances)].entry
 	for n := 0; ctx.Err() == nil; {
 		addresses, err := locate(known, "photos", regions[worker%len(regions)])
 		if err != nil || len(addresses) == 0 {
