--- a/internal/adminclient/client_test.go
+++ b/internal/adminclient/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -307,6 +308,27 @@
 	}
 }
 
+// Guards against clients that keep idle connections, such as scripts, and so
+// keep an operator out.
+func TestIdleConnectionsKeepNobodyOut(t *testing.T) {
+	b := newBench(t)
+	// Below the 30 s after which the server closes idle connections anyway.
+	const limit = 25 * time.Second
+	for range 100 { // more than the server accepts at a time
+		transport := &http.Transport{TLSClientConfig: b.material["i2"].AdminClient()}
+		t.Cleanup(transport.CloseIdleConnections)
+		resp, err := (&http.Client{Transport: transport, Timeout: limit}).Get("https://" + b.address + "/v1/metrics")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+	}
+	if _, err := b.client("anna").Status(t.Context()); err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against a trace that is cut off while events come, and against a stop
 // that waits for one.
 func TestTraceEndsWithServer(t *testing.T) {
--- a/internal/instance/admin/server.go
+++ b/internal/instance/admin/server.go
@@ -80,7 +80,8 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
-	l = tls.NewListener(newLimitedListener(l, maxConnections), s.config.TLS)
+	limited := newLimitedListener(l, maxConnections)
+	l = tls.NewListener(limited, s.config.TLS)
 	server := &http.Server{
 		Handler:           s.handler(ctx),
 		ReadHeaderTimeout: headerLimit,
@@ -88,6 +89,7 @@
 		WriteTimeout:      writeLimit,
 		IdleTimeout:       idleLimit,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         limited.connState,
 		ErrorLog:          zap.NewStdLog(s.log),
 	}
 	if s.config.Listening != nil {
