--- a/internal/instance/control/loop.go
+++ b/internal/instance/control/loop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -42,26 +41,28 @@
 	metrics  metrics
 
 	// The fields below belong to the goroutine of Run.
-	started   time.Time
-	ran       bool
-	pause     pauseDetector
-	engine    Engine
-	self      member.Info
-	sequence  uint64 // of sent messages
-	table     *member.Table
-	links     map[string]*link
-	chosen    map[string]bool // random links outside the shard
-	watched   map[string]bool // members to which links are to be kept
-	relink    bool            // links are to be chosen again
-	shards    int             // number of shards that the engine's documents follow
-	documents documents
-	ready     readiness
-	audits    auditQueue
-	decisions decisions
-	traces    []*trace
-	leavings  leavings
-	publisher publisher
-	lastSync  time.Time
+	started     time.Time
+	ran         bool
+	pause       pauseDetector
+	engine      Engine
+	engineClock engineClock
+	self        member.Info
+	sequence    uint64 // of sent messages
+	table       *member.Table
+	links       map[string]*link
+	chosen      map[string]bool // random links outside the shard
+	watched     map[string]bool // members to which links are to be kept
+	relink      bool            // links are to be chosen again
+	shards      int             // number of shards that the engine's documents follow
+	documents   documents
+	ready       readiness
+	audits      auditQueue
+	decisions   decisions
+	newTraces   []*trace // begin with the next tick
+	traces      []*trace
+	leavings    leavings
+	publisher   publisher
+	lastSync    time.Time
 }
 
 // New returns a loop. Snapshot answers from the start; nothing else happens
@@ -82,6 +83,7 @@
 	}
 	now := cfg.Clock.Now()
 	l.started = now
+	l.engineClock = newEngineClock(now)
 	l.pause = newPauseDetector(0, now.Round(0))
 	l.table = member.NewTable(l.self, cfg.PeerTimeout, now)
 	l.links = make(map[string]*link)
@@ -189,15 +191,16 @@
 type tickEvent struct{}
 
 func (tickEvent) apply(l *Loop, now time.Time) {
+	l.beginTraces(now)
 	l.feed(now, health.Event{Tick: &health.Tick{}})
 	l.expireMembers(now)
 	l.sendEvidence(now)
+	l.refresh()
 	l.heartbeats(now, l.cfg.Heartbeat)
 	if now.Sub(l.lastSync) >= SyncInterval {
 		l.lastSync = now
 		l.metrics.observe(l)
 		l.synchronize()
-		l.refreshWeights()
 		if l.relink {
 			l.chooseLinks()
 		}
@@ -207,8 +210,9 @@
 
 // feed gives an event to the health engine and acts on its decisions.
 func (l *Loop) feed(now time.Time, e health.Event) {
-	l.traceEvent(now, e)
-	changes := l.engine.Apply(now, e)
+	at := l.engineClock.time(now)
+	l.traceEvent(at, e)
+	changes := l.engine.Apply(at, e)
 	for _, c := range changes {
 		l.decided(c)
 	}
@@ -220,13 +224,19 @@
 	urgent := c.To == health.Ejected || c.To == health.Leaves || c.Rule == health.RuleFloorReinstate
 	l.publisher.service(c.Upstream.Service, urgent)
 	l.metrics.decision(c)
-	l.cfg.Log.Info("upstream_state",
+	// Every document brings its upstreams, and a split of shards moves
+	// thousands, so that only decisions are worth a line.
+	level, decision := zap.InfoLevel, c.Rule != health.RuleNewUpstream && c.Rule != health.RuleRemoved
+	if !decision {
+		level = zap.DebugLevel
+	}
+	l.cfg.Log.Log(level, "upstream_state",
 		zap.String("service", c.Upstream.Service), zap.String("upstream", c.Upstream.Upstream),
 		zap.String("from", string(c.From)), zap.String("to", string(c.To)), zap.String("rule", string(c.Rule)),
 		zap.Uint64("revision", c.Revision), zap.Float64("score", c.Score), zap.Float64("threshold", c.Threshold),
 		zap.Strings("reporters", c.Reporters), zap.Uint64("successes", c.Successes), zap.Uint64("failures", c.Failures),
 		zap.Int("healthy", c.Healthy), zap.Int("floor", c.Floor), zap.String("detail", c.Detail))
-	if c.Rule != health.RuleNewUpstream && c.Rule != health.RuleRemoved {
+	if decision {
 		l.record(changeRecord(l.self.ID, c))
 	}
 }
@@ -236,10 +246,11 @@
 	l.metrics.pauses.Inc(1)
 	l.cfg.Log.Warn("process_paused", zap.Duration("duration", d))
 	l.table.Resume(d)
+	l.engineClock.catchUp(now)
 	l.feed(now, health.Event{Paused: &health.Paused{Duration: d}})
 	if d > RecheckLimit && l.ready.done {
 		l.ready.begin()
 		l.publisher.all(true)
-		l.askRevisions(slices.Sorted(l.linkedIDs())...)
+		l.askRevisions(l.linkedIDs()...)
 	}
 }
