--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -47,17 +47,17 @@
 // come from keys.Material.AdminClient.
 func New(address string, settings *tls.Config) *Client {
 	dialer := &tls.Dialer{NetDialer: &net.Dialer{Timeout: connectLimit}, Config: settings}
-	t := &http.Transport{
-		DialTLSContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, connectLimit)
-			defer cancel()
-			c, err := dialer.DialContext(ctx, network, address)
-			return c, errors.Mark(err, ErrUnreachable)
-		},
-		// Each call has a connection of its own: http.Transport sends some
-		// requests again when a kept connection breaks.
-		DisableKeepAlives: true,
-	}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, connectLimit)
+		defer cancel()
+		c, err := dialer.DialContext(ctx, network, address)
+		return c, errors.Mark(err, ErrUnreachable)
+	}
+	// Each call has a connection of its own. A write on a kept connection that
+	// breaks would have an unknown result although nothing was wrong, and kept
+	// connections of clients that are made for one call would use up the
+	// connections that the server accepts.
+	t := &http.Transport{DialTLSContext: dial, DisableKeepAlives: true}
 	return &Client{address: address, http: &http.Client{Transport: t}}
 }
 
@@ -204,7 +204,6 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "request"), ErrUnreachable)
 	}
-	req.GetBody = nil
 	resp, err := c.http.Do(req)
 	return resp, errors.Wrapf(err, "%s %s", method, path)
 }
--- a/internal/instance/control/heartbeat.go
+++ b/internal/instance/control/heartbeat.go
@@ -20,7 +20,8 @@
 // heartbeats sends a heartbeat on every link whose last one is as old as the
 // given time, less half a tick.
 func (l *Loop) heartbeats(now time.Time, after time.Duration) {
-	for id, k := range l.links {
+	for _, id := range l.linkedIDs() {
+		k := l.links[id]
 		if now.Sub(k.beat) >= after-health.TickInterval/2 {
 			l.heartbeat(now, id, k)
 		}
@@ -81,7 +82,7 @@
 
 // sendEvidence sends the evidence that is due to the peers of the own shard.
 func (l *Loop) sendEvidence(now time.Time) {
-	evidence := l.engine.Outgoing(now)
+	evidence := l.engine.Outgoing(l.engineClock.time(now))
 	if len(evidence) == 0 {
 		return
 	}
