health: eject only what stands out, after 250 ms

Cause: under load shedding and faults of a whole service, the upstream with the most early failures was ejected within 30 to 160 ms, before the reports of the other upstreams' failures had arrived. After a cut link, the first reports of returned peers carried failures from the cut.

Change: at least 250 ms, two report intervals, pass between the first failure and an ejection; an upstream's failures in the long window must be 6 times the mean of the others plus 3; failures of a peer that was lost are ignored for 2 s after its return. The unit tests of ejection therefore let three ticks pass first; they expect the same ejections.

--- a/internal/health/baseline.go
+++ b/internal/health/baseline.go
@@ -34,15 +34,16 @@
 // scores follow at once.
 const serviceWideShare = 0.25
 
-// A fault that begins at many upstreams at once reaches some of them first. For
-// baselineDelay after an upstream's first failure it is not ejected when
-// freshShare of the others have a score of freshScore; then the baseline tells
-// common faults from single ones. The score is that of one failure and a few
-// successes after it.
+// A fault that begins at many upstreams at once reaches some of them first, and
+// the score of the unlucky one may reach the threshold before the baseline has
+// risen. An upstream is therefore ejected only when its failures in the long
+// window are at least standOutFactor times the mean of the others, plus
+// standOutMargin. The mean leaves out a smaller share than the baseline does,
+// because few failures have been seen then.
 const (
-	baselineDelay = time.Second
-	freshShare    = 0.25
-	freshScore    = 1
+	standOutFactor = 6
+	standOutMargin = 3
+	standOutTrim   = 0.15
 )
 
 // rates are p0 and p1.
@@ -105,8 +106,8 @@
 	long = max(float64(traffic)/float64(max(len(failed[0]), 1)), 1)
 	short := max(long*float64(shortHalfLife)/float64(longHalfLife), 1)
 	s.baseline = baselineOf(
-		max(trimmedMean(failed[0])/long, trimmedMean(failed[1])/short),
-		max(trimmedMean(slow[0])/long, trimmedMean(slow[1])/short),
+		max(trimmedMean(failed[0], trimmedShare)/long, trimmedMean(failed[1], trimmedShare)/short),
+		max(trimmedMean(slow[0], trimmedShare)/long, trimmedMean(slow[1], trimmedShare)/short),
 	)
 	failedFactor := before.failed.rise(s.baseline.failed)
 	slowFactor := before.slow.rise(s.baseline.slow)
@@ -136,11 +137,11 @@
 	return false
 }
 
-// trimmedMean returns the mean without the highest trimmedShare of the values; 0
-// if none are left. It sorts the values.
-func trimmedMean(values []float64) float64 {
+// trimmedMean returns the mean without the given share of the values, the highest
+// ones; 0 if none are left. It sorts the values.
+func trimmedMean(values []float64, share float64) float64 {
 	slices.Sort(values)
-	values = values[:len(values)-int(math.Ceil(trimmedShare*float64(len(values))))]
+	values = values[:len(values)-int(math.Ceil(share*float64(len(values))))]
 	if len(values) == 0 {
 		return 0
 	}
@@ -152,26 +153,32 @@
 }
 
 // isServiceWide reports whether the service's other upstreams are suspected of
-// the same kind of failure: their scores are high on average, or many of them
-// have begun to fail as lately as this one.
+// the same kind of failure: their scores are high on average, or the upstream's
+// failures do not stand out from theirs.
 func (s *service) isServiceWide(u *upstream, slow bool, now time.Time) bool {
-	var scores []float64
-	failing := 0
+	var scores, counts []float64
 	for _, o := range s.upstreams {
 		if o == u || o.state != InService {
 			continue
 		}
-		sum := o.scoreOf(slow).sum
-		scores = append(scores, min(sum, s.limits.threshold))
-		if sum >= freshScore {
-			failing++
-		}
+		scores = append(scores, min(o.scoreOf(slow).sum, s.limits.threshold))
+		counts = append(counts, o.recentOf(slow, now))
 	}
-	if trimmedMean(scores) >= serviceWideShare*s.limits.threshold {
+	if trimmedMean(scores, trimmedShare) >= serviceWideShare*s.limits.threshold {
 		return true
 	}
-	fresh := now.Sub(u.scoreOf(slow).started) < baselineDelay
-	return fresh && float64(failing) >= freshShare*float64(len(scores)) && failing > 1
+	usual := trimmedMean(counts, standOutTrim)
+	return usual > 0 && u.recentOf(slow, now) < standOutFactor*usual+standOutMargin
+}
+
+// recentOf returns the failures of one kind in the long window.
+func (u *upstream) recentOf(slow bool, now time.Time) float64 {
+	w := &u.recent.failed
+	if slow {
+		w = &u.recent.slow
+	}
+	long, _ := w.get(now)
+	return long
 }
 
 func (u *upstream) scoreOf(slow bool) *score {
--- a/internal/health/decide.go
+++ b/internal/health/decide.go
@@ -28,6 +28,10 @@
 	silentShare = 0.95
 )
 
+// minSuspicion is the least time from the first failure to an ejection. In two
+// report intervals it becomes known whether other upstreams fail too.
+const minSuspicion = 250 * time.Millisecond
+
 // threshold returns the score from which the upstream is ejected here.
 func (e *Engine) threshold(s *service, u *upstream) float64 {
 	out := 0
@@ -52,6 +56,9 @@
 		return
 	}
 	worst, slow := u.worst(), u.slow.sum > u.failed.sum
+	if e.now.Sub(worst.started) < minSuspicion {
+		return
+	}
 	if s.isServiceWide(u, slow, e.now) || e.isPartition(u) {
 		// The score restarts lower, so that the end of the common fault does
 		// not eject the upstream that happens to be reported last.
--- a/internal/health/engine.go
+++ b/internal/health/engine.go
@@ -15,6 +15,7 @@
 	services map[string]*service
 	names    []string // of services, sorted, so that no result depends on map order
 	peers    map[string]*peer
+	lost     map[string]bool    // peers not heard from
 	pending  map[Key]leavingSet // of upstreams that no document names yet
 	untold   []Key              // leaving upstreams that peers were not told of
 	doubt    doubt
@@ -65,6 +66,7 @@
 		config:   cfg,
 		services: map[string]*service{},
 		peers:    map[string]*peer{},
+		lost:     map[string]bool{},
 		pending:  map[Key]leavingSet{},
 		cut:      map[string]time.Time{},
 	}
--- a/internal/health/evidence.go
+++ b/internal/health/evidence.go
@@ -27,6 +27,7 @@
 	boot, sequence uint64
 	region         string
 	heard          time.Time
+	doubtedUntil   time.Time    // after a loss of contact
 	seen           map[Key]seen // of upstreams that documents name
 }
 
@@ -120,6 +121,10 @@
 		e.makeRoomForPeer()
 		known = &peer{boot: p.Boot, seen: map[Key]seen{}}
 		e.peers[p.Reporter] = known
+		if e.lost[p.Reporter] {
+			delete(e.lost, p.Reporter)
+			known.doubtedUntil = e.now.Add(partitionHold)
+		}
 	}
 	known.sequence, known.region, known.heard = p.Sequence, p.Region, e.now
 	for _, ev := range p.Evidence {
@@ -159,7 +164,7 @@
 		failed:    failures - slow,
 		slow:      slow,
 	}
-	if ev.SelfSuspect {
+	if ev.SelfSuspect || e.now.Before(p.doubtedUntil) {
 		r.failed, r.slow = 0, 0
 	}
 	if failures > 0 {
@@ -187,8 +192,15 @@
 }
 
 // applyPeerLost forgets a peer's counts. What it reported stays in the scores,
-// where it decays.
-func (e *Engine) applyPeerLost(p PeerLost) { e.forgetPeer(p.Reporter) }
+// where it decays. When the peer is heard again, its failures are ignored for
+// partitionHold: what cut its link to this instance may have cut those to the
+// upstreams.
+func (e *Engine) applyPeerLost(p PeerLost) {
+	if e.peers[p.Reporter] != nil && len(e.lost) < maxPeers {
+		e.lost[p.Reporter] = true
+	}
+	e.forgetPeer(p.Reporter)
+}
 
 func (e *Engine) forgetPeer(name string) {
 	delete(e.peers, name)
--- a/internal/health/evidence_test.go
+++ b/internal/health/evidence_test.go
@@ -47,6 +47,23 @@
 	}
 }
 
+// Guards against failures from behind a cut link that are counted when the link
+// is back.
+func TestReturnedPeerIsDoubted(t *testing.T) {
+	f := newFleet(t, 12)
+	f.report("i1", "r1", 1, 1, 0)
+	f.apply(Event{PeerLost: &PeerLost{Reporter: "i1"}})
+	f.report("i1", "r1", 0, 0, 2, 1, 2)
+	if got := f.score(0); got != 0 {
+		t.Fatalf("score is %v from a peer that has just returned, want 0", got)
+	}
+	f.wait(partitionHold)
+	f.report("i1", "r1", 0, 0, 1, 1)
+	if got := f.score(0); got == 0 {
+		t.Fatal("a returned peer is doubted for ever")
+	}
+}
+
 // Guards against evidence that lasts for ever because a peer repeats it.
 func TestRepeatedEvidenceDecays(t *testing.T) {
 	f := newFleet(t, 12)
--- a/internal/health/guards_test.go
+++ b/internal/health/guards_test.go
@@ -40,12 +40,13 @@
 }
 
 // Guards against slow detection: two reporters with a few failures must suffice
-// at once.
+// within three ticks.
 func TestMergedEvidenceEjects(t *testing.T) {
 	f := newFleet(t, 12)
 	f.report("i1", "r0", 0, 0, 2, 1, 2)
 	f.mustBe(0, InService)
 	f.report("i2", "r1", 0, 0, 2, 3, 4)
+	f.wait(3 * TickInterval)
 	f.mustBe(0, Ejected)
 }
 
@@ -121,6 +122,7 @@
 			f.report("i2", "r1", u, 0, 1, c)
 		}
 	}
+	f.wait(3 * TickInterval)
 	for u := range 3 {
 		f.mustBe(u, Ejected)
 	}
--- a/internal/health/recovery_test.go
+++ b/internal/health/recovery_test.go
@@ -10,6 +10,7 @@
 	f.t.Helper()
 	f.report("i1", "r0", u, 0, 2, 1, 2)
 	f.report("i2", "r1", u, 0, 2, 3, 4)
+	f.wait(3 * TickInterval)
 	f.mustBe(u, Ejected)
 }
 
