--- a/internal/instance/platform/child_test.go
+++ b/internal/instance/platform/child_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 
 	"knapweedreel/internal/audit"
 	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/member"
 	"knapweedreel/internal/standin/storeserver"
 	"knapweedreel/internal/store"
 )
@@ -21,10 +23,31 @@
 	child   *Child
 	control *fakeControl
 	store   *faultyStore
+	list    *awayList
 	counter *store.Counter
 	stop    func()
 }
 
+// awayList is a list of instances that can be away.
+type awayList struct {
+	*storeserver.Memory
+	away atomic.Bool
+}
+
+func (l *awayList) Instances(ctx context.Context) ([]store.Instance, error) {
+	if l.away.Load() {
+		return nil, store.ErrUnavailable
+	}
+	return l.Memory.Instances(ctx)
+}
+
+func (l *awayList) Register(ctx context.Context, i store.Instance) error {
+	if l.away.Load() {
+		return store.ErrUnavailable
+	}
+	return l.Memory.Register(ctx, i)
+}
+
 func start(t *testing.T, m *storeserver.Memory, h *hub, name string, seed uint64, prepare ...func(*running)) *running {
 	t.Helper()
 	r := &running{control: newFakeControl(name, h), store: &faultyStore{Store: m}, counter: store.NewCounter(nil)}
@@ -32,8 +55,9 @@
 		p(r)
 	}
 	self := store.Instance{ID: name, Address: "127.0.0.1:1", Region: "south", FailureDomain: "s1"}
+	r.list = &awayList{Memory: m}
 	r.child = New(Config{Self: self, Random: seeded(seed)}, r.control,
-		r.counter.Store(r.store), r.counter.InstanceList(m), r.counter.Registrar(m))
+		r.counter.Store(r.store), r.counter.InstanceList(r.list), r.counter.Registrar(r.list))
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	wg.Go(func() {
@@ -268,6 +292,14 @@
 		if n := calls(other) - otherBefore; n < want-3 || n > want {
 			t.Errorf("the other polled %d times in 120 s, want about %d", n, want)
 		}
+		other.list.away.Store(true)
+		otherBefore = calls(other)
+		<-time.After(10 * time.Minute)
+		want = uint64(10 * time.Minute / other.child.pollInterval())
+		if n := calls(other) - otherBefore; n > want+6 {
+			t.Errorf("the other polled %d times in 10 minutes without the list", n)
+		}
+		other.list.away.Store(false)
 		a.child.Leave()
 		waitFor(t, "leaving listed", 2*time.Second, func() bool {
 			is, _ := m.Instances(t.Context())
@@ -306,6 +338,34 @@
 	})
 }
 
+// Guards against a lease for the shard that an instance was in before the fleet
+// grew, and against a leaving instance that takes a lease.
+func TestLeaseFollowsShardAndState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const name = "i1"
+		m, h := storeserver.NewMemory(), newHub()
+		r := start(t, m, h, name, 1)
+		waitFor(t, "holder", 10*time.Second, r.control.isHolder)
+		r.control.mu.Lock()
+		r.control.shards = 64
+		r.control.mu.Unlock()
+		shard := member.ShardOf(name, 64)
+		waitFor(t, "holder of the new shard", time.Minute, func() bool {
+			held := r.child.held()
+			return held != nil && held.shard == shard
+		})
+		if _, err := m.AcquireLease(t.Context(), leaseKey(0), "i2", time.Second); err != nil {
+			t.Errorf("lease of the old shard: %v", err)
+		}
+		leaving := start(t, m, newHub(), "i2", 2, func(r *running) { r.control.shards = 2 })
+		leaving.child.Leave()
+		<-time.After(time.Minute)
+		if leaving.control.isHolder() {
+			t.Error("a leaving instance took the lease")
+		}
+	})
+}
+
 // Guards against a put that is accepted but not shown by ChangeResult while the
 // store cannot be read: the result must stay unknown, not refused.
 func TestChangeResultWithoutStore(t *testing.T) {
