--- a/internal/instance/recheck.go
+++ b/internal/instance/recheck.go
@@ -46,8 +46,10 @@
 	}
 }
 
-// read offers all stored documents and reports the read.
+// read offers all stored documents and reports the read. A read that another
+// pause interrupted may have brought old documents, and is repeated.
 func (r *recheck) read(ctx context.Context) {
+	begin := time.Now()
 	values, err := r.store.List(ctx, documentPrefix)
 	if err != nil {
 		r.log.Warn("documents_recheck_failed", zap.Error(err))
@@ -63,5 +65,7 @@
 			r.log.Error("document_offer_failed", zap.String("service", e.Service), zap.Error(err))
 		}
 	}
-	r.control.Ready()
+	if time.Since(begin) < control.RecheckLimit {
+		r.control.Ready()
+	}
 }
