Close silent links so that both ends learn of a one-way cut

Of a link that was cut in one direction one end heard the other until that one's timeout, which closes without a packet, so that it read the store for missed documents only after 6 s. The end that hears nothing now closes the link after 2.5 s of silence, and a member whose last link ended is lost after 0.5 s.

--- a/internal/instance/build.go
+++ b/internal/instance/build.go
@@ -75,7 +75,8 @@
 	p.peering = peering.New(peering.Config{
 		ID: s.Instance, Self: p.control.Self, Listen: peering.ListenUDP(s.PeerListenAddress),
 		ServerTLS: material.PeerServer(), ClientTLS: material.PeerClient(),
-		Jitter: rand.Float64, Log: log, Scope: scope,
+		Silence: milliseconds(s.Times.PeerTimeoutMS - s.Times.HeartbeatMS/2),
+		Jitter:  rand.Float64, Log: log, Scope: scope,
 	}, p.control)
 	late.Sender = p.peering
 	if len(s.InitialPeers) > 0 {
--- a/internal/instance/control/links.go
+++ b/internal/instance/control/links.go
@@ -56,7 +56,8 @@
 
 type linkDown struct{ id string }
 
-func (e linkDown) apply(l *Loop, _ time.Time) {
+func (e linkDown) apply(l *Loop, now time.Time) {
+	l.table.Unlinked(e.id, now)
 	if k, ok := l.links[e.id]; ok {
 		l.setInFlight(k, nil)
 		delete(l.links, e.id)
--- a/internal/instance/peering/config.go
+++ b/internal/instance/peering/config.go
@@ -51,6 +51,11 @@
 	ClientTLS *tls.Config
 	// DialGrace replaces the constant when it is not 0.
 	DialGrace time.Duration
+	// Silence is the time without a message after which a link is closed. It
+	// must be below IdleTimeout: a closed link is seen by the other end at once,
+	// also when that end still receives, and a timeout is not. Heartbeats keep
+	// links open.
+	Silence time.Duration
 	// Jitter returns a random factor from [0, 1). It is called from several
 	// goroutines.
 	Jitter func() float64
--- a/internal/instance/peering/harness_test.go
+++ b/internal/instance/peering/harness_test.go
@@ -110,19 +110,24 @@
 }
 
 // start runs a node on its own loopback socket.
-func start(t *testing.T, id string, config *tls.Config, conn net.PacketConn, grace time.Duration) *endpoint {
+func start(t *testing.T, id string, config *tls.Config, conn net.PacketConn, grace time.Duration, change ...func(*Config)) *endpoint {
 	t.Helper()
 	e := &endpoint{
 		info: member.Info{ID: id, Boot: uint64(time.Now().UnixNano()), PeerAddress: conn.LocalAddr().String(), State: member.Active},
 		up:   make(chan member.Info, 64), down: make(chan string, 64), messages: make(chan wire.Message, 4096),
 		scope: tally.NewTestScope("", nil),
 	}
-	e.Node = New(Config{
+	cfg := Config{
 		ID: id, Self: func() member.Info { return e.info },
 		Listen:    func() (net.PacketConn, error) { return conn, nil },
 		ServerTLS: config, ClientTLS: config, DialGrace: grace,
-		Jitter: func() float64 { return 0.5 }, Log: zap.NewNop(), Scope: e.scope,
-	}, e)
+		Silence: limit, // tests send no heartbeats
+		Jitter:  func() float64 { return 0.5 }, Log: zap.NewNop(), Scope: e.scope,
+	}
+	for _, f := range change {
+		f(&cfg)
+	}
+	e.Node = New(cfg, e)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- e.Run(ctx) }()
--- a/internal/instance/peering/link.go
+++ b/internal/instance/peering/link.go
@@ -21,6 +21,7 @@
 	codeIdentity  quic.ApplicationErrorCode = 3
 	codeReplaced  quic.ApplicationErrorCode = 4 // another link to the same member is kept
 	codeTooMany   quic.ApplicationErrorCode = 5
+	codeSilent    quic.ApplicationErrorCode = 6
 )
 
 // ErrIdentity means that a message's sender is not the name in the
@@ -39,6 +40,7 @@
 
 	queue       chan *wire.Message
 	queuedBytes atomic.Int64
+	received    atomic.Uint64 // messages read
 }
 
 // open exchanges Hellos on a new connection. The caller closes the connection
@@ -109,9 +111,33 @@
 	if m.Sender != k.info.ID || m.Boot != k.info.Boot {
 		return m, errors.Wrapf(ErrIdentity, "message of %q boot %d on the link of %q boot %d", m.Sender, m.Boot, k.info.ID, k.info.Boot)
 	}
+	k.received.Add(1)
 	return m, nil
 }
 
+// silenceChecks is the number of looks at a link in the time of silence after
+// which it is closed. A pause of this process spans one look only.
+const silenceChecks = 10
+
+// watch closes the link when no message arrives for the given time.
+func (k *link) watch(silence time.Duration) {
+	tick := time.NewTicker(silence / silenceChecks)
+	defer tick.Stop()
+	seen, silent := k.received.Load(), 0
+	for silent < silenceChecks {
+		select {
+		case <-tick.C:
+		case <-k.conn.Context().Done():
+			return
+		}
+		silent++
+		if n := k.received.Load(); n != seen {
+			seen, silent = n, 0
+		}
+	}
+	_ = k.conn.CloseWithError(codeSilent, "no message")
+}
+
 // enqueue queues a message, or reports false when the queue is full.
 func (k *link) enqueue(m *wire.Message) bool {
 	size := queuedSize(m)
--- a/internal/instance/peering/node.go
+++ b/internal/instance/peering/node.go
@@ -146,6 +146,11 @@
 			_ = conn.CloseWithError(codeStopped, "write failed")
 		}
 	}()
+	r.wg.Add(1)
+	go func() {
+		defer r.wg.Done()
+		k.watch(n.cfg.Silence)
+	}()
 	err = n.read(k)
 	_ = conn.CloseWithError(closeCode(err), "read ended")
 	n.remove(k, err)
--- a/internal/instance/peering/peering_test.go
+++ b/internal/instance/peering/peering_test.go
@@ -156,6 +156,17 @@
 	}
 }
 
+// Guards against an end that goes on hearing a peer which hears nothing: the
+// peer has to close the link before its timeout ends it unseen.
+func TestSilentLinkIsClosedForBoth(t *testing.T) {
+	ca := newAuthority(t)
+	a := start(t, "a", ca.tls(t, "a"), socket(t), 0, func(c *Config) { c.Silence = 200 * time.Millisecond })
+	b := start(t, "b", ca.tls(t, "b"), socket(t), 0)
+	a.Connect([]member.Info{b.info})
+	receive(t, "link", b.up)
+	receive(t, "end", b.down)
+}
+
 // Guards against a one-way cut that leaves a half-dead link in use, and against
 // one that is not repaired when packets pass again.
 func TestOneWayCutEndsLinkForBoth(t *testing.T) {
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -116,6 +116,19 @@
 	return t.Merge(info, now)
 }
 
+// linkGrace is the time for a new link after the last one to a member ended.
+const linkGrace = 500 * time.Millisecond
+
+// Unlinked notes that the last link to a member ended. The member is lost when
+// it is not heard from within linkGrace, even if the timeout ends later: of a
+// link that is cut in one direction one end hears the other for up to 3 s more.
+func (t *Table) Unlinked(id string, now time.Time) {
+	row, ok := t.rows[id]
+	if due := now.Add(linkGrace - t.timeout); ok && row.Presence == Live && row.Heard.After(due) {
+		row.Heard = due
+	}
+}
+
 // Outdated reports whether a message of the member with the given boot is of an
 // earlier process than the one that is live.
 func (t *Table) Outdated(id string, boot uint64) bool {
