Match no request before documents are compared

An instance that resumed from a long pause went on serving with documents that may have been old, because requests are matched by host before readiness is looked at.

--- a/internal/instance/control/loop_test.go
+++ b/internal/instance/control/loop_test.go
@@ -50,6 +50,7 @@
 func TestPublishedSnapshotDoesNotChange(t *testing.T) {
 	f := newFleet(t, 1, 1)
 	n := f.nodes["i00"]
+	n.handle(readyEvent{})
 	f.put(n, envelope("entries", 1, "a"), platform.SourcePut)
 	before := n.Snapshot()
 	n.handle(outcomeEvent{failure(u1)})
@@ -151,13 +152,13 @@
 	f.partition([]string{"i02"}, []string{"i00", "i01"}, true)
 	f.clock.now = f.clock.now.Add(RecheckLimit + time.Second)
 	n.handle(tickEvent{})
-	if n.Snapshot().Ready {
-		t.Error("ready after a long pause without a check")
+	if s := n.Snapshot(); s.Ready || len(s.Hosts) != 0 {
+		t.Errorf("ready %v with %d hosts after a long pause without a check", s.Ready, len(s.Hosts))
 	}
 	f.partition([]string{"i02"}, []string{"i00", "i01"}, false)
 	f.run(2 * time.Second)
-	if !n.Snapshot().Ready {
-		t.Error("not ready after peers answered")
+	if s := n.Snapshot(); !s.Ready || len(s.Hosts) != 1 {
+		t.Errorf("ready %v with %d hosts after peers answered", s.Ready, len(s.Hosts))
 	}
 }
 
--- a/internal/instance/control/snapshot.go
+++ b/internal/instance/control/snapshot.go
@@ -105,8 +105,12 @@
 			next.Services[name] = l.routingService(f, next.Shards)
 		}
 	}
-	for host, name := range l.documents.hosts {
-		next.Hosts[host] = next.Services[name]
+	// Without hosts no request is matched. Documents that were not compared
+	// since a start or a long pause may be old.
+	if l.ready.done {
+		for host, name := range l.documents.hosts {
+			next.Hosts[host] = next.Services[name]
+		}
 	}
 	l.snapshot.Store(next)
 	l.metrics.snapshots.Inc(1)
