Make the document proof see a revert to old data

With the revision check absent the proof still passed: the store had no older revision to show. A put is now accepted while reads are stale, the lease holder is replaced, and the new holder's first watch offers the old revision.

--- a/test/proofs/documents_test.go
+++ b/test/proofs/documents_test.go
@@ -71,14 +71,18 @@
 		f.mustBeInForce(t, service, 4, f.instances)
 	})
 	t.Run("old data", func(t *testing.T) {
+		// The store shows revision 4 from now on, also to a new lease holder,
+		// whose first watch returns all documents.
 		f.setStore(storeFaults{Stale: true})
 		if got := f.put(f.instances[0], withDeadline(doc, 5_005)); got != putAccepted {
-			t.Logf("put with stale reads: %v", got)
+			t.Fatalf("put with stale reads: %v", got)
 		}
-		f.instances[1].kill()
-		f.startInstance(1, "restarted")
-		f.waitReady(f.instances[1:2])
-		f.mustNeverRevert(t, service, 4, f.instances, 3*time.Second)
+		f.mustBeInForce(t, service, 5, f.instances)
+		holder := f.leaseHolder()
+		f.instances[holder].kill()
+		f.startInstance(holder, "restarted")
+		f.waitRevision(service, 5, f.instances)
+		f.mustNeverRevert(t, service, 5, f.instances, 12*time.Second)
 		f.setStore(storeFaults{})
 	})
 	t.Logf("store calls by kind: %v", f.storeCalls())
--- a/test/proofs/operator_test.go
+++ b/test/proofs/operator_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -204,6 +205,25 @@
 	return countLive(status)
 }
 
+// leaseHolder waits for a holder of the shard's lease and returns its index.
+func (f *fleet) leaseHolder() int {
+	f.t.Helper()
+	index := -1
+	eventually(f.t, "a lease holder", eventLimit, func() (bool, string) {
+		client, ctx, cancel := f.operator(f.live()[0])
+		defer cancel()
+		status, err := client.Status(ctx)
+		if err != nil || status.Holder == nil {
+			return false, "none is known"
+		}
+		index = slices.IndexFunc(f.instances, func(in *instance) bool {
+			return in.name == status.Holder.Instance && !in.ended()
+		})
+		return index >= 0, status.Holder.Instance + " has ended"
+	})
+	return index
+}
+
 // explain returns the state of an upstream at an instance and its changes.
 func (f *fleet) explain(in *instance, service, upstream string) (health.View, []health.Change, error) {
 	client, ctx, cancel := f.operator(in)
