Let Run wait for the requests that it cancels

Run returned while handlers were still giving back slots and connections, so that a restarted entry could meet the requests of the one before.

--- a/internal/instance/entry/drain.go
+++ b/internal/instance/entry/drain.go
@@ -39,7 +39,7 @@
 	}
 	limit, cancel := context.WithTimeout(ctx, milliseconds(s.cfg.Times.StopLimitMS))
 	defer cancel()
-	s.callers.waitQuiet(limit, milliseconds(s.cfg.Times.DrainMS))
+	s.callers.await(limit, milliseconds(s.cfg.Times.DrainMS), quietTime)
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
@@ -85,20 +85,22 @@
 	}
 }
 
-func (t *callerTable) quiet(now time.Time) bool {
+// isQuiet reports whether no request is in flight and no connection has changed
+// its state for the given time.
+func (t *callerTable) isQuiet(now time.Time, quiet time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.active) == 0 && now.Sub(t.last) >= quietTime
+	return len(t.active) == 0 && now.Sub(t.last) >= quiet
 }
 
-// waitQuiet waits until no request is in flight and none has been for
-// quietTime, or the time is over.
-func (t *callerTable) waitQuiet(ctx context.Context, limit time.Duration) {
+// await waits until callers have been quiet for the given time, at most for
+// limit.
+func (t *callerTable) await(ctx context.Context, limit, quiet time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	tick := time.NewTicker(quietInterval)
 	defer tick.Stop()
-	for !t.quiet(time.Now()) {
+	for !t.isQuiet(time.Now(), quiet) {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
--- a/internal/instance/entry/drain_test.go
+++ b/internal/instance/entry/drain_test.go
@@ -115,3 +115,30 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// Guards against an end that leaves requests running after Run has returned.
+func TestRunEndsRequests(t *testing.T) {
+	began := make(chan struct{})
+	up := standin(t, "u1", func(_ http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(Config{Listener: l}, &fakeControl{snap: snapshotOf(testDocument(), up)})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	go func() {
+		if resp, err := callers.RoundTrip(request(t, http.MethodGet, "http://"+l.Addr().String()+"/write/x", nil)); err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	<-began
+	cancel()
+	if err := result(t, ended); err != nil || len(s.InFlight()) != 0 {
+		t.Errorf("error %v, in flight %v", err, s.InFlight())
+	}
+}
--- a/internal/instance/entry/run.go
+++ b/internal/instance/entry/run.go
@@ -18,9 +18,12 @@
 // tidyInterval is the time between removals of what is no longer in use.
 const tidyInterval = time.Second
 
+// endLimit is the longest time for which Run waits for cancelled requests.
+const endLimit = 2 * time.Second
+
 // Run serves callers until ctx is cancelled. Then it closes the listener and
-// all connections at once, which cancels the requests in flight, and returns
-// nil. After Drain it has nothing more to serve, and waits for ctx.
+// all connections at once, which cancels the requests in flight, waits for these
+// to end and returns nil. After Drain it has nothing more to serve, and waits for ctx.
 func (s *Server) Run(ctx context.Context) error {
 	l, err := s.listen()
 	if err != nil {
@@ -56,6 +59,7 @@
 	}
 	_ = server.Close()
 	<-served
+	s.callers.await(context.Background(), endLimit, 0)
 	return nil
 }
 
