--- a/Makefile
+++ b/Makefile
@@ -11,5 +11,16 @@
 run: build
 	scripts/run-demo.sh
 
+# The tests with real processes run one package at a time, after the others,
+# since they measure times.
 test:
-	go test -race -timeout $(TEST_TIMEOUT) ./...
+	go test -race -timeout $(TEST_TIMEOUT) $$(go list ./... | grep -v /test/)
+	go test -race -timeout $(TEST_TIMEOUT) -p 1 ./test/...
+
+# Proves the invariants with real processes; SEEDS=10 repeats with ten seeds.
+prove:
+	SEEDS=$(or $(SEEDS),1) scripts/prove.sh
+
+# Measures added latency, detection time and control cost with real processes.
+bench:
+	go test -run xxx -bench . -benchtime 1x -timeout 30m ./test/proofs
