Give readers of pooled connections more time on a busy machine

The tests of pooled connections now wait until the readers are ready, so that they do not depend on it.

--- a/internal/instance/entry/upstream/attempt_test.go
+++ b/internal/instance/entry/upstream/attempt_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -122,9 +124,27 @@
 		t.Fatal(err)
 	}
 	_ = ans.Body.Close()
+	awaitParked(t, p, a.Target)
 	return ans, trace, string(data)
 }
 
+// awaitParked waits until the readers of idle connections wait for the next
+// answer. On a busy machine that can take longer than parkLimit, after which an
+// attempt rightly opens a connection.
+func awaitParked(t *testing.T, p *Pools, target Target) {
+	t.Helper()
+	pl := p.pool(target)
+	pl.mu.Lock()
+	idle := slices.Clone(pl.idle)
+	pl.mu.Unlock()
+	for limit := time.Now().Add(waitLimit); len(idle) > 0; {
+		if time.Now().After(limit) {
+			t.Fatal("the reader of an idle connection does not wait for an answer")
+		}
+		idle = slices.DeleteFunc(idle, func(c *conn) bool { return c.counted.waitParked() || c.client.Err() != nil })
+	}
+}
+
 // Guards against answers that are passed on although they are not the whole
 // answer to the request, and against refusals that prove nothing.
 func TestChecksAnswers(t *testing.T) {
--- a/internal/instance/entry/upstream/conn.go
+++ b/internal/instance/entry/upstream/conn.go
@@ -10,8 +10,9 @@
 )
 
 // parkLimit is the time given to the reader of a connection to go back to
-// waiting after an answer was read. It only has to be scheduled.
-const parkLimit = 5 * time.Millisecond
+// waiting after an answer was read. It only has to be scheduled; a shorter time
+// makes a busy machine open connections that it does not need.
+const parkLimit = 20 * time.Millisecond
 
 // answerGrace is the time for which a failed write is held back while an answer
 // may still be read. An upstream that answers without reading the whole body
