Choose upstreams last that keep failing at this instance

Cause: at low load requests stay in the region, so that an instance whose region's upstreams all fail has nothing to compare with, takes the faults for its own and goes on sending to them. After three failures in a row an upstream is now chosen last for 2 s, but for a tenth of the idempotent requests, which try it first as evidence.

--- a/internal/instance/entry/outcome.go
+++ b/internal/instance/entry/outcome.go
@@ -64,6 +64,7 @@
 // nothing that was not reported before.
 func (a *attempt) report() {
 	class, reason := a.class()
+	a.st.noteOutcome(a.choice.upstream.ID, class, time.Now())
 	if class == health.OK && a.trace.Latency > 0 {
 		a.st.observe(routeName(a.e.route), a.trace.Latency)
 	}
--- a/internal/instance/entry/pick.go
+++ b/internal/instance/entry/pick.go
@@ -38,6 +38,7 @@
 	index  int
 	home   bool
 	remote bool    // in another region than this instance
+	last   bool    // to be chosen last, whatever its load
 	own    int     // requests in flight from this instance
 	load   float64 // known requests in flight per slot
 }
@@ -62,12 +63,16 @@
 	return float64(load) <= spreadLoad*float64(slots)
 }
 
-// better reports whether c is to be preferred to d. When requests are spread,
+// better reports whether c is to be preferred to d. Upstreams that keep failing
+// come last. When requests are spread,
 // the region decides before the load. Otherwise home slots come before borrowed
 // ones; among home slots the region decides before the load, because a home
 // slot is free whatever the load, and among borrowed slots it is the other way
 // round.
 func (c candidate) better(d candidate, spread bool) bool {
+	if c.last != d.last {
+		return d.last
+	}
 	if spread && c.remote != d.remote {
 		return d.remote
 	}
@@ -97,6 +102,7 @@
 	again := st.triedAll(svc, w)
 	top := st.topWeight(svc, now)
 	spread := st.spreads(svc)
+	try := w.idempotent && !w.retry && st.rand.Float64() < failingShare
 	for _, i := range st.rand.Perm(len(svc.Upstreams)) {
 		u := &svc.Upstreams[i]
 		if u.State != health.InService || st.avoided(u.ID, now) || !again && slices.Contains(w.tried, u.ID) {
@@ -107,6 +113,7 @@
 			continue
 		}
 		c.index, c.remote = i, u.Region != snap.Self.Region
+		c.last = st.failing(u.ID, now) != try
 		if !found || c.better(best, spread) {
 			best, found = c, true
 		}
--- a/internal/instance/entry/pick_test.go
+++ b/internal/instance/entry/pick_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"knapweedreel/internal/health"
 )
@@ -78,3 +79,34 @@
 		t.Errorf("%d probes of 100 requests", probes)
 	}
 }
+
+// Guards against an instance that goes on sending requests to the upstreams of
+// its own region while they fail, and against one that never tries them again.
+func TestFailingUpstreamIsChosenLast(t *testing.T) {
+	near, far := upstreamAt("u1", "127.0.0.1:1"), upstreamAt("u2", "127.0.0.1:1")
+	far.Region = "north"
+	snap := snapshotOf(testDocument(), near, far)
+	snap.Self.Region = near.Region
+	st := newService(&fakeControl{snap: snap})
+	for range failingAfter {
+		st.noteOutcome("u1", health.Failed, time.Now())
+	}
+	chosen := map[string]int{}
+	w := wantOf("x")
+	w.idempotent = true
+	for range 1000 {
+		c, ok := st.tryAcquire(w)
+		if !ok {
+			t.Fatal("no upstream was chosen")
+		}
+		chosen[c.upstream.ID]++
+		st.release(c.upstream.ID)
+	}
+	if n := chosen["u1"]; n < 50 || n > 200 {
+		t.Errorf("chosen %v, want u1 in about 1 of 10", chosen)
+	}
+	st.noteOutcome("u1", health.OK, time.Now())
+	if c, _ := st.tryAcquire(wantOf("x")); c.upstream.ID != "u1" {
+		t.Errorf("chosen %s after a success, want the upstream of the own region", c.upstream.ID)
+	}
+}
--- a/internal/instance/entry/service.go
+++ b/internal/instance/entry/service.go
@@ -25,6 +25,7 @@
 	inFlight  map[string]int       // by upstream
 	avoid     map[string]time.Time // upstream gets nothing before that time
 	unreached map[string]bool      // last connection failed: one request at a time
+	failures  map[string]failures  // by upstream
 	borrow    borrowPause
 	queue     fairQueue
 	recheck   *time.Timer // runs while requests wait
@@ -48,6 +49,7 @@
 			inFlight:  make(map[string]int),
 			avoid:     make(map[string]time.Time),
 			unreached: make(map[string]bool),
+			failures:  make(map[string]failures),
 			retries:   newBucket(retryShare, retryReserve, 2*retryReserve),
 			refusals:  newBucket(refusalShare, refusalReserve, 2*refusalReserve),
 			probes:    newBucket(probeShare, 0, 1),
@@ -152,6 +154,11 @@
 			delete(st.avoid, id)
 		}
 	}
+	for id, f := range st.failures {
+		if now.Sub(f.last) >= failingTime {
+			delete(st.failures, id)
+		}
+	}
 	for id := range st.unreached {
 		if svc == nil || !slices.ContainsFunc(svc.Upstreams, func(u routing.Upstream) bool { return u.ID == id }) {
 			delete(st.unreached, id)
--- a/test/proofs/detection_test.go
+++ b/test/proofs/detection_test.go
@@ -17,17 +17,20 @@
 	for _, fault := range []struct {
 		name        string
 		sensitivity float64
-		rate        int // requests a second, of 1,800 that the slots allow
+		rate        int   // requests a second, of 1,800 that the slots allow
+		faulty      []int // upstreams; 0, 3, 6 and 9 are those of the region south
 		faults      upstreamFaults
 		limit       time.Duration
 	}{
-		{"all-work-fails", 0.8, 360, upstreamFaults{FailFraction: 1, Status: 500}, 10 * time.Second},
-		{"20%-fails", 0.8, 360, upstreamFaults{FailFraction: 0.2, Status: 500}, 30 * time.Second},
-		{"20-times-slower", 0.8, 360, upstreamFaults{SlowFactor: 20}, 30 * time.Second},
-		{"hangs", 0.8, 360, upstreamFaults{Hang: true}, 30 * time.Second},
-		{"all-work-fails-quiet", 0.8, 36, upstreamFaults{FailFraction: 1, Status: 500}, 20 * time.Second},
-		{"all-work-fails-careful-quiet", 0.2, 36, upstreamFaults{FailFraction: 1, Status: 500}, 30 * time.Second},
-		{"all-work-fails-careful", 0.2, 360, upstreamFaults{FailFraction: 1, Status: 500}, 20 * time.Second},
+		{"all-work-fails", 0.8, 360, []int{5}, upstreamFaults{FailFraction: 1, Status: 500}, 10 * time.Second},
+		{"20%-fails", 0.8, 360, []int{5}, upstreamFaults{FailFraction: 0.2, Status: 500}, 30 * time.Second},
+		{"20-times-slower", 0.8, 360, []int{5}, upstreamFaults{SlowFactor: 20}, 30 * time.Second},
+		{"hangs", 0.8, 360, []int{5}, upstreamFaults{Hang: true}, 30 * time.Second},
+		{"all-work-fails-quiet", 0.8, 36, []int{5}, upstreamFaults{FailFraction: 1, Status: 500}, 20 * time.Second},
+		{"all-work-fails-careful-quiet", 0.2, 36, []int{5}, upstreamFaults{FailFraction: 1, Status: 500}, 30 * time.Second},
+		{"region-fails", 0.8, 360, []int{0, 3, 6, 9}, upstreamFaults{FailFraction: 1, Status: 500}, 20 * time.Second},
+		{"half-fails", 0.8, 360, []int{0, 3, 6, 9, 1, 2}, upstreamFaults{FailFraction: 1, Status: 500}, 20 * time.Second},
+		{"all-work-fails-careful", 0.2, 360, []int{5}, upstreamFaults{FailFraction: 1, Status: 500}, 20 * time.Second},
 	} {
 		b.Run(fault.name, func(b *testing.B) {
 			f := newFleet(b, options{instances: 12, services: []serviceSpec{{
@@ -42,7 +45,7 @@
 			load.Go(func() { f.steadyLookups(loading, "jars", fault.rate) })
 			<-time.After(3 * time.Second) // the routes' usual times are learned
 			for b.Loop() {
-				f.detect(b, f.upstreams["jars"][5], fault.faults, fault.limit)
+				f.detect(b, fault.faulty, fault.faults, fault.limit)
 			}
 			stopLoad()
 			load.Wait()
@@ -66,28 +69,33 @@
 	wg.Wait()
 }
 
-// detect makes an upstream faulty and reports when the first and the last
-// instance have ejected it. The times are those of the instances' own records.
-func (f *fleet) detect(b *testing.B, u *standinUpstream, faults upstreamFaults, limit time.Duration) {
-	u.set(b, faults)
+// detect makes upstreams faulty and reports when an instance has ejected one of
+// them for the first time, and when all instances have ejected all. The times
+// are those of the instances' own records.
+func (f *fleet) detect(b *testing.B, faulty []int, faults upstreamFaults, limit time.Duration) {
 	began := time.Now()
+	isFaulty := make(map[string]bool)
+	for _, i := range faulty {
+		u := f.upstreams["jars"][i]
+		isFaulty[u.id] = true
+		u.set(b, faults)
+	}
 	var first, last time.Duration
-	missed := 0
+	missed, wrong := 0, 0
 	for _, in := range f.instances {
-		at, ok := f.ejectedAt(in, "jars", u.id, began, limit)
-		if !ok {
-			missed++
-			continue
-		}
-		if first == 0 || at < first {
-			first = at
+		for id := range isFaulty {
+			at, ok := f.ejectedAt(in, "jars", id, began, limit)
+			if !ok {
+				missed++
+				continue
+			}
+			if first == 0 || at < first {
+				first = at
+			}
+			last = max(last, at)
 		}
-		last = max(last, at)
-	}
-	wrong := 0
-	for _, in := range f.instances {
 		for _, c := range f.changes(in, "jars") {
-			if c.To == health.Ejected && c.Upstream.Upstream != u.id {
+			if c.To == health.Ejected && !isFaulty[c.Upstream.Upstream] {
 				wrong++
 			}
 		}
