health: let a rare failure elsewhere not hide a slow fault

Cause: as soon as any failure remained in the others' mean, however decayed, an upstream needed 3 failures in the long window. The margin now falls to 0 with the mean of the others. The new test fails without the change (run on a scratch state).

--- a/internal/health/baseline.go
+++ b/internal/health/baseline.go
@@ -37,12 +37,15 @@
 // A fault that begins at many upstreams at once reaches some of them first, and
 // the score of the unlucky one may reach the threshold before the baseline has
 // risen. An upstream is therefore ejected only when its failures in the long
-// window are at least standOutFactor times the mean of the others, plus
-// standOutMargin. The mean leaves out a smaller share than the baseline does,
-// because few failures have been seen then.
+// window are at least standOutFactor times the mean of the others, plus up to
+// standOutMargin. The margin is whole from a mean of standOutMean on and falls to
+// 0 with it: rare failures elsewhere must not hide a fault that gives less than
+// standOutMargin failures in the window. The mean leaves out a smaller share than
+// the baseline does, because few failures have been seen then.
 const (
 	standOutFactor = 6
 	standOutMargin = 3
+	standOutMean   = 0.2
 	standOutTrim   = 0.15
 )
 
@@ -168,7 +171,8 @@
 		return true
 	}
 	usual := trimmedMean(counts, standOutTrim)
-	return usual > 0 && u.recentOf(slow, now) < standOutFactor*usual+standOutMargin
+	margin := standOutMargin * min(1, usual/standOutMean)
+	return u.recentOf(slow, now) < standOutFactor*usual+margin
 }
 
 // recentOf returns the failures of one kind in the long window.
--- a/internal/health/guards_test.go
+++ b/internal/health/guards_test.go
@@ -217,3 +217,17 @@
 		f.mustBe(u, InService)
 	}
 }
+
+// Guards against a fault in quiet hours that is never acted on because a few
+// other upstreams have failed once.
+func TestRareFailuresElsewhereDoNotHideAFault(t *testing.T) {
+	f := newFleet(t, 12)
+	for u := 1; u < 5; u++ {
+		f.report("i3", "r2", u, 20, 1, 9)
+	}
+	for i := range uint64(8) {
+		f.report([]string{"i1", "i2"}[i%2], "r0", 0, 0, 1, i)
+		f.wait(2 * time.Second)
+	}
+	f.mustBe(0, Ejected)
+}
