--- a/Makefile
+++ b/Makefile
@@ -13,3 +13,10 @@
 
 test:
 	go test -race -timeout $(TEST_TIMEOUT) ./...
+
+# Points for the capacity model. The time for each size is short, so that all
+# sizes take less than three minutes; run it on an idle machine.
+CAPACITY_BENCHTIME = 200ms
+
+capacity:
+	go test -run xxx -bench . -benchtime $(CAPACITY_BENCHTIME) -timeout 10m ./test/capacity > docs/capacity-points.txt
--- /dev/null
+++ b/test/capacity/harness_test.go
@@ -0,0 +1,185 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"knapweedreel/internal/document"
+	"knapweedreel/internal/health"
+	"knapweedreel/internal/instance/control"
+	"knapweedreel/internal/member"
+	"knapweedreel/internal/wire"
+)
+
+// Sizes of one document in two years: 29,000 upstreams and 48,000 routes in
+// 590 services.
+const (
+	upstreamsPerDocument = 49
+	routesPerDocument    = 81
+	documentCount        = 590
+	shardMembers         = 44
+)
+
+var fleetSizes = []int{32, 320, 2_800}
+
+// heap returns the bytes of live objects on the heap.
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// reportPer reports the time per operation in µs besides ns/op.
+func reportPer(b *testing.B, name string, items int) {
+	b.Helper()
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/1e3/float64(b.N)/float64(max(items, 1)), name)
+}
+
+func serviceName(i int) string { return fmt.Sprintf("service-%03d", i) }
+
+func upstreamKey(service, i int) health.Key {
+	return health.Key{Service: serviceName(service), Upstream: upstreamID(service, i)}
+}
+
+func upstreamID(service, i int) string { return fmt.Sprintf("upstream-%03d-%03d", service, i) }
+
+func memberID(i int) string { return fmt.Sprintf("instance-%04d", i) }
+
+// documentText returns the text of a document as an operator would write it.
+func documentText(service, upstreams, routes int) string {
+	var s strings.Builder
+	fmt.Fprintf(&s, "{\n  \"service\": %q,\n  \"hosts\": [%q],\n  \"floor_slots\": %d,\n  \"upstreams\": [\n",
+		serviceName(service), serviceName(service)+".example", upstreams)
+	for i := range upstreams {
+		fmt.Fprintf(&s, "    {\"id\": %q, \"address\": \"10.%d.%d.%d:8080\", \"region\": \"region-%d\", \"failure_domain\": \"domain-%02d\", \"slots\": 6},\n",
+			upstreamID(service, i), service/250, service%250, i+1, i%8, i%18)
+	}
+	s.WriteString("  ],\n  \"routes\": [\n")
+	for i := range routes {
+		fmt.Fprintf(&s, "    {\"method\": \"GET\", \"path\": \"/resource-%03d/*\", \"idempotent\": true, \"deadline_ms\": 2000},\n", i)
+	}
+	s.WriteString("  ],\n}\n")
+	return s.String()
+}
+
+func envelopeOf(service int, revision uint64) document.Envelope {
+	return document.Envelope{
+		Service: serviceName(service), Revision: revision,
+		Text:    documentText(service, upstreamsPerDocument, routesPerDocument),
+		History: history(1),
+	}
+}
+
+func history(n int) []document.Change {
+	var out []document.Change
+	for i := range n {
+		out = append(out, document.Change{
+			Revision: uint64(i + 1), ChangeID: fmt.Sprintf("change-%08d", i), Author: "operator-01",
+			Time: time.Unix(1_700_000_000, 0).UTC(), Instance: memberID(i), Summary: "upstreams[0].slots: 4 to 6",
+		})
+	}
+	return out
+}
+
+func parsed(b *testing.B, service, upstreams, routes int) *document.Document {
+	b.Helper()
+	d, err := document.Parse("bench", []byte(documentText(service, upstreams, routes)))
+	if err != nil {
+		b.Fatal(err)
+	}
+	return d
+}
+
+func infoOf(i int) member.Info {
+	return member.Info{
+		ID: memberID(i), Boot: uint64(1_700_000_000_000_000_000 + i), Sequence: 1,
+		EntryAddress: fmt.Sprintf("10.9.%d.%d:8080", i/250, i%250+1),
+		PeerAddress:  fmt.Sprintf("10.9.%d.%d:8081", i/250, i%250+1),
+		AdminAddress: fmt.Sprintf("10.9.%d.%d:8082", i/250, i%250+1),
+		Region:       fmt.Sprintf("region-%d", i%8), FailureDomain: fmt.Sprintf("domain-%02d", i%18), State: member.Active,
+	}
+}
+
+// stepClock is a clock that moves only by step.
+type stepClock struct {
+	start time.Time
+	since atomic.Int64
+	ticks chan time.Time
+}
+
+func (c *stepClock) Now() time.Time { return c.start.Add(time.Duration(c.since.Load())) }
+
+func (c *stepClock) Tick(d time.Duration) (<-chan time.Time, func()) {
+	if d == health.TickInterval {
+		return c.ticks, func() {}
+	}
+	return nil, func() {}
+}
+
+func (c *stepClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
+// discard is a peering.Sender that counts messages.
+type discard struct{ sent atomic.Int64 }
+
+func (d *discard) Send(string, wire.Message) { d.sent.Add(1) }
+func (d *discard) Connect([]member.Info)     {}
+
+// loop is a running control loop.
+type loop struct {
+	*control.Loop
+	clock *stepClock
+	peers *discard
+}
+
+func startLoop(b *testing.B) *loop {
+	b.Helper()
+	l := &loop{clock: &stepClock{start: time.Now(), ticks: make(chan time.Time)}, peers: &discard{}}
+	self := infoOf(0)
+	l.Loop = control.New(control.Config{
+		Self: self,
+		NewEngine: func() control.Engine {
+			return health.New(health.Config{Instance: self.ID, Region: self.Region})
+		},
+		Parse: document.Parse, Peers: l.peers, Heartbeat: time.Second,
+		PeerTimeout: member.Timeout, HolderTimeout: 15 * time.Second, Explanations: 100,
+		Clock: l.clock, Random: rand.New(rand.NewPCG(1, 2)), Log: zap.NewNop(), Scope: tally.NoopScope,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(ctx) }()
+	b.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			b.Error(err)
+		}
+		l.Stop()
+	})
+	return l
+}
+
+// wait returns when the loop has handled all that was handed to it before.
+func (l *loop) wait(b *testing.B) {
+	b.Helper()
+	if _, _, err := l.Envelope(context.Background(), "none"); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// tick moves the time on by a tick and waits until the loop has handled it.
+func (l *loop) tick(b *testing.B) {
+	b.Helper()
+	l.clock.since.Add(int64(health.TickInterval))
+	l.clock.ticks <- l.clock.Now()
+	l.wait(b)
+}
--- /dev/null
+++ b/test/capacity/store_test.go
@@ -0,0 +1,114 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"knapweedreel/internal/standin/storeserver"
+	"knapweedreel/internal/store"
+	"knapweedreel/internal/store/httpstore"
+)
+
+// instances returns a list of entries, and of upstreams in the given number of
+// services.
+func instances(entries, upstreams, services int) []store.Instance {
+	out := make([]store.Instance, 0, entries+upstreams)
+	for i := range entries {
+		m := infoOf(i)
+		out = append(out, store.Instance{
+			ID: m.ID, Role: store.RoleEntry, Address: m.EntryAddress, PeerAddress: m.PeerAddress, AdminAddress: m.AdminAddress,
+			Region: m.Region, FailureDomain: m.FailureDomain, State: store.StateLive,
+		})
+	}
+	for i := range upstreams {
+		s := i % services
+		out = append(out, store.Instance{
+			ID: upstreamID(s, i/services), Role: store.RoleUpstream, Service: serviceName(s),
+			Address: fmt.Sprintf("10.%d.%d.%d:8080", s/250, s%250, i/services+1),
+			Region:  fmt.Sprintf("region-%d", i%8), FailureDomain: fmt.Sprintf("domain-%02d", i%18), State: store.StateLive,
+		})
+	}
+	return out
+}
+
+// countingConn adds the bytes that the server writes to count.
+type countingConn struct {
+	net.Conn
+	count *atomic.Int64
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	// Counted first: the client may have read the answer before Write returns.
+	c.count.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+type countingListener struct {
+	net.Listener
+	count *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countingConn{c, l.count}, nil
+}
+
+// Guards against polls that move the whole list though nothing has changed, and
+// shows the cost of those that must.
+func BenchmarkListPoll(b *testing.B) {
+	const upstreams = 29_000
+	for _, entries := range fleetSizes {
+		server := storeserver.New()
+		for _, i := range instances(entries, upstreams, documentCount) {
+			if err := server.Memory().Register(context.Background(), i); err != nil {
+				b.Fatal(err)
+			}
+		}
+		var count atomic.Int64
+		h := httptest.NewUnstartedServer(http.Handler(server))
+		h.Listener = countingListener{h.Listener, &count}
+		h.Start()
+		client := func() *httpstore.Client {
+			return httpstore.New(httpstore.Config{StoreAddress: h.Listener.Addr().String(), Timeout: 20 * time.Second})
+		}
+		poll := func(b *testing.B, c *httpstore.Client) {
+			b.Helper()
+			list, err := c.Instances(context.Background())
+			if err != nil || len(list) != entries+upstreams {
+				b.Fatalf("%d instances, %v", len(list), err)
+			}
+		}
+		b.Run(fmt.Sprintf("full/entries=%d", entries), func(b *testing.B) {
+			start := count.Load()
+			for range b.N {
+				c := client()
+				poll(b, c)
+				c.Close()
+			}
+			b.ReportMetric(float64(count.Load()-start)/float64(b.N), "answer-bytes")
+			reportPer(b, "poll-µs", 1)
+		})
+		b.Run(fmt.Sprintf("unchanged/entries=%d", entries), func(b *testing.B) {
+			c := client()
+			defer c.Close()
+			poll(b, c)
+			start := count.Load()
+			b.ResetTimer()
+			for range b.N {
+				poll(b, c)
+			}
+			b.ReportMetric(float64(count.Load()-start)/float64(b.N), "answer-bytes")
+			reportPer(b, "poll-µs", 1)
+		})
+		h.Close()
+	}
+}
