--- /dev/null
+++ b/test/capacity/dissemination_test.go
@@ -0,0 +1,107 @@
+package capacity
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"knapweedreel/internal/instance/control"
+	"knapweedreel/internal/member"
+)
+
+// disseminationSeeds is the number of random link graphs for each size.
+const disseminationSeeds = 100
+
+// linkGraph returns the linked members of each of n members, as control chooses
+// them: its shard and random others. A link serves both ends.
+func linkGraph(n int, rnd *rand.Rand) [][]int {
+	shards := member.Shards(n)
+	shard := make([]int, n)
+	byShard := make([][]int, shards)
+	for i := range n {
+		shard[i] = member.ShardOf(memberID(i), shards)
+		byShard[shard[i]] = append(byShard[shard[i]], i)
+	}
+	links := make([][]int, n)
+	for i := range n {
+		own := slices.Clone(byShard[shard[i]])
+		links[i] = append(links[i], slices.DeleteFunc(own, func(j int) bool { return j == i })...)
+		for chosen := 0; shards > 1 && chosen < control.Fanout; {
+			j := rnd.IntN(n)
+			if shard[i] == shard[j] {
+				continue
+			}
+			chosen++
+			if !slices.Contains(links[i], j) {
+				links[i], links[j] = append(links[i], j), append(links[j], i)
+			}
+		}
+	}
+	return links
+}
+
+// disseminate pushes a document from member 0 to all its links. A member to
+// which it is new forwards it to Fanout random links other than the sender. It
+// returns the rounds until nothing was forwarded any more, the messages, and
+// the members that no message reached; anti-entropy brings these the document.
+func disseminate(links [][]int, rnd *rand.Rand) (rounds, messages, missed int) {
+	type delivery struct{ from, to int }
+	reached := make([]bool, len(links))
+	reached[0] = true
+	missed = len(links) - 1
+	var current []delivery
+	for _, to := range links[0] {
+		current = append(current, delivery{0, to})
+	}
+	for len(current) > 0 {
+		messages += len(current)
+		var next []delivery
+		found := false
+		for _, d := range current {
+			if reached[d.to] {
+				continue
+			}
+			reached[d.to], found = true, true
+			missed--
+			sent := 0
+			for _, k := range rnd.Perm(len(links[d.to])) {
+				if to := links[d.to][k]; to != d.from && sent < control.Fanout {
+					next = append(next, delivery{d.to, to})
+					sent++
+				}
+			}
+		}
+		if found {
+			rounds++
+		}
+		current = next
+	}
+	return rounds, messages, missed
+}
+
+// Guards against a push whose rounds grow faster than the logarithm of the
+// fleet, or that leaves many members to anti-entropy.
+func BenchmarkDissemination(b *testing.B) {
+	for _, n := range fleetSizes {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			var sum, worst [3]int
+			for range b.N {
+				sum, worst = [3]int{}, [3]int{}
+				for seed := range uint64(disseminationSeeds) {
+					rnd := rand.New(rand.NewPCG(seed, 1))
+					var r [3]int
+					r[0], r[1], r[2] = disseminate(linkGraph(n, rnd), rnd)
+					for i := range r {
+						sum[i] += r[i]
+						worst[i] = max(worst[i], r[i])
+					}
+				}
+			}
+			for i, name := range []string{"rounds", "messages", "missed-members"} {
+				b.ReportMetric(float64(sum[i])/disseminationSeeds, "mean-"+name)
+				b.ReportMetric(float64(worst[i]), "worst-"+name)
+			}
+		})
+	}
+}
