--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,12 @@
 # Measures added latency, detection time and control cost with real processes.
 bench:
 	go test -run xxx -bench . -benchtime 1x -timeout 30m ./test/proofs
+
+	go test -race -timeout $(TEST_TIMEOUT) ./...
+
+# Points for the capacity model. The time for each size is short, so that all
+# sizes take less than three minutes; run it on an idle machine.
+CAPACITY_BENCHTIME = 200ms
+
+capacity:
+	go test -run xxx -bench . -benchtime $(CAPACITY_BENCHTIME) -timeout 10m ./test/capacity > docs/capacity-points.txt
