Eject half of a service's upstreams when half of them fail

Cause: an instance whose region's upstreams all fail doubts itself, and the doubt ended only when at most a quarter of the used upstreams failed, which is never while a third or half of them are faulty. The baseline left out only the worst quarter, so that faulty upstreams raised it. Ruled out: the baseline alone (with it changed, still no ejection).

--- a/internal/health/baseline.go
+++ b/internal/health/baseline.go
@@ -25,8 +25,8 @@
 )
 
 // trimmedShare is the share of upstreams, the worst, that a baseline leaves out,
-// so that faulty upstreams do not raise it.
-const trimmedShare = 0.25
+// so that faulty upstreams do not raise it while they are no majority.
+const trimmedShare = 0.5
 
 // serviceWideShare is the mean score of the service's other upstreams, as a
 // share of the threshold, from which a fault counts as one of the whole
--- a/internal/health/doubt.go
+++ b/internal/health/doubt.go
@@ -16,10 +16,10 @@
 	// fewer, the reporter's cap limits the harm.
 	doubtUpstreams = 3
 	// doubtShare is the share of used upstreams that fail at this instance above
-	// which it doubts itself, and doubtEndShare the one below which it trusts
-	// itself again.
-	doubtShare    = 0.5
-	doubtEndShare = 0.25
+	// which it doubts itself. At or below it the doubt ends: with a lower limit
+	// an instance whose region had failed as a whole, a third of all upstreams,
+	// never trusted itself again.
+	doubtShare = 0.5
 	// maxPause is the pause from which own failures are doubted: timeouts that
 	// ran out while the process stood still say nothing about upstreams.
 	maxPause = 500 * time.Millisecond
@@ -85,7 +85,7 @@
 	case !e.doubt.failing && failing >= doubtUpstreams && float64(failing) > doubtShare*float64(len(used)):
 		e.doubt.failing = true
 		e.dropOwnShares()
-	case e.doubt.failing && float64(failing) <= doubtEndShare*float64(len(used)):
+	case e.doubt.failing && float64(failing) <= doubtShare*float64(len(used)):
 		e.doubt.failing = false
 	}
 }
--- a/internal/health/guards_test.go
+++ b/internal/health/guards_test.go
@@ -156,6 +156,28 @@
 	}
 }
 
+// Guards against a doubt that outlasts its cause: first only the upstreams of a
+// failed region are used, then also others, which work.
+func TestDoubtEndsWhenOtherUpstreamsWork(t *testing.T) {
+	f := newFleet(t, 12)
+	for range 5 {
+		for u := range 6 {
+			f.outcome(u, Failed, uint64(u))
+		}
+		f.wait(TickInterval)
+	}
+	if !f.engine.selfSuspect() {
+		t.Fatal("no doubt although all used upstreams fail")
+	}
+	for u := 6; u < 12; u++ {
+		f.outcome(u, OK, 1)
+	}
+	f.wait(TickInterval)
+	if f.engine.selfSuspect() {
+		t.Fatal("the doubt goes on although half of the upstreams work")
+	}
+}
+
 // Guards against the evidence of a peer that has come to doubt itself.
 func TestDoubtOfPeerTakesItsShareBack(t *testing.T) {
 	f := newFleet(t, 12)
