Judge a read as stale by what was in force before it

Cause: a put compared the stored revision with the one in force after the read. The revision in force is now taken before the read; 40 runs with the race detector pass.

--- a/internal/instance/platform/attempt.go
+++ b/internal/instance/platform/attempt.go
@@ -37,6 +37,9 @@
 // when another step is needed.
 func (a *attempt) step(ctx context.Context) (result PutResult, done bool) {
 	key := documentKey(a.request.Service)
+	// Taken before the read: a document that another put brings in force in the
+	// meantime does not make the read stale.
+	inForce := a.putter.inForce(a.request.Service)
 	v, err := a.putter.store.Get(ctx, key)
 	if err != nil {
 		return a.failed(err)
@@ -45,7 +48,7 @@
 	if err != nil {
 		return a.undecodable(err)
 	}
-	if result, done := a.settle(ctx, stored, v.Version); done {
+	if result, done := a.settle(ctx, stored, v.Version, inForce); done {
 		return result, true
 	}
 	if stored.Revision != a.request.ExpectedRevision {
@@ -54,15 +57,15 @@
 	return a.write(ctx, key, stored, v.Version)
 }
 
-// settle decides the put from the stored document, if it can.
-func (a *attempt) settle(ctx context.Context, stored document.Envelope, version uint64) (PutResult, bool) {
+// settle decides the put from the stored document, if it can. inForce is the
+// revision that was in force here before the document was read.
+func (a *attempt) settle(ctx context.Context, stored document.Envelope, version, inForce uint64) (PutResult, bool) {
 	if c, ok := findChange(stored, a.request.ChangeID); ok {
 		return a.found(ctx, stored, c), true
 	}
 	if a.sent {
 		return a.overtaken(ctx, stored)
 	}
-	inForce := a.putter.inForce(a.request.Service)
 	if stored.Revision < inForce {
 		return notAccepted(stored.Revision, errkind.StoreStale,
 			"the store holds revision %d, but revision %d is in force", stored.Revision, inForce), true
