--- a/internal/health/baseline.go
+++ b/internal/health/baseline.go
@@ -170,6 +170,11 @@
 	if trimmedMean(scores, trimmedShare) >= serviceWideShare*s.limits.threshold {
 		return true
 	}
+	if slow {
+		// A slow upstream answers few requests, while a busy healthy one always
+		// has some slow answers: counts do not compare.
+		return false
+	}
 	usual := trimmedMean(counts, standOutTrim)
 	margin := standOutMargin * min(1, usual/standOutMean)
 	return u.recentOf(slow, now) < standOutFactor*usual+margin
