--- a/test/capacity/wire_test.go
+++ b/test/capacity/wire_test.go
@@ -14,20 +14,17 @@
 // the cost of one more entry in each of them.
 func BenchmarkMessages(b *testing.B) {
 	for _, n := range []int{0, 1, 10, 50} {
-		hello := infoOf(7)
 		measureMessage(b, fmt.Sprintf("heartbeat/entries=%d", n), wire.Message{Heartbeat: &wire.Heartbeat{
 			Info: member.Info{Sequence: 100_000, State: member.Active}, Digest: 1 << 63, InFlight: inFlight(n),
 		}})
-		if n > 0 {
-			measureMessage(b, fmt.Sprintf("evidence/entries=%d", n), wire.Message{Evidence: &wire.Evidence{
-				Region: "region-1", Evidence: evidence(0, n, 100),
-			}})
-			measureMessage(b, fmt.Sprintf("document-push/upstreams=%d", n), push(n, 1))
-			measureMessage(b, fmt.Sprintf("revision-vector/services=%d", n), wire.Message{RevisionVector: vector(n)})
-		} else {
-			measureMessage(b, "hello", wire.Message{Hello: &hello})
-		}
+		measureMessage(b, fmt.Sprintf("evidence/entries=%d", n), wire.Message{Evidence: &wire.Evidence{
+			Region: "region-1", Evidence: evidence(0, n, 100),
+		}})
+		measureMessage(b, fmt.Sprintf("document-push/upstreams=%d", n), push(n, 1))
+		measureMessage(b, fmt.Sprintf("revision-vector/services=%d", n), wire.Message{RevisionVector: vector(n)})
 	}
+	hello := infoOf(7)
+	measureMessage(b, "hello", wire.Message{Hello: &hello})
 	measureMessage(b, fmt.Sprintf("revision-vector/services=%d", documentCount), wire.Message{RevisionVector: vector(documentCount)})
 	measureMessage(b, fmt.Sprintf("document-push/upstreams=%d/history=32", upstreamsPerDocument), push(upstreamsPerDocument, 32))
 }
