--- a/test/capacity/documents_test.go
+++ b/test/capacity/documents_test.go
@@ -7,8 +7,6 @@
 	"strings"
 	"testing"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"knapweedreel/internal/document"
 	"knapweedreel/internal/instance/control"
 	"knapweedreel/internal/instance/platform"
@@ -28,7 +26,10 @@
 }
 
 func benchmarkDocuments(b *testing.B, members, n int) {
-	encoded, err := cbor.Marshal(envelopeOf(0, 1))
+	// The history is full, as that of any document in use is.
+	old := envelopeOf(0, document.HistoryLimit)
+	old.History = history(document.HistoryLimit)
+	encoded, err := platform.EncodeEnvelope(old)
 	if err != nil {
 		b.Fatal(err)
 	}
