--- a/test/proofs/detection_test.go
+++ b/test/proofs/detection_test.go
@@ -63,7 +63,8 @@
 	var wg sync.WaitGroup
 	for sent := 0; ctx.Err() == nil; <-tick.C {
 		for due := int(time.Since(started).Seconds() * float64(rate)); sent < due; sent++ {
-			wg.Go(func() { c.do(context.WithoutCancel(ctx), next(sent)) })
+			lookup := next(sent)
+			wg.Go(func() { c.do(context.WithoutCancel(ctx), lookup) })
 		}
 	}
 	wg.Wait()
--- a/test/proofs/surge_test.go
+++ b/test/proofs/surge_test.go
@@ -91,8 +91,9 @@
 	var wg sync.WaitGroup
 	for sent := 0; time.Since(started) < p.duration; <-tick.C {
 		for due := int(time.Since(started).Seconds() * float64(p.rate)); sent < due; sent++ {
+			lookup := next(sent)
 			wg.Go(func() {
-				a := c.do(context.Background(), next(sent))
+				a := c.do(context.Background(), lookup)
 				if a.served() && time.Since(started) <= p.duration {
 					r.within.Add(1)
 				}
