--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -42,7 +42,7 @@
 			if err := keys.CreateAuthority(files, "knapweedreel "+authorityName, validity); err != nil {
 				return err
 			}
-			return s.printKeys(authorityName, files, validity)
+			return s.printKeys(authorityName, files)
 		},
 	}
 }
@@ -78,7 +78,7 @@
 			if err := keys.CreateCertificate(filesIn(folder, authorityName), files, subject, role, validity); err != nil {
 				return err
 			}
-			return s.printKeys(subject, files, validity)
+			return s.printKeys(subject, files)
 		},
 	}
 }
@@ -116,8 +116,14 @@
 	}
 }
 
-func (s *session) printKeys(name string, files keys.Files, validity time.Duration) error {
-	created := keyFiles{Name: name, Certificate: files.CertificateFile, Key: files.KeyFile, Expires: time.Now().Add(validity)}
+// printKeys prints the files and when the certificate really expires, which may
+// be sooner than asked: no certificate outlives its authority.
+func (s *session) printKeys(name string, files keys.Files) error {
+	expires, err := keys.Expiry(files)
+	if err != nil {
+		return err
+	}
+	created := keyFiles{Name: name, Certificate: files.CertificateFile, Key: files.KeyFile, Expires: expires}
 	return s.print(created, func(w io.Writer) {
 		fmt.Fprintf(w, "name=%s certificate=%s key=%s expires=%s\n", name, files.CertificateFile, files.KeyFile, created.Expires.Format(time.RFC3339))
 	})
--- a/internal/health/evidence.go
+++ b/internal/health/evidence.go
@@ -228,7 +228,7 @@
 		e.probationOutcomes(s, u, r)
 	case InService:
 		h := s.limits.threshold
-		b := blow{
+		b := weighedFailure{
 			reporter:    r.reporter,
 			reporterCap: u.reporterCap(h, e.now),
 			callerCap:   s.callers.cap(h, e.now),
@@ -239,7 +239,7 @@
 }
 
 // take adds failures, spread over the callers, and then successes.
-func (s *score) take(now time.Time, b blow, rates rates, callers []uint64, failures, successes uint64) {
+func (s *score) take(now time.Time, b weighedFailure, rates rates, callers []uint64, failures, successes uint64) {
 	b.ratio = math.Log(rates.faulty / rates.healthy)
 	for i := range min(failures, maxShares) {
 		if len(callers) > 0 {
--- a/internal/health/score.go
+++ b/internal/health/score.go
@@ -32,8 +32,8 @@
 // division loses precision.
 const minScale = 1e-6
 
-// blow is one failure as it enters a score.
-type blow struct {
+// weighedFailure is one failure as it enters a score.
+type weighedFailure struct {
 	reporter    string
 	caller      uint64
 	ratio       float64 // log-likelihood ratio, above 0
@@ -42,7 +42,7 @@
 }
 
 // fail adds a failure, as far as the caps allow.
-func (s *score) fail(now time.Time, b blow) {
+func (s *score) fail(now time.Time, f weighedFailure) {
 	if s.sum == 0 {
 		s.reset()
 		s.started = now
@@ -51,17 +51,17 @@
 		s.callers = map[uint64]float64{}
 	}
 	s.failures++
-	if _, known := s.callers[b.caller]; !known && len(s.callers) >= maxShares {
-		b.caller = overflowCaller
+	if _, known := s.callers[f.caller]; !known && len(s.callers) >= maxShares {
+		f.caller = overflowCaller
 	}
-	if _, known := s.reporters[b.reporter]; !known && len(s.reporters) >= maxShares {
+	if _, known := s.reporters[f.reporter]; !known && len(s.reporters) >= maxShares {
 		return
 	}
-	inc := min(b.ratio, b.reporterCap-s.reporters[b.reporter]*s.scale, b.callerCap-s.callers[b.caller]*s.scale)
+	inc := min(f.ratio, f.reporterCap-s.reporters[f.reporter]*s.scale, f.callerCap-s.callers[f.caller]*s.scale)
 	inc = max(inc, 0)
 	s.sum += inc
-	s.reporters[b.reporter] += inc / s.scale
-	s.callers[b.caller] += inc / s.scale
+	s.reporters[f.reporter] += inc / s.scale
+	s.callers[f.caller] += inc / s.scale
 }
 
 // succeed adds n successes of the given ratio, which is below 0.
--- a/internal/keys/create.go
+++ b/internal/keys/create.go
@@ -105,3 +105,12 @@
 	err = pem.Encode(f, &pem.Block{Type: kind, Bytes: der})
 	return errors.Wrapf(errors.CombineErrors(err, f.Close()), "write %s", file)
 }
+
+// Expiry returns the end of the validity of the certificate in files.
+func Expiry(files Files) (time.Time, error) {
+	pair, err := tls.LoadX509KeyPair(files.CertificateFile, files.KeyFile)
+	if err != nil {
+		return time.Time{}, errors.Wrap(err, "read certificate")
+	}
+	return pair.Leaf.NotAfter, nil
+}
