Run the tests with real processes without the test cache

They build the programs themselves, which the cache does not see: a run after a change of the product printed the result of the run before.

--- a/Makefile
+++ b/Makefile
@@ -12,10 +12,11 @@
 	scripts/run-demo.sh
 
 # The tests with real processes run one package at a time, after the others,
-# since they measure times.
+# since they measure times. They build the programs themselves, which the test
+# cache does not see, hence -count=1.
 test:
 	go test -race -timeout $(TEST_TIMEOUT) $$(go list ./... | grep -v /test/)
-	go test -race -timeout $(TEST_TIMEOUT) -p 1 ./test/...
+	go test -race -count=1 -timeout $(TEST_TIMEOUT) -p 1 ./test/...
 
 # Proves the invariants with real processes; SEEDS=10 repeats with ten seeds.
 prove:
