Share the code that takes a share out of a score

Reporters and callers had a copy each; one generic function now serves both. The recheck after a pause uses the platform package's prefix of document keys in place of its own constant. Behaviour is unchanged.

The proofs with real processes were not run again on this revision.

--- a/internal/health/score.go
+++ b/internal/health/score.go
@@ -96,38 +96,27 @@
 }
 
 // drop takes a reporter's share out.
-func (s *score) drop(reporter string) {
-	share := s.reporters[reporter] * s.scale
-	if share == 0 {
-		return
-	}
-	rest := s.sum - share
-	delete(s.reporters, reporter)
-	if rest <= negligible {
-		s.reset()
-		return
-	}
-	for c := range s.callers {
-		s.callers[c] *= rest / s.sum
-	}
-	s.sum = rest
-}
+func (s *score) drop(reporter string) { dropShare(s, s.reporters, reporter, s.callers) }
 
 // dropCaller takes a caller's share out. Reporters lose alike, since the score
 // does not know whose reports the caller's failures came with.
-func (s *score) dropCaller(caller uint64) {
-	share := s.callers[caller] * s.scale
+func (s *score) dropCaller(caller uint64) { dropShare(s, s.callers, caller, s.reporters) }
+
+// dropShare takes the share of key out of the score and scales the other shares,
+// so that they add up to the new sum.
+func dropShare[K, L comparable](s *score, shares map[K]float64, key K, others map[L]float64) {
+	share := shares[key] * s.scale
 	if share == 0 {
 		return
 	}
 	rest := s.sum - share
-	delete(s.callers, caller)
+	delete(shares, key)
 	if rest <= negligible {
 		s.reset()
 		return
 	}
-	for r := range s.reporters {
-		s.reporters[r] *= rest / s.sum
+	for o := range others {
+		others[o] *= rest / s.sum
 	}
 	s.sum = rest
 }
--- a/internal/instance/platform/documents.go
+++ b/internal/instance/platform/documents.go
@@ -29,7 +29,7 @@
 // readDocuments reads all documents once and tells control that it may serve.
 func (c *Child) readDocuments(ctx context.Context) error {
 	for wait := readRetry; ; wait = min(2*wait, maxReadRetry) {
-		kvs, err := c.store.List(ctx, documentPrefix)
+		kvs, err := c.store.List(ctx, DocumentPrefix)
 		if err == nil {
 			c.offerAll(ctx, kvs)
 			if ctx.Err() == nil {
@@ -55,7 +55,7 @@
 		if !c.isolated() {
 			continue
 		}
-		kvs, err := c.store.List(ctx, documentPrefix)
+		kvs, err := c.store.List(ctx, DocumentPrefix)
 		if err != nil {
 			c.log.Warn("documents_read_failed", zap.Error(err))
 			continue
@@ -111,7 +111,7 @@
 			}
 			continue
 		}
-		kvs, next, err := c.store.Watch(ctx, documentPrefix, index)
+		kvs, next, err := c.store.Watch(ctx, DocumentPrefix, index)
 		if ctx.Err() != nil {
 			return nil
 		}
--- a/internal/instance/platform/envelope.go
+++ b/internal/instance/platform/envelope.go
@@ -11,13 +11,13 @@
 	"knapweedreel/internal/store"
 )
 
-// documentPrefix begins the store keys of documents.
-const documentPrefix = "documents/"
+// DocumentPrefix begins the store keys of documents.
+const DocumentPrefix = "documents/"
 
 // ErrTooLarge means that a document does not fit in a value of the store.
 var ErrTooLarge = errors.New("platform: document is too large for the store")
 
-func documentKey(service string) string { return documentPrefix + service }
+func documentKey(service string) string { return DocumentPrefix + service }
 
 // EncodeEnvelope returns the stored form of an envelope: JSON of at most
 // store.MaxValueBytes. The oldest changes are left out when it would be larger;
@@ -43,7 +43,7 @@
 // DecodeEnvelope decodes the value of a store key. An absent key gives an
 // envelope of revision 0.
 func DecodeEnvelope(key string, v store.Value) (document.Envelope, error) {
-	service := strings.TrimPrefix(key, documentPrefix)
+	service := strings.TrimPrefix(key, DocumentPrefix)
 	if v.Version == 0 {
 		return document.Envelope{Service: service}, nil
 	}
--- a/internal/instance/recheck.go
+++ b/internal/instance/recheck.go
@@ -11,9 +11,6 @@
 	"knapweedreel/internal/store"
 )
 
-// documentPrefix begins the store keys of documents.
-const documentPrefix = "documents/"
-
 // recheckInterval is the mean time between two looks at whether the documents
 // have to be compared again.
 const recheckInterval = 500 * time.Millisecond
@@ -50,7 +47,7 @@
 // pause interrupted may have brought old documents, and is repeated.
 func (r *recheck) read(ctx context.Context) {
 	begin := time.Now()
-	values, err := r.store.List(ctx, documentPrefix)
+	values, err := r.store.List(ctx, platform.DocumentPrefix)
 	if err != nil {
 		r.log.Warn("documents_recheck_failed", zap.Error(err))
 		return
