Move the client that sends each call at most once to a package of its own

A second adapter for a store needs the same transport: connections whose broken calls are told apart by whether a byte was written. httpstore keeps its protocol and uses httpcall; behaviour and tests are unchanged.

--- a/internal/store/httpstore/conn.go
+++ b/internal/store/httpcall/conn.go
@@ -1,4 +1,7 @@
-package httpstore
+// Package httpcall sends calls to a platform's service over HTTP/1.1, each at
+// most once, and tells a call that had no effect from one whose result is
+// unknown.
+package httpcall
 
 import (
 	"context"
@@ -79,16 +82,20 @@
 	c.tracker.Close()
 }
 
-// pool keeps the idle connections to one address.
-type pool struct {
+// Client makes calls to one address. It may be used by several goroutines.
+type Client struct {
 	address string
 	mu      sync.Mutex
 	idle    []*conn
 }
 
+// New returns a client for the service at address, IP:port. It connects at the
+// first call.
+func New(address string) *Client { return &Client{address: address} }
+
 // take returns an idle connection, or a new one when there is none or fresh
 // is set.
-func (p *pool) take(ctx context.Context, fresh bool) (*conn, error) {
+func (p *Client) take(ctx context.Context, fresh bool) (*conn, error) {
 	if !fresh {
 		if c := p.takeIdle(time.Now()); c != nil {
 			return c, nil
@@ -97,7 +104,7 @@
 	return p.dial(ctx)
 }
 
-func (p *pool) takeIdle(now time.Time) *conn {
+func (p *Client) takeIdle(now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.idle) > 0 {
@@ -113,7 +120,7 @@
 	return nil
 }
 
-func (p *pool) dial(ctx context.Context) (*conn, error) {
+func (p *Client) dial(ctx context.Context) (*conn, error) {
 	d := net.Dialer{KeepAliveConfig: keepAlive}
 	nc, err := d.DialContext(ctx, "tcp", p.address)
 	if err != nil {
@@ -133,7 +140,7 @@
 }
 
 // put gives a connection back after a complete answer.
-func (p *pool) put(c *conn) {
+func (p *Client) put(c *conn) {
 	c.idle = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -144,9 +151,9 @@
 	p.idle = append(p.idle, c)
 }
 
-// closeIdle closes all idle connections. It is called after a timeout, because
+// CloseIdle closes all idle connections. It is called after a timeout, because
 // the other connections to the same address are likely to be silent too.
-func (p *pool) closeIdle() {
+func (p *Client) CloseIdle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.idle {
--- a/internal/store/httpstore/call.go
+++ b/internal/store/httpstore/call.go
@@ -1,8 +1,6 @@
 package httpstore
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
 	"encoding/json"
 	"io"
@@ -13,12 +11,9 @@
 	"github.com/cockroachdb/errors"
 
 	"knapweedreel/internal/store"
+	"knapweedreel/internal/store/httpcall"
 )
 
-// maxAnswerBytes bounds an answer, before and after decompression. A list of 590
-// documents of 27 KiB needs 21 MiB in base64.
-const maxAnswerBytes = 64 << 20
-
 // call is one call of the protocol.
 type call struct {
 	method string
@@ -37,111 +32,20 @@
 	return func(r io.Reader) error { return json.NewDecoder(r).Decode(answer) }
 }
 
-// do runs the call on p. A read is repeated once on a fresh connection when a
-// kept connection breaks; a write only when no byte of it was written.
-func (p *pool) do(ctx context.Context, c call) error {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	var body []byte
-	if c.body != nil {
-		var err error
-		if body, err = json.Marshal(c.body); err != nil {
-			return errors.Wrap(err, "encode")
-		}
-	}
-	for fresh := false; ; fresh = true {
-		again, err := p.attempt(ctx, c, body, fresh)
-		if err != nil && again && ctx.Err() == nil {
-			continue
-		}
-		return errors.Wrapf(err, "%s %s", c.method, c.path)
-	}
-}
-
-// attempt runs the call on one connection. again says that the call had no
-// effect and may be repeated on a fresh connection.
-func (p *pool) attempt(ctx context.Context, c call, body []byte, fresh bool) (again bool, err error) {
-	cn, err := p.take(ctx, fresh)
-	if err != nil {
-		return false, errors.Mark(err, store.ErrUnavailable)
-	}
-	refusal, err := cn.roundTrip(ctx, p.address, c, body)
-	if err == nil {
-		p.put(cn)
-		return false, refusal
-	}
-	cn.close()
-	if ctx.Err() != nil {
-		p.closeIdle()
-	}
-	if c.write && cn.tracker.wrote() {
-		return false, errors.Mark(err, store.ErrUnknownResult)
-	}
-	return cn.reused, errors.Mark(err, store.ErrUnavailable)
-}
-
-// roundTrip sends the call and decodes its answer. The first error is the
-// store's own refusal; the second one means that no whole and proper answer was
-// received, and that the connection is of no further use.
-func (cn *conn) roundTrip(ctx context.Context, address string, c call, body []byte) (refusal, err error) {
-	req, err := c.request(ctx, address, body)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := cn.http.RoundTrip(req)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	r, err := answerReader(resp)
-	if err != nil {
-		return nil, err
-	}
-	if refusal, err = c.finish(resp, r); err != nil {
-		return nil, err
-	}
-	// The connection is kept only when the answer ends here.
-	_, err = io.Copy(io.Discard, r)
-	return refusal, err
-}
-
-func (c call) request(ctx context.Context, address string, body []byte) (*http.Request, error) {
-	u := &url.URL{Scheme: "http", Host: address, RawPath: c.path, RawQuery: c.query.Encode()}
-	var err error
-	if u.Path, err = url.PathUnescape(c.path); err != nil {
-		return nil, err
-	}
-	req := &http.Request{Method: c.method, URL: u, Header: http.Header{}, Host: address}
-	if body != nil {
-		req.Body = io.NopCloser(bytes.NewReader(body))
-		req.ContentLength = int64(len(body))
-		req.Header.Set("Content-Type", "application/json")
-	}
-	if !c.write {
-		req.Header.Set("Accept-Encoding", "gzip")
-	}
-	return req.WithContext(ctx), nil
-}
-
-// answerReader returns the decompressed, bounded body.
-func answerReader(resp *http.Response) (io.Reader, error) {
-	r := io.LimitReader(resp.Body, maxAnswerBytes)
-	if resp.Header.Get("Content-Encoding") != "gzip" {
-		return r, nil
-	}
-	gz, err := gzip.NewReader(r)
-	if err != nil {
-		return nil, errors.Wrap(err, "decompress answer")
-	}
-	return io.LimitReader(gz, maxAnswerBytes), nil
+// do runs the call.
+func (c call) do(ctx context.Context, client *httpcall.Client) error {
+	return client.Do(ctx, httpcall.Call{
+		Method: c.method, Path: c.path, Query: c.query, Body: c.body, Write: c.write,
+		Finish: c.finish, Timeout: c.timeout,
+	})
 }
 
 // finish decodes the answer, or maps the store's refusal to an error of package
 // store. err means that the answer is not understood.
-func (c call) finish(resp *http.Response, r io.Reader) (refusal, err error) {
+func (c call) finish(status int, r io.Reader) (refusal, err error) {
 	switch {
-	case resp.StatusCode != http.StatusOK:
-		return decodeRefusal(resp.StatusCode, r)
+	case status != http.StatusOK:
+		return decodeRefusal(status, r)
 	case c.decode == nil:
 		return nil, nil
 	default:
--- a/internal/store/httpstore/client.go
+++ b/internal/store/httpstore/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"knapweedreel/internal/store"
+	"knapweedreel/internal/store/httpcall"
 )
 
 const (
@@ -39,8 +40,8 @@
 // of it was written, the store refused it, or it was a read. A write whose
 // answer is missing or not understood ends with ErrUnknownResult.
 type Client struct {
-	store   *pool
-	list    *pool
+	store   *httpcall.Client
+	list    *httpcall.Client
 	timeout time.Duration
 	listing listing
 }
@@ -60,22 +61,22 @@
 		c.Timeout = DefaultTimeout
 	}
 	return &Client{
-		store:   &pool{address: c.StoreAddress},
-		list:    &pool{address: c.ListAddress},
+		store:   httpcall.New(c.StoreAddress),
+		list:    httpcall.New(c.ListAddress),
 		timeout: c.Timeout,
 	}
 }
 
 // Close closes the idle connections.
 func (c *Client) Close() {
-	c.store.closeIdle()
-	c.list.closeIdle()
+	c.store.CloseIdle()
+	c.list.CloseIdle()
 }
 
 // Get implements store.Store.
 func (c *Client) Get(ctx context.Context, key string) (store.Value, error) {
 	var a Item
-	err := c.store.do(ctx, call{method: http.MethodGet, path: PathKV + "/" + url.PathEscape(key), decode: into(&a), timeout: c.timeout})
+	err := call{method: http.MethodGet, path: PathKV + "/" + url.PathEscape(key), decode: into(&a), timeout: c.timeout}.do(ctx, c.store)
 	if err != nil {
 		return store.Value{}, err
 	}
@@ -89,10 +90,10 @@
 		query.Set("lease", string(lease))
 	}
 	var a PutAnswer
-	err := c.store.do(ctx, call{
+	err := call{
 		method: http.MethodPut, path: PathKV + "/" + url.PathEscape(key), query: query,
 		body: PutRequest{Data: data}, decode: into(&a), write: true, timeout: c.timeout,
-	})
+	}.do(ctx, c.store)
 	return a.Version, err
 }
 
@@ -126,7 +127,7 @@
 		kvs, index, err = decodeItems(r)
 		return err
 	}
-	err := c.store.do(ctx, call{method: http.MethodGet, path: path, query: query, decode: decode, timeout: timeout})
+	err := call{method: http.MethodGet, path: path, query: query, decode: decode, timeout: timeout}.do(ctx, c.store)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -136,10 +137,10 @@
 // AcquireLease implements store.Store.
 func (c *Client) AcquireLease(ctx context.Context, key, holder string, ttl time.Duration) (store.Lease, error) {
 	var a LeaseAnswer
-	err := c.store.do(ctx, call{
+	err := call{
 		method: http.MethodPost, path: PathLeases + "/" + url.PathEscape(key),
 		body: LeaseRequest{Holder: holder, TTLMS: ttl.Milliseconds()}, decode: into(&a), write: true, timeout: c.timeout,
-	})
+	}.do(ctx, c.store)
 	if err != nil {
 		return store.Lease{}, err
 	}
@@ -149,10 +150,10 @@
 // RenewLease implements store.Store.
 func (c *Client) RenewLease(ctx context.Context, lease store.Lease) (store.Lease, error) {
 	var a LeaseAnswer
-	err := c.store.do(ctx, call{
+	err := call{
 		method: http.MethodPut, path: leasePath(lease),
 		body: LeaseRequest{Holder: lease.Holder, TTLMS: lease.TTL.Milliseconds()}, decode: into(&a), write: true, timeout: c.timeout,
-	})
+	}.do(ctx, c.store)
 	if err != nil {
 		return store.Lease{}, err
 	}
@@ -161,15 +162,15 @@
 
 // ReleaseLease implements store.Store.
 func (c *Client) ReleaseLease(ctx context.Context, lease store.Lease) error {
-	return c.store.do(ctx, call{method: http.MethodDelete, path: leasePath(lease), write: true, timeout: c.timeout})
+	return call{method: http.MethodDelete, path: leasePath(lease), write: true, timeout: c.timeout}.do(ctx, c.store)
 }
 
 // Register implements store.Registrar.
 func (c *Client) Register(ctx context.Context, instance store.Instance) error {
-	return c.list.do(ctx, call{
+	return call{
 		method: http.MethodPut, path: PathInstances + "/" + url.PathEscape(instance.ID),
 		body: instance, write: true, timeout: c.timeout,
-	})
+	}.do(ctx, c.list)
 }
 
 func leasePath(l store.Lease) string {
--- a/internal/store/httpstore/listing.go
+++ b/internal/store/httpstore/listing.go
@@ -36,7 +36,7 @@
 		a, err = decodeInstances(r)
 		return err
 	}
-	err := c.list.do(ctx, call{method: http.MethodGet, path: PathInstances, query: query, decode: decode, timeout: c.timeout})
+	err := call{method: http.MethodGet, path: PathInstances, query: query, decode: decode, timeout: c.timeout}.do(ctx, c.list)
 	if err != nil {
 		return nil, err
 	}
