jsonc: read optional objects and tables

Settings of an instance on a platform are an optional object, and name the region of each failure domain in a table. The new test failed with 'is an object, want an object' before.

--- a/internal/jsonc/jsonc.go
+++ b/internal/jsonc/jsonc.go
@@ -150,11 +150,17 @@
 	r.source.lines[path] = r.line(v.StartOffset)
 	switch value := v.Value.(type) {
 	case *hujson.Object:
-		if into.Kind() != reflect.Struct {
+		switch {
+		case into.Kind() == reflect.Struct:
+			r.object(path, value, into)
+		case into.Kind() == reflect.Pointer && into.Type().Elem().Kind() == reflect.Struct:
+			into.Set(reflect.New(into.Type().Elem()))
+			r.object(path, value, into.Elem())
+		case into.Kind() == reflect.Map:
+			r.table(path, value, into)
+		default:
 			r.fail(v, path, "is an object, want %s", describe(into.Type()))
-			return
 		}
-		r.object(path, value, into)
 	case *hujson.Array:
 		if into.Kind() != reflect.Slice {
 			r.fail(v, path, "is an array, want %s", describe(into.Type()))
@@ -186,6 +192,23 @@
 	}
 }
 
+// table reads an object with arbitrary names into a map with string keys.
+func (r *reader) table(path string, object *hujson.Object, into reflect.Value) {
+	into.Set(reflect.MakeMapWithSize(into.Type(), len(object.Members)))
+	for i := range object.Members {
+		m := &object.Members[i]
+		name := m.Name.Value.(hujson.Literal).String()
+		fieldPath := join(path, name)
+		if into.MapIndex(reflect.ValueOf(name)).IsValid() {
+			r.fail(&m.Name, fieldPath, "duplicate field, first on line %d", r.source.lines[fieldPath])
+			continue
+		}
+		element := reflect.New(into.Type().Elem()).Elem()
+		r.value(fieldPath, &m.Value, element)
+		into.SetMapIndex(reflect.ValueOf(name), element)
+	}
+}
+
 func (r *reader) array(path string, array *hujson.Array, into reflect.Value) {
 	slice := reflect.MakeSlice(into.Type(), len(array.Elements), len(array.Elements))
 	for i := range array.Elements {
@@ -235,7 +258,7 @@
 	switch t.Kind() {
 	case reflect.Pointer:
 		return describe(t.Elem())
-	case reflect.Struct:
+	case reflect.Struct, reflect.Map:
 		return "an object"
 	case reflect.Slice:
 		return "an array"
--- a/internal/jsonc/jsonc_test.go
+++ b/internal/jsonc/jsonc_test.go
@@ -67,6 +67,29 @@
 	}
 }
 
+// Guards against an optional object or a table whose content is not read, or
+// whose mistakes are not reported.
+func TestReadDecodesOptionalObjectsAndTables(t *testing.T) {
+	type outer struct {
+		Optional *item             `json:"optional,omitempty"`
+		Table    map[string]string `json:"table"`
+	}
+	var got outer
+	if err := Read("f", []byte(`{"optional": {"id": "a"}, "table": {"x": "1", "y": "2"}}`), &got).Err(); err != nil {
+		t.Fatal(err)
+	}
+	want := outer{Optional: &item{ID: "a"}, Table: map[string]string{"x": "1", "y": "2"}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+	err := Read("f", []byte("{\"optional\": {\"slots\": \"six\"},\n\"table\": {\"x\": 1, \"y\": \"2\", \"y\": \"3\"}}"), &got).Err()
+	problems := "f:1: optional.slots: is \"six\", want a whole number\n" +
+		"f:2: table.x: is 1, want a string\nf:2: table.y: duplicate field, first on line 2"
+	if err == nil || err.Error() != problems {
+		t.Errorf("got %v, want %s", err, problems)
+	}
+}
+
 // Guards against follow-up problems that hide the mistake behind them, and
 // against lines that are lost when the field is absent.
 func TestAddLocatesProblemsAndDropsFollowUps(t *testing.T) {
