document: give routes their own retries, latency objective and priority

Configurations of a whole fleet bound attempts by route and rank routes of one service. Defaults keep the behaviour of documents without these fields; the tests that change and validate every field cover them.

--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -97,6 +97,15 @@
 	// DeadlineMS is the time for a whole request, in milliseconds. Default:
 	// the document's.
 	DeadlineMS int `json:"deadline_ms"`
+	// Retries is the largest number of further attempts for a request of this
+	// route. Default: the document's.
+	Retries *int `json:"retries,omitempty"`
+	// ObjectiveMS is the time, in milliseconds, within which callers want the
+	// answer. It bounds the wait for a slot. Default: DeadlineMS.
+	ObjectiveMS int `json:"objective_ms"`
+	// Priority is the rank of the route's requests while requests wait for a
+	// slot; 0 goes first. Default 0.
+	Priority int `json:"priority"`
 	// MaxBodyBytes is the largest request body. Default 16 MiB.
 	MaxBodyBytes int64 `json:"max_body_bytes"`
 }
--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -17,7 +17,7 @@
     {"id": "e1", "address": "127.0.0.1:7001", "region": "south", "failure_domain": "south-a", "slots": 6},
     {"id": "e2", "address": "127.0.0.1:7002", "region": "north", "failure_domain": "north-a", "slots": 6, "state": "leaving"},
   ],
-  "routes": [{"method": "POST", "path": "/entries"}, {"method": "GET", "path": "/entries/*", "idempotent": true, "deadline_ms": 500}],
+  "routes": [{"method": "POST", "path": "/entries", "retries": 1, "priority": 2}, {"method": "GET", "path": "/entries/*", "idempotent": true, "retries": 3, "deadline_ms": 500}],
   "floor_slots": 6,
 }`
 
@@ -34,6 +34,7 @@
 func TestParseFillsInDefaults(t *testing.T) {
 	d := parseValid(t)
 	retries, factor, sensitivity, cold := 2, 2.5, 0.5, 10_000
+	few, many := 1, 3
 	want := &Document{
 		Service: "entries",
 		Hosts:   []string{"entries.example"},
@@ -43,8 +44,8 @@
 		},
 		Unhealthy: Unhealthy{Statuses: []int{500, 502, 503, 504}, SlowFactor: &factor, Sensitivity: &sensitivity, ColdStartMS: &cold},
 		Routes: []Route{
-			{Method: "POST", Path: "/entries", DeadlineMS: 10_000, MaxBodyBytes: 16 << 20},
-			{Method: "GET", Path: "/entries/*", Idempotent: true, DeadlineMS: 500, MaxBodyBytes: 16 << 20},
+			{Method: "POST", Path: "/entries", DeadlineMS: 10_000, Retries: &few, ObjectiveMS: 10_000, Priority: 2, MaxBodyBytes: 16 << 20},
+			{Method: "GET", Path: "/entries/*", Idempotent: true, DeadlineMS: 500, Retries: &many, ObjectiveMS: 500, MaxBodyBytes: 16 << 20},
 		},
 		FloorSlots: 6, DeadlineMS: 10_000, Retries: &retries,
 		Queue: Queue{Length: 64, TimeoutMS: 1_000}, IdleTimeoutMS: 10_000,
@@ -75,7 +76,9 @@
 		{`"floor_slots": 6`, `"queue": {"length": -1}`, `entries.jsonc:9: queue.length: is -1`},
 		{`"/entries/*"`, `"/entries/*/x"`, `entries.jsonc:8: routes[1].path: is "/entries/*/x"`},
 		{`"POST"`, `"post"`, `entries.jsonc:8: routes[0].method: is "post"`},
-		{`{"method": "POST", "path": "/entries"}`, `{"method": "GET", "path": "/entries/*"}`, `entries.jsonc:8: routes[1]: "GET /entries/*" is the same as in routes[0]`},
+		{`{"method": "POST", "path": "/entries",`, `{"method": "GET", "path": "/entries/*",`, `entries.jsonc:8: routes[1]: "GET /entries/*" is the same as in routes[0]`},
+		{`"retries": 3`, `"retries": -3`, `entries.jsonc:8: routes[1].retries: is -3`},
+		{`"priority": 2`, `"priority": 101`, `entries.jsonc:8: routes[0].priority: is 101`},
 		{`"deadline_ms": 500`, `"deadline_ms": -500`, `entries.jsonc:8: routes[1].deadline_ms: is -500`},
 	}
 	for _, c := range cases {
--- a/internal/document/normalize.go
+++ b/internal/document/normalize.go
@@ -29,6 +29,7 @@
 	}
 	for i := range d.Routes {
 		setDefault(&d.Routes[i].DeadlineMS, d.DeadlineMS)
+		setDefault(&d.Routes[i].ObjectiveMS, d.Routes[i].DeadlineMS)
 		setDefault(&d.Routes[i].MaxBodyBytes, DefaultMaxBodyBytes)
 	}
 }
--- a/internal/document/validate.go
+++ b/internal/document/validate.go
@@ -15,7 +15,9 @@
 	maxSlots   = 100_000
 	maxRetries = 10
 	maxQueue   = 100_000
-	maxFactor  = 1_000
+	// maxPriority is the lowest rank of a route.
+	maxPriority = 100
+	maxFactor   = 1_000
 )
 
 var (
@@ -116,6 +118,11 @@
 		}
 		checkUnique(p, first, field, r.key())
 		jsonc.CheckRange(p, field+".deadline_ms", r.DeadlineMS, 1, maxTimeMS)
+		jsonc.CheckRange(p, field+".objective_ms", r.ObjectiveMS, 1, maxTimeMS)
+		jsonc.CheckRange(p, field+".priority", r.Priority, 0, maxPriority)
+		if r.Retries != nil {
+			jsonc.CheckRange(p, field+".retries", *r.Retries, 0, maxRetries)
+		}
 		jsonc.CheckRange(p, field+".max_body_bytes", r.MaxBodyBytes, 1, 1<<40)
 	}
 }
