--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -19,6 +19,7 @@
 	Ready    bool                // documents have been read from the store or a peer
 	Services map[string]*Service // by name
 	Hosts    map[string]*Service // by lower-case Host header without port
+	Table    *Table              // routes across services, nil where each document has its own hosts
 	Members  []Member            // the whole fleet, this instance included
 	Shards   int
 }
@@ -45,5 +46,6 @@
 	Weight         float64 // 0 to 1, share of normal work
 	HomeSlots      int     // slots of the upstream assigned to this instance
 	MaxConnections int     // this instance's share of the connections
+	Cold           bool    // has started lately and is slow
 	PeerInFlight   int     // requests in flight from peers, by their heartbeats
 }
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,113 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+
+	"knapweedreel/internal/document"
+)
+
+// Table holds routes that belong to a configuration of the whole fleet rather
+// than to the document of one service: a host may lead to several services, and
+// a route may be split among services.
+type Table struct {
+	byHost map[string][]*Route // longest prefix first
+}
+
+// Route is a route of a table.
+type Route struct {
+	Name string
+	Host string // lower case, without port
+	// Rule says how its requests are treated. Its path is a prefix with "*".
+	Rule  document.Route
+	Split *Split
+}
+
+// prefix returns the path prefix that selects the route.
+func (r *Route) prefix() string { return strings.TrimSuffix(r.Rule.Path, "*") }
+
+// NewTable returns a table of routes.
+func NewTable(routes []*Route) *Table {
+	t := &Table{byHost: make(map[string][]*Route)}
+	for _, r := range routes {
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, list := range t.byHost {
+		slices.SortFunc(list, func(a, b *Route) int {
+			return cmp.Or(cmp.Compare(len(b.prefix()), len(a.prefix())), cmp.Compare(a.Name, b.Name))
+		})
+	}
+	return t
+}
+
+// Match returns the route with the longest prefix of path, nil for none.
+func (t *Table) Match(host, path string) *Route {
+	for _, r := range t.byHost[host] {
+		if strings.HasPrefix(path, r.prefix()) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Services returns the names of the services to which a host leads.
+func (t *Table) Services(host string) []string {
+	var names []string
+	for _, r := range t.byHost[host] {
+		for _, p := range r.Split.parts {
+			if !slices.Contains(names, p.Service) {
+				names = append(names, p.Service)
+			}
+		}
+	}
+	return names
+}
+
+// Part is a service's share of a route.
+type Part struct {
+	Service string
+	Weight  int // share of the sum of all weights
+}
+
+// Split divides the requests of a route among services. It spreads each
+// service's turns evenly, so that the shares also hold over few requests.
+type Split struct {
+	parts []Part
+	total int
+
+	mu      sync.Mutex
+	credits []int // of each part
+}
+
+// NewSplit returns a split among parts, of which at least one has a weight
+// above 0.
+func NewSplit(parts []Part) *Split {
+	s := &Split{parts: parts, credits: make([]int, len(parts))}
+	for _, p := range parts {
+		s.total += p.Weight
+	}
+	return s
+}
+
+// Parts returns the parts. They must not be changed.
+func (s *Split) Parts() []Part { return s.parts }
+
+// Next returns the service of the next request.
+func (s *Split) Next() string {
+	if len(s.parts) == 1 {
+		return s.parts[0].Service
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	best := 0
+	for i, p := range s.parts {
+		s.credits[i] += p.Weight
+		if s.credits[i] > s.credits[best] {
+			best = i
+		}
+	}
+	s.credits[best] -= s.total
+	return s.parts[best].Service
+}
