placement: choose upstreams by a belief from the latest attempts

The health engine needs many failures before it ejects, and lets an upstream return after seconds through idempotent requests. Where upstreams fall ill for about three seconds on end, that is too late in both directions. The belief is computed anew for each choice; a request that has been pending for longer than healthy ones take is evidence before it fails.

--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -33,6 +33,17 @@
 	Failed
 )
 
+// String returns the name of the class.
+func (c Class) String() string {
+	switch c {
+	case OK:
+		return "ok"
+	case Failed:
+		return "failed"
+	}
+	return "neutral"
+}
+
 // Outcome is the result of one attempt at an upstream.
 type Outcome struct {
 	Upstream Key           `json:"upstream"`
--- /dev/null
+++ b/internal/placement/choose.go
@@ -0,0 +1,105 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+// Candidate is an upstream that may run a request.
+type Candidate struct {
+	ID          string
+	Slots       int     // requests that it runs at a time
+	Connections int     // requests of this instance that it accepts at a time
+	Transfer    float64 // cost of the way to it, as a probability of failure
+	Cold        bool    // has started lately and is slow
+}
+
+// Costs of a choice, in terms of the probability that the request fails.
+const (
+	// busyCost is the cost of a slot of an upstream that has no free one but
+	// this. A higher cost spreads requests over more upstreams, which loses
+	// more of them to upstreams that fall ill unnoticed.
+	busyCost = 0.04
+	// queuedCost is the cost of a request that waits at the upstream, for each
+	// request before it in units of the upstream's slots.
+	queuedCost = 0.6
+	// coldCost is the cost of an upstream that is still slow.
+	coldCost = 0.15
+	// trialGain makes an upstream that was never tried be tried.
+	trialGain = 0.5
+	// tieCost spreads requests between upstreams that are equal otherwise.
+	tieCost = 0.004
+)
+
+const (
+	// trialAfter is the time after which an upstream that was not tried gets a
+	// request whatever the others are like.
+	trialAfter = time.Second
+	// excess is the number of requests beyond its slots that an upstream gets,
+	// as a share of its slots. Requests beyond it wait here, where they can
+	// still go to any upstream.
+	excess = 0.17
+)
+
+// Choice is the result of Choose.
+type Choice struct {
+	Index  int     // into the candidates
+	Faulty float64 // belief that the upstream is faulty
+	Load   int     // its requests, as far as known
+	Cost   float64
+}
+
+// Choose returns the best candidate, or false when none has room. skip excludes
+// candidates; it may be nil.
+func (t *Tracker) Choose(cands []Candidate, skip func(id string) bool, now time.Time) (Choice, bool) {
+	best := Choice{Cost: math.Inf(1)}
+	found := false
+	for i := range cands {
+		c := &cands[i]
+		if skip != nil && skip(c.ID) {
+			continue
+		}
+		s := t.state(c.ID, now)
+		load := s.load(now)
+		if !s.hasRoom(c, load, now) {
+			continue
+		}
+		p := s.now(&t.model, now)
+		cost := t.cost(c, s, p, load, now)
+		if cost < best.Cost {
+			best, found = Choice{Index: i, Faulty: p, Load: load, Cost: cost}, true
+		}
+	}
+	return best, found
+}
+
+func (s *state) load(now time.Time) int {
+	if now.Sub(s.reported) < loadAge {
+		return s.inFlight + s.others
+	}
+	return s.inFlight
+}
+
+func (s *state) hasRoom(c *Candidate, load int, now time.Time) bool {
+	if now.Before(s.full) || s.inFlight >= max(1, c.Connections) {
+		return false
+	}
+	return load < c.Slots+int(math.Ceil(excess*float64(c.Slots)))
+}
+
+func (t *Tracker) cost(c *Candidate, s *state, p float64, load int, now time.Time) float64 {
+	m := &t.model
+	cost := p*m.FaultyFailure + (1-p)*m.HealthyFailure + c.Transfer + tieCost*float64(load)
+	if slots := max(1, c.Slots); load >= slots {
+		cost += queuedCost * float64(load-slots+1) / float64(slots)
+	} else if load == slots-1 {
+		cost += busyCost
+	}
+	if c.Cold {
+		cost += coldCost
+	}
+	if !s.tried && now.Sub(s.known) >= trialAfter {
+		cost -= trialGain
+	}
+	return cost
+}
--- /dev/null
+++ b/internal/placement/tracker.go
@@ -0,0 +1,155 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// Tracker follows the upstreams of one service. It is not safe for concurrent
+// use.
+type Tracker struct {
+	model     Model
+	upstreams map[string]*state
+	times     map[string]*Times // by route
+}
+
+// state is what is known of one upstream.
+type state struct {
+	belief
+	known    time.Time // first candidate of a decision
+	tried    bool
+	inFlight int
+	others   int       // requests of other instances, as last reported
+	reported time.Time // when others was learned
+	full     time.Time // refuses requests until then
+}
+
+// NewTracker returns a tracker without upstreams.
+func NewTracker(m Model) *Tracker {
+	return &Tracker{model: m, upstreams: make(map[string]*state), times: make(map[string]*Times)}
+}
+
+// Times returns the estimate for a route. The guess is used while the route is
+// new.
+func (t *Tracker) Times(route string, guess time.Duration) *Times {
+	e := t.times[route]
+	if e == nil {
+		e = NewTimes(guess)
+		t.times[route] = e
+	}
+	return e
+}
+
+func (t *Tracker) state(id string, now time.Time) *state {
+	s := t.upstreams[id]
+	if s == nil {
+		s = &state{known: now}
+		s.faulty, s.at = t.model.stationary(), now
+		t.upstreams[id] = s
+	}
+	return s
+}
+
+// Start notes that a request is sent to an upstream.
+func (t *Tracker) Start(id string, times *Times, now time.Time) *Attempt {
+	s := t.state(id, now)
+	s.inFlight++
+	s.tried = true
+	a := &Attempt{start: now, times: times}
+	s.add(a)
+	return a
+}
+
+// add inserts an attempt in the order of starts.
+func (b *belief) add(a *Attempt) {
+	i := len(b.evidence)
+	for i > 0 && b.evidence[i-1].start.After(a.start) {
+		i--
+	}
+	b.evidence = slices.Insert(b.evidence, i, a)
+}
+
+// End notes what came of an attempt and frees its place.
+func (t *Tracker) End(id string, a *Attempt, o Outcome, now time.Time) {
+	s := t.state(id, now)
+	s.inFlight = max(0, s.inFlight-1)
+	t.settle(s, a, o, now)
+}
+
+// Settle notes what came of an attempt that still holds its place.
+func (t *Tracker) Settle(id string, a *Attempt, o Outcome, now time.Time) {
+	t.settle(t.state(id, now), a, o, now)
+}
+
+// silentShare is the share of healthy answers that still come, below which an
+// attempt that was given up on counts against its upstream.
+const silentShare = 0.05
+
+func (t *Tracker) settle(s *state, a *Attempt, o Outcome, now time.Time) {
+	if a.outcome != Pending {
+		return
+	}
+	if o == Void && a.times.slower(now.Sub(a.start)) < silentShare {
+		o = Bad // it was given up on because the upstream was silent
+	}
+	a.outcome = o
+	if o == Good {
+		a.times.Add(now.Sub(a.start))
+	}
+	s.fold(&t.model, now)
+}
+
+// Report takes in an attempt that another instance made.
+func (t *Tracker) Report(id string, started time.Time, o Outcome, now time.Time) {
+	s := t.upstreams[id]
+	if s == nil || started.Before(s.at) {
+		return
+	}
+	s.add(&Attempt{start: started, outcome: o})
+	s.fold(&t.model, now)
+}
+
+// loadAge is the time for which a reported load is used.
+const loadAge = 2 * time.Second
+
+// Load takes in the number of requests that an upstream has, waiting ones
+// included.
+func (t *Tracker) Load(id string, total int, now time.Time) {
+	s := t.state(id, now)
+	s.others = max(0, total-s.inFlight)
+	s.reported = now
+}
+
+// fullTime is the time for which an upstream that has refused a request gets no
+// other one.
+const fullTime = 150 * time.Millisecond
+
+// Full notes that an upstream has refused a request for lack of room.
+func (t *Tracker) Full(id string, now time.Time) { t.state(id, now).full = now.Add(fullTime) }
+
+// Forget drops the upstreams for which keep returns false and which have no
+// request in flight.
+func (t *Tracker) Forget(keep func(id string) bool) {
+	for id, s := range t.upstreams {
+		if s.inFlight == 0 && !keep(id) {
+			delete(t.upstreams, id)
+		}
+	}
+}
+
+// Faulty returns the belief that an upstream is faulty.
+func (t *Tracker) Faulty(id string, now time.Time) float64 {
+	s := t.upstreams[id]
+	if s == nil {
+		return t.model.stationary()
+	}
+	return s.now(&t.model, now)
+}
+
+// InFlight returns the number of own requests at an upstream.
+func (t *Tracker) InFlight(id string) int {
+	if s := t.upstreams[id]; s != nil {
+		return s.inFlight
+	}
+	return 0
+}
