entry: speak another protocol and place requests by belief

The names of headers, the marks of a genuine answer and of a refusal come from a Protocol, whose default is the fleet's own. With a Placement, upstreams are chosen by belief, waiting is bounded by the latency objective, callers wait in the order of their routes' priority, and an idempotent request is sent again once its answer is later than healthy ones.

--- a/internal/instance/entry/admission.go
+++ b/internal/instance/entry/admission.go
@@ -31,12 +31,20 @@
 	}
 	if st.queue.length == 0 || w.retry {
 		if c, ok := st.pick(snap, svc, w, time.Now()); ok {
-			st.inFlight[c.upstream.ID]++
+			c = st.take(c, w, time.Now())
 			st.mu.Unlock()
 			return c, nil
 		}
 	}
 	wt := &waiter{want: w, grant: make(chan choice, 1)}
+	timeout := queueTimeout(svc.Document)
+	if st.placing != nil {
+		var err error
+		if timeout, err = st.placing.patience(st, svc, w, time.Now()); err != nil {
+			st.mu.Unlock()
+			return choice{}, err
+		}
+	}
 	if w.retry {
 		st.queue.pushFront(wt)
 	} else if st.queue.admits(w.caller, queueLength(svc.Document)) {
@@ -47,7 +55,7 @@
 	}
 	st.dispatchLocked()
 	st.mu.Unlock()
-	return st.wait(ctx, wt, queueTimeout(svc.Document))
+	return st.wait(ctx, wt, timeout)
 }
 
 // tryAcquire takes a slot only if one is free at once.
@@ -58,9 +66,10 @@
 	if err != nil {
 		return choice{}, false
 	}
-	c, ok := st.pick(snap, svc, w, time.Now())
+	now := time.Now()
+	c, ok := st.pick(snap, svc, w, now)
 	if ok {
-		st.inFlight[c.upstream.ID]++
+		c = st.take(c, w, now)
 	}
 	return c, ok
 }
@@ -115,6 +124,7 @@
 	}
 	now := time.Now()
 	plainFailed := map[bool]bool{} // by idempotence: no slot for a first attempt
+	st.queue.rank()
 	for i := 0; i < len(st.queue.turns); {
 		caller := st.queue.turns[i]
 		wt := st.queue.byCaller[caller][0]
@@ -151,7 +161,7 @@
 	}
 	c, ok := st.pick(snap, svc, wt.want, now)
 	if ok {
-		st.inFlight[c.upstream.ID]++
+		c = st.take(c, wt.want, now)
 	}
 	return c, ok
 }
@@ -162,7 +172,11 @@
 	if st.queue.length == 0 || st.recheck != nil {
 		return
 	}
-	st.recheck = time.AfterFunc(recheckInterval, func() {
+	interval := recheckInterval
+	if st.placing != nil {
+		interval = placingRecheck
+	}
+	st.recheck = time.AfterFunc(interval, func() {
 		st.mu.Lock()
 		defer st.mu.Unlock()
 		st.recheck = nil
--- a/internal/instance/entry/answer.go
+++ b/internal/instance/entry/answer.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 
 	"knapweedreel/internal/errkind"
-	"knapweedreel/internal/instance/entry/upstream"
 )
 
 // errCallerWrite means that the caller did not take the answer.
@@ -45,7 +44,7 @@
 	for _, name := range reserved {
 		h.Del(name)
 	}
-	h.Set(upstream.HeaderRequestID, e.id) // also if the upstream has not echoed it
+	h.Set(s.protocol().RequestID, e.id) // also if the upstream has not echoed it
 	for _, name := range reserved {
 		resp.Trailer.Del(name)
 	}
--- a/internal/instance/entry/attempt.go
+++ b/internal/instance/entry/attempt.go
@@ -59,6 +59,7 @@
 		a.err = errkind.Wrap(errkind.UpstreamSilent, errLate, "upstream %s", a.choice.upstream.ID)
 	}
 	if a.err == nil {
+		a.st.noteLoad(a)
 		a.read()
 	}
 	if a.err != nil || a.whole {
@@ -68,8 +69,8 @@
 
 // request returns the attempt as the upstream package takes it.
 func (a *attempt) request() upstream.Attempt {
-	e, u := a.e, a.choice.upstream
-	req := e.outgoing(u.Address)
+	e, u := a.e, &a.choice.upstream
+	req := e.outgoing(u)
 	if e.body != nil {
 		a.view = e.body.view()
 		req.Body, req.Trailer = a.view, a.view.trailer
@@ -131,7 +132,8 @@
 		a.s.buffers.put(a.head)
 		a.head = nil
 	}
-	a.st.release(a.choice.upstream.ID)
+	class, _ := a.class()
+	a.st.giveBack(a.choice, class)
 	a.avoid()
 	a.st.noteBorrow(a)
 	a.report()
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -40,6 +40,10 @@
 	Listener net.Listener
 	// Rand seeds the choice among equal upstreams. Default: a random seed.
 	Rand *rand.Rand
+	// Placement chooses upstreams by a belief about each one, for instances that
+	// see most of the requests of their region. nil shares slots among instances
+	// by home slots instead.
+	Placement *Placement
 	// Upstreams changes how connections to upstreams are opened, for tests.
 	Upstreams upstream.Config
 }
@@ -97,6 +101,9 @@
 	return s
 }
 
+// protocol returns the protocol with callers and upstreams.
+func (s *Server) protocol() *upstream.Protocol { return s.pools.Protocol() }
+
 // withDefaults fills in the defaults that settings document, for callers that
 // build settings by hand.
 func withDefaults(l settings.Limits, t settings.Times) (settings.Limits, settings.Times) {
--- a/internal/instance/entry/exchange.go
+++ b/internal/instance/entry/exchange.go
@@ -12,7 +12,6 @@
 	"knapweedreel/internal/document"
 	"knapweedreel/internal/errkind"
 	"knapweedreel/internal/instance/admin"
-	"knapweedreel/internal/instance/entry/upstream"
 	"knapweedreel/internal/routing"
 )
 
@@ -65,10 +64,10 @@
 	if e.route.DeadlineMS > 0 {
 		limit = milliseconds(e.route.DeadlineMS)
 	}
-	if v, ok := e.r.Header[headerDeadline]; ok {
+	if v, ok := e.r.Header[e.s.protocol().Deadline]; ok {
 		ms, err := strconv.ParseInt(v[0], 10, 64)
 		if err != nil || ms < 0 || len(v) != 1 {
-			return time.Time{}, errkind.New(errkind.BadRequest, "%s is not a number of milliseconds: %q", headerDeadline, v)
+			return time.Time{}, errkind.New(errkind.BadRequest, "%s is not a number of milliseconds: %q", e.s.protocol().Deadline, v)
 		}
 		if ms < limit.Milliseconds() {
 			limit = time.Duration(ms) * time.Millisecond
@@ -113,19 +112,23 @@
 }
 
 // outgoing returns the request as it is sent to an upstream.
-func (e *exchange) outgoing(address string) *http.Request {
+func (e *exchange) outgoing(u *routing.Upstream) *http.Request {
+	p := e.s.protocol()
 	h := e.r.Header.Clone()
 	removeHopByHop(h)
 	h.Del("Expect") // answered here, when the body is first read
-	h.Set(upstream.HeaderRequestID, e.id)
-	h.Set(headerDeadline, strconv.FormatInt(max(1, time.Until(e.deadline).Milliseconds()), 10))
+	h.Set(p.RequestID, e.id)
+	h.Set(p.Deadline, strconv.FormatInt(max(1, time.Until(e.deadline).Milliseconds()), 10))
+	if p.Expect != "" {
+		h.Set(p.Expect, u.ID)
+	}
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = []string{""} // keeps net/http from adding its own
 	}
 	req := &http.Request{
 		Method: e.r.Method,
 		URL: &url.URL{
-			Scheme: "http", Host: address, Path: e.r.URL.Path, RawPath: e.r.URL.RawPath,
+			Scheme: "http", Host: u.Address, Path: e.r.URL.Path, RawPath: e.r.URL.RawPath,
 			RawQuery: e.r.URL.RawQuery, ForceQuery: e.r.URL.ForceQuery,
 		},
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -14,7 +14,6 @@
 	"go.uber.org/zap"
 
 	"knapweedreel/internal/errkind"
-	"knapweedreel/internal/instance/entry/upstream"
 )
 
 // ServeHTTP serves one request.
@@ -79,10 +78,7 @@
 		return err
 	}
 	var err error
-	if e.svc, err = matchService(s.control.Snapshot(), e.r.Host); err != nil {
-		return err
-	}
-	if e.route, err = matchRoute(e.svc.Document, e.r); err != nil {
+	if e.svc, e.route, err = match(s.control.Snapshot(), e.r); err != nil {
 		return err
 	}
 	if e.deadline, err = e.deadlineOf(); err != nil {
@@ -113,13 +109,14 @@
 // checkRequest refuses requests that cannot be proxied, and gives the request
 // an identity.
 func (e *exchange) checkRequest() error {
-	ids := e.r.Header[upstream.HeaderRequestID]
+	name := e.s.protocol().RequestID
+	ids := e.r.Header[name]
 	switch {
 	case len(ids) == 0 || len(ids) == 1 && ids[0] == "":
 		e.id = rand.Text()
 	case len(ids) > 1 || !validID(ids[0]):
 		e.id = rand.Text()
-		return errkind.New(errkind.BadRequest, "%s must be one value of at most %d visible characters", upstream.HeaderRequestID, maxRequestID)
+		return errkind.New(errkind.BadRequest, "%s must be one value of at most %d visible characters", name, maxRequestID)
 	default:
 		e.id = ids[0]
 	}
@@ -165,7 +162,7 @@
 	w := errorAnswer(answer.Kind, message(err))
 	maps.Copy(e.w.Header(), w.header)
 	if e.id != "" {
-		e.w.Header().Set(upstream.HeaderRequestID, e.id)
+		e.w.Header().Set(e.s.protocol().RequestID, e.id)
 	}
 	e.beforeHeader(false)
 	e.w.WriteHeader(w.status)
--- a/internal/instance/entry/headers.go
+++ b/internal/instance/entry/headers.go
@@ -12,7 +12,7 @@
 // Headers between callers, the fleet and upstreams.
 const (
 	headerCaller   = "Knapweedreel-Caller"
-	headerDeadline = "Knapweedreel-Deadline-Ms"
+	headerDeadline = upstream.HeaderDeadline
 )
 
 // hopByHop are the headers that concern one connection only (RFC 9110,
--- a/internal/instance/entry/late.go
+++ b/internal/instance/entry/late.go
@@ -38,7 +38,9 @@
 func (l *lateness) arm(a *attempt, up *upstream.Attempt) {
 	high, known := a.st.highLatency(routeName(a.e.route))
 	l.slowAfter = milliseconds(a.e.svc.Document.Unhealthy.SlowAfterMS)
-	if known {
+	if a.st.placing != nil {
+		l.silentAfter = a.st.hedgeAfter(a.choice)
+	} else if known {
 		l.silentAfter = max(silentFactor*high, minSilent, l.slowAfter)
 	}
 	switch {
@@ -95,7 +97,7 @@
 		return nil
 	}
 	if slices.Contains(w.tried, c.upstream.ID) || !a.st.spend(false) {
-		a.st.release(c.upstream.ID)
+		a.st.giveBack(c, health.Neutral)
 		return nil
 	}
 	return &c
--- a/internal/instance/entry/match.go
+++ b/internal/instance/entry/match.go
@@ -10,6 +10,38 @@
 	"knapweedreel/internal/routing"
 )
 
+// match finds the route of a request and the service that runs it. A routing
+// table goes before the hosts of single documents.
+func match(snap *routing.Snapshot, r *http.Request) (*routing.Service, *document.Route, error) {
+	if snap.Table != nil {
+		return matchTable(snap, r)
+	}
+	svc, err := matchService(snap, r.Host)
+	if err != nil {
+		return nil, nil, err
+	}
+	route, err := matchRoute(svc.Document, r)
+	return svc, route, err
+}
+
+// matchTable finds the longest prefix of the host's routes and one of the
+// services among which the route is split.
+func matchTable(snap *routing.Snapshot, r *http.Request) (*routing.Service, *document.Route, error) {
+	route := snap.Table.Match(normalHost(r.Host), r.URL.Path)
+	if route == nil {
+		if !snap.Ready {
+			return nil, nil, errkind.New(errkind.NoDocument, "this instance has received no configuration yet")
+		}
+		return nil, nil, errkind.New(errkind.UnknownRoute, "no route for host %q and path %s", r.Host, r.URL.Path)
+	}
+	name := route.Split.Next()
+	svc := snap.Services[name]
+	if svc == nil {
+		return nil, nil, errkind.New(errkind.NoDocument, "route %s leads to the unknown service %s", route.Rule.Path, name)
+	}
+	return svc, &route.Rule, nil
+}
+
 // matchService finds the service of a request by its Host header.
 func matchService(snap *routing.Snapshot, host string) (*routing.Service, error) {
 	svc := snap.Hosts[normalHost(host)]
--- a/internal/instance/entry/outcome.go
+++ b/internal/instance/entry/outcome.go
@@ -45,8 +45,8 @@
 	id := a.choice.upstream.ID
 	switch {
 	case a.refused == upstream.Shed, a.trace.Unproven:
-		a.st.avoidFor(id, avoidAfterShed)
-	case a.refused == upstream.Draining:
+		a.st.avoidFull(id)
+	case a.refused == upstream.Draining, a.refused == upstream.Replaced:
 		a.st.avoidFor(id, avoidAfterDraining)
 	case a.err != nil && !a.trace.Sent && a.trace.Fresh && errkind.Of(a.err) == errkind.ConnectFailed && a.ctxAlive():
 		a.st.avoidFor(id, avoidAfterConnect)
--- a/internal/instance/entry/pick.go
+++ b/internal/instance/entry/pick.go
@@ -23,6 +23,11 @@
 	tried      []string // upstreams that have failed or refused this request
 	borrowed   int      // attempts so far with borrowed slots
 	retry      bool     // not the first attempt
+
+	priority  int           // 0 goes first
+	started   time.Time     // when the request came
+	objective time.Duration // within which callers want the answer
+	bytes     int64         // size of the request
 }
 
 // choice is an upstream that was chosen for an attempt.
@@ -30,6 +35,7 @@
 	upstream routing.Upstream
 	home     bool // a home slot of this instance
 	probe    bool // the upstream is in probation
+	placed   placed
 	err      error
 }
 
@@ -94,6 +100,9 @@
 
 // pick chooses an upstream with a free slot. The caller holds st.mu.
 func (st *service) pick(snap *routing.Snapshot, svc *routing.Service, w *want, now time.Time) (choice, bool) {
+	if st.placing != nil {
+		return st.place(snap, svc, w, now)
+	}
 	if c, ok := st.pickProbation(svc, w, now); ok {
 		return c, true
 	}
@@ -198,7 +207,7 @@
 func (st *service) usable(svc *routing.Service, w *want) bool {
 	for i := range svc.Upstreams {
 		u := &svc.Upstreams[i]
-		if u.State == health.InService && (w.borrowed < maxBorrows || u.HomeSlots > 0) {
+		if u.State == health.InService && (st.placing != nil || w.borrowed < maxBorrows || u.HomeSlots > 0) {
 			return true
 		}
 	}
--- a/internal/instance/entry/queue.go
+++ b/internal/instance/entry/queue.go
@@ -1,6 +1,9 @@
 package entry
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // waiter is a request that waits for a slot.
 type waiter struct {
@@ -72,6 +75,28 @@
 	return true
 }
 
+// ahead returns the number of waiting requests that go before a new one of the
+// given priority.
+func (q *fairQueue) ahead(priority int) int {
+	n := 0
+	for _, waiting := range q.byCaller {
+		for _, w := range waiting {
+			if w.want.priority <= priority {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// rank lets callers whose next request has a lower priority number go first.
+// Callers of equal priority keep their turns.
+func (q *fairQueue) rank() {
+	slices.SortStableFunc(q.turns, func(a, b string) int {
+		return cmp.Compare(q.byCaller[a][0].want.priority, q.byCaller[b][0].want.priority)
+	})
+}
+
 // endTurn moves caller behind the others.
 func (q *fairQueue) endTurn(caller string) {
 	if i := slices.Index(q.turns, caller); i >= 0 {
--- a/internal/instance/entry/retry.go
+++ b/internal/instance/entry/retry.go
@@ -24,7 +24,10 @@
 	st := s.service(e.svc.Name)
 	e.st = st
 	st.arrive()
-	e.want = &want{caller: e.caller, route: routeName(e.route), idempotent: e.route.Idempotent, deadline: e.deadline}
+	e.want = &want{
+		caller: e.caller, route: routeName(e.route), idempotent: e.route.Idempotent, deadline: e.deadline,
+		priority: e.route.Priority, started: e.started, objective: milliseconds(e.route.ObjectiveMS), bytes: e.r.ContentLength,
+	}
 	c, err := e.acquire()
 	if err != nil {
 		return e.verdict(err)
@@ -71,6 +74,9 @@
 
 // retryLimit returns the largest number of further attempts.
 func (e *exchange) retryLimit() int {
+	if e.route.Retries != nil {
+		return *e.route.Retries
+	}
 	if e.svc.Document.Retries != nil {
 		return *e.svc.Document.Retries
 	}
--- a/internal/instance/entry/service.go
+++ b/internal/instance/entry/service.go
@@ -33,6 +33,7 @@
 	refusals  bucket
 	probes    bucket
 	latencies map[string]*estimate // by route
+	placing   *placing             // nil with home slots
 }
 
 // service returns the state of the named service.
@@ -54,6 +55,11 @@
 			refusals:  newBucket(refusalShare, refusalReserve, 2*refusalReserve),
 			probes:    newBucket(probeShare, 0, 1),
 			latencies: make(map[string]*estimate),
+			placing:   newPlacing(s.cfg.Placement),
+		}
+		if p := s.cfg.Placement; p != nil {
+			// One budget covers all further attempts.
+			st.retries = newBucket(p.RetryShare, p.RetryReserve, p.RetryReserve)
 		}
 		s.services[name] = st
 	}
@@ -82,7 +88,7 @@
 func (st *service) spend(cheap bool) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if cheap {
+	if cheap && st.placing == nil {
 		return st.refusals.spend()
 	}
 	return st.retries.spend()
@@ -110,6 +116,26 @@
 	}
 }
 
+// take notes that the request has a slot at the upstream. The caller holds
+// st.mu.
+func (st *service) take(c choice, w *want, now time.Time) choice {
+	st.inFlight[c.upstream.ID]++
+	if st.placing != nil {
+		st.placing.start(&c, w, now)
+	}
+	return c
+}
+
+// giveBack gives back the slot of a choice, of which the class tells what came.
+func (st *service) giveBack(c choice, class health.Class) {
+	if st.placing != nil {
+		st.mu.Lock()
+		st.placing.end(c, class, time.Now())
+		st.mu.Unlock()
+	}
+	st.release(c.upstream.ID)
+}
+
 // release gives back the slot at an upstream.
 func (st *service) release(id string) {
 	st.mu.Lock()
@@ -154,6 +180,9 @@
 			delete(st.avoid, id)
 		}
 	}
+	if st.placing != nil {
+		st.placing.forget(svc)
+	}
 	for id, f := range st.failures {
 		if now.Sub(f.last) >= failingTime {
 			delete(st.failures, id)
--- a/internal/instance/entry/upstream/attempt.go
+++ b/internal/instance/entry/upstream/attempt.go
@@ -12,15 +12,6 @@
 	"knapweedreel/internal/errkind"
 )
 
-// Headers between the fleet and upstreams.
-const (
-	// HeaderRequestID carries the identity of a request. Upstreams echo it.
-	HeaderRequestID = "Knapweedreel-Request-Id"
-	// HeaderRefused marks a 503 by which an upstream says that it has not run
-	// the request.
-	HeaderRefused = "Knapweedreel-Refused"
-)
-
 // Refusal is the reason of an upstream that has not run a request.
 type Refusal string
 
@@ -29,6 +20,7 @@
 	NotRefused Refusal = ""
 	Shed       Refusal = "shed"     // all slots are in use
 	Draining   Refusal = "draining" // the upstream is leaving
+	Replaced   Refusal = "replaced" // another upstream has the address now
 )
 
 // Attempt is one request to one upstream.
@@ -183,8 +175,9 @@
 // check refuses answers that cannot be passed on as the whole answer to the
 // request, and recognises refusals.
 func (x *exchange) check(ans *Answer) error {
-	echo, echoed := ans.Header[HeaderRequestID]
-	id := x.attempt.Request.Header.Get(HeaderRequestID)
+	p := &x.pool.protocol
+	echo, echoed := ans.Header[p.RequestID]
+	id := x.attempt.Request.Header.Get(p.RequestID)
 	if echoed && (len(echo) != 1 || echo[0] != id) {
 		return errkind.New(errkind.CrossedAnswer, "the answer belongs to request %q", echo)
 	}
@@ -194,9 +187,9 @@
 	if !framed(x.attempt.Request, ans.Response) {
 		return errkind.New(errkind.BadAnswer, "the answer has neither a length nor chunked framing")
 	}
-	refused := Refusal(ans.Header.Get(HeaderRefused))
-	if ans.StatusCode != http.StatusServiceUnavailable || refused != Shed && refused != Draining {
-		return nil
+	refused := p.Refused(ans.Response)
+	if refused == NotRefused {
+		return x.checkGenuine(ans.Response, echoed)
 	}
 	// A refusal proves that the request was not run only if it cannot be meant
 	// for another one: it names this request, or no other request was ever sent
@@ -209,6 +202,24 @@
 	return nil
 }
 
+// checkGenuine refuses a success that the protocol's marks do not show to be
+// the upstream's own, unencoded answer to this request.
+func (x *exchange) checkGenuine(resp *http.Response, echoed bool) error {
+	p := &x.pool.protocol
+	if p.Signature == "" || resp.StatusCode >= http.StatusMultipleChoices {
+		return nil
+	}
+	switch {
+	case !echoed:
+		return errkind.New(errkind.BadAnswer, "a success without request identity")
+	case resp.Header.Get(p.Signature) == "":
+		return errkind.New(errkind.BadAnswer, "a success without signature")
+	case resp.Header.Get("Content-Encoding") != "":
+		return errkind.New(errkind.BadAnswer, "an encoded body that was not asked for")
+	}
+	return nil
+}
+
 // framed reports whether the end of the answer can be told from the end of
 // the connection.
 func framed(req *http.Request, resp *http.Response) bool {
--- a/internal/instance/entry/upstream/pool.go
+++ b/internal/instance/entry/upstream/pool.go
@@ -16,7 +16,8 @@
 
 // pool holds the connections to one upstream.
 type pool struct {
-	address string
+	address  string
+	protocol Protocol
 
 	mu     sync.Mutex
 	idle   []*conn // most recently used last
--- a/internal/instance/entry/upstream/upstream.go
+++ b/internal/instance/entry/upstream/upstream.go
@@ -23,6 +23,8 @@
 	HeaderBytes    int64         // largest header of an answer
 	// Dial opens connections. Default: a net.Dialer with TCP keep-alive.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Protocol is the protocol with upstreams. Default: OwnProtocol.
+	Protocol Protocol
 }
 
 // Target is an upstream with the limits that apply to it now.
@@ -55,6 +57,9 @@
 		}}
 		cfg.Dial = d.DialContext
 	}
+	if cfg.Protocol.RequestID == "" {
+		cfg.Protocol = OwnProtocol()
+	}
 	p := &Pools{cfg: cfg, pools: make(map[health.Key]*pool)}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
@@ -68,6 +73,9 @@
 	return p
 }
 
+// Protocol returns the protocol with upstreams.
+func (p *Pools) Protocol() *Protocol { return &p.cfg.Protocol }
+
 // Close closes idle connections, and busy ones as their attempts end.
 func (p *Pools) Close() {
 	p.mu.Lock()
@@ -114,7 +122,7 @@
 	if pl != nil {
 		go pl.close()
 	}
-	pl = &pool{address: t.Address, closed: p.closed}
+	pl = &pool{address: t.Address, protocol: p.cfg.Protocol, closed: p.closed}
 	p.pools[t.Key] = pl
 	return pl
 }
