Run an instance on a platform: catalog, follower, adapter, deploy file

The configuration, upstreams and members come from the platform's store. The catalog is a pure state machine, the follower owns it in the control goroutine, and platform/ translates names, formats and calls. No links between instances: few instances serve a region's callers, named by the address answer.

--- /dev/null
+++ b/internal/catalog/state.go
@@ -0,0 +1,234 @@
+package catalog
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// ReturnGrace is the time after the store's return for which an upstream whose
+// entry has lapsed meanwhile is still used. The platform promises that the
+// entries of living upstreams are back within about two seconds.
+const ReturnGrace = 2 * time.Second
+
+// memberGrace is the time for which a vanished member is still named to callers
+// when too few others are left.
+const memberGrace = 10 * time.Second
+
+// Catalog is what is known of the store's content. It is not safe for
+// concurrent use.
+type Catalog struct {
+	configuration *Configuration
+	upstreams     map[string]*upstreamEntry
+	members       map[string]*memberEntry
+	loaded        bool
+	lost          bool      // the store cannot be reached
+	returned      time.Time // when it was reached again, zero if it was never lost
+}
+
+type upstreamEntry struct {
+	Upstream
+	coldUntil time.Time
+	missing   time.Time // its entry vanished while the store was away, zero if it is there
+}
+
+type memberEntry struct {
+	Member
+	vanished time.Time // zero while registered
+}
+
+// New returns an empty catalog.
+func New() *Catalog {
+	return &Catalog{upstreams: make(map[string]*upstreamEntry), members: make(map[string]*memberEntry)}
+}
+
+// Event is a change of what the instance believes, for the log.
+type Event struct {
+	Name     string // such as "upstream_leaving"
+	ID       string
+	Detail   string
+	Revision uint64 // of the store
+}
+
+// Lost notes that the store cannot be reached.
+func (c *Catalog) Lost() { c.lost = true }
+
+// Reached notes that the store can be reached. After a loss, entries that
+// vanished meanwhile get ReturnGrace to come back.
+func (c *Catalog) Reached(now time.Time) {
+	if c.lost {
+		c.returned = now
+	}
+	c.lost = false
+}
+
+// Reset takes in the whole content of the store.
+func (c *Catalog) Reset(all []Change, now time.Time) []Event {
+	seen := make(map[Kind]map[string]bool)
+	var events []Event
+	for i := range all {
+		ch := &all[i]
+		if seen[ch.Kind] == nil {
+			seen[ch.Kind] = make(map[string]bool)
+		}
+		seen[ch.Kind][ch.ID] = true
+		events = append(events, c.Apply(ch, now)...)
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.upstreams)) {
+		if !seen[KindUpstream][id] {
+			events = append(events, c.Apply(&Change{Kind: KindUpstream, ID: id, Removed: true}, now)...)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.members)) {
+		if !seen[KindMember][id] {
+			events = append(events, c.Apply(&Change{Kind: KindMember, ID: id, Removed: true}, now)...)
+		}
+	}
+	c.loaded = true
+	return events
+}
+
+// Apply takes in one change and returns what the instance believes anew.
+func (c *Catalog) Apply(ch *Change, now time.Time) []Event {
+	switch {
+	case ch.Unreadable != nil:
+		events := []Event{{Name: "entry_unreadable", ID: ch.ID, Detail: string(ch.Kind) + ": " + ch.Unreadable.Error(), Revision: ch.Revision}}
+		if ch.Kind == KindUpstream {
+			// The entry no longer vouches for the upstream.
+			events = append(events, c.removeUpstream(ch, now)...)
+		}
+		return events
+	case ch.Kind == KindConfiguration:
+		return c.applyConfiguration(ch)
+	case ch.Kind == KindUpstream && ch.Removed:
+		return c.removeUpstream(ch, now)
+	case ch.Kind == KindUpstream:
+		return c.putUpstream(ch, now)
+	case ch.Kind == KindMember && ch.Removed:
+		return c.removeMember(ch, now)
+	case ch.Kind == KindMember:
+		return c.putMember(ch)
+	}
+	return nil
+}
+
+func (c *Catalog) applyConfiguration(ch *Change) []Event {
+	next := ch.Configuration
+	if next == nil {
+		return []Event{{Name: "configuration_removed", Detail: "the last one stays in force", Revision: ch.Revision}}
+	}
+	if c.configuration != nil && next.Version <= c.configuration.Version {
+		if next.Version == c.configuration.Version {
+			return nil
+		}
+		return []Event{{Name: "configuration_stale", Detail: versions(c.configuration.Version, next.Version), Revision: ch.Revision}}
+	}
+	var old uint64
+	if c.configuration != nil {
+		old = c.configuration.Version
+	}
+	c.configuration = next
+	return []Event{{Name: "configuration_in_force", Detail: versions(old, next.Version), Revision: ch.Revision}}
+}
+
+func (c *Catalog) putUpstream(ch *Change, now time.Time) []Event {
+	u := ch.Upstream
+	old := c.upstreams[u.ID]
+	if old != nil && old.Incarnation == u.Incarnation && old.Leaving && !u.Leaving && old.Address == u.Address {
+		// It cannot take its leave back.
+		u.Leaving = true
+	}
+	next := &upstreamEntry{Upstream: *u, coldUntil: now.Add(u.ColdFor)}
+	c.upstreams[u.ID] = next
+	switch {
+	case old == nil || old.Incarnation != u.Incarnation:
+		return []Event{{Name: "upstream_added", ID: u.ID, Detail: u.Service + " " + u.Address, Revision: ch.Revision}}
+	case u.Leaving && !old.Leaving:
+		return []Event{{Name: "upstream_leaving", ID: u.ID, Detail: u.Service + " " + u.Address, Revision: ch.Revision}}
+	case !old.missing.IsZero():
+		return []Event{{Name: "upstream_back", ID: u.ID, Detail: u.Service + " " + u.Address, Revision: ch.Revision}}
+	}
+	return nil
+}
+
+// removeUpstream forgets an upstream, unless its entry may only have lapsed
+// while the store was away.
+func (c *Catalog) removeUpstream(ch *Change, now time.Time) []Event {
+	u := c.upstreams[ch.ID]
+	if u == nil || !u.missing.IsZero() {
+		return nil
+	}
+	if !u.Leaving && c.inGrace(now) {
+		u.missing = now
+		return []Event{{Name: "upstream_lapsed", ID: u.ID, Detail: u.Service + " " + u.Address, Revision: ch.Revision}}
+	}
+	delete(c.upstreams, ch.ID)
+	return []Event{{Name: "upstream_gone", ID: u.ID, Detail: u.Service + " " + u.Address, Revision: ch.Revision}}
+}
+
+func (c *Catalog) inGrace(now time.Time) bool {
+	return c.lost || !c.returned.IsZero() && now.Sub(c.returned) < ReturnGrace
+}
+
+func (c *Catalog) putMember(ch *Change) []Event {
+	m := ch.Member
+	old := c.members[m.ID]
+	c.members[m.ID] = &memberEntry{Member: *m}
+	if old != nil && old.vanished.IsZero() && old.Incarnation == m.Incarnation {
+		return nil
+	}
+	return []Event{{Name: "member_joined", ID: m.ID, Detail: m.Address, Revision: ch.Revision}}
+}
+
+func (c *Catalog) removeMember(ch *Change, now time.Time) []Event {
+	m := c.members[ch.ID]
+	if m == nil || !m.vanished.IsZero() {
+		return nil
+	}
+	m.vanished = now
+	return []Event{{Name: "member_left", ID: m.ID, Detail: m.Address, Revision: ch.Revision}}
+}
+
+// Tick removes what has had its grace, and returns what the instance believes
+// anew.
+func (c *Catalog) Tick(now time.Time) []Event {
+	var events []Event
+	if !c.inGrace(now) {
+		for _, id := range slices.Sorted(maps.Keys(c.upstreams)) {
+			if u := c.upstreams[id]; !u.missing.IsZero() {
+				delete(c.upstreams, id)
+				events = append(events, Event{Name: "upstream_gone", ID: id, Detail: u.Service + " " + u.Address})
+			}
+		}
+	}
+	for id, m := range c.members {
+		if !m.vanished.IsZero() && now.Sub(m.vanished) > memberGrace {
+			delete(c.members, id)
+		}
+	}
+	return events
+}
+
+// Cold reports whether any upstream is still slow after its start, so that the
+// snapshot changes with time.
+func (c *Catalog) Cold(now time.Time) bool {
+	for _, u := range c.upstreams {
+		if now.Before(u.coldUntil) {
+			return true
+		}
+	}
+	return false
+}
+
+// Ready reports whether the store's content was read and holds a
+// configuration.
+func (c *Catalog) Ready() bool { return c.loaded && c.configuration != nil }
+
+// Configuration returns the configuration in force, nil for none.
+func (c *Catalog) Configuration() *Configuration { return c.configuration }
+
+// sortedUpstreams returns the upstreams in the order of their IDs.
+func (c *Catalog) sortedUpstreams() []*upstreamEntry {
+	return slices.SortedFunc(maps.Values(c.upstreams), func(a, b *upstreamEntry) int { return cmp.Compare(a.ID, b.ID) })
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"os"
 
 	"github.com/integrii/flaggy"
 
 	"knapweedreel/internal/instance"
+	"knapweedreel/internal/settings"
 	"knapweedreel/internal/telemetry"
+	"knapweedreel/platform"
 )
 
 func serveCommand() *command {
@@ -15,19 +18,44 @@
 		name:        "serve",
 		description: "Run an instance until SIGTERM or an interrupt stops it as planned",
 		examples:    []string{"knapweedreel serve /etc/knapweedreel/settings.jsonc"},
-		define:      func(sc *flaggy.Subcommand) { settingsFile(sc, &file) },
-		run:         func(ctx context.Context, s *session) error { return serve(ctx, s, file) },
+		define: func(sc *flaggy.Subcommand) {
+			sc.AddPositionalValue(&file, "SETTINGS", 1, false, "File with the instance's settings; default: the path in "+platform.SettingsVariable)
+		},
+		run: func(ctx context.Context, s *session) error { return serve(ctx, s, file) },
 	}
 }
 
 func serve(ctx context.Context, s *session, file string) error {
+	if file == "" {
+		file = os.Getenv(platform.SettingsVariable)
+	}
+	if file == "" {
+		return exitWith(ExitUsage, "no settings file is named, and %s is not set", platform.SettingsVariable)
+	}
 	cfg, err := loadSettings(file)
 	if err != nil {
 		return err
 	}
+	if cfg.Platform != nil {
+		return serveOnPlatform(ctx, s, cfg)
+	}
 	log, err := telemetry.NewLogger(s.stderr, cfg.LogLevel)
 	if err != nil {
 		return err
 	}
 	return instance.Run(ctx, cfg, log)
 }
+
+// serveOnPlatform runs an instance on the platform, which collects standard
+// output.
+func serveOnPlatform(ctx context.Context, s *session, cfg settings.Settings) error {
+	log, err := telemetry.NewLogger(s.stdout, cfg.LogLevel)
+	if err != nil {
+		return err
+	}
+	source := platform.NewStore(cfg.StoreAddress)
+	return instance.RunOnPlatform(ctx, cfg, instance.Platform{
+		Source: source, Protocol: platform.Protocol(),
+		ReadinessPage: platform.ReadinessPage, ResolvePage: platform.ResolvePage, Close: source.Close,
+	}, log)
+}
--- /dev/null
+++ b/internal/instance/follower/follower.go
@@ -0,0 +1,175 @@
+// Package follower keeps an instance's view of the platform's store: it watches
+// the store, owns the catalog in one goroutine, publishes routing snapshots,
+// and keeps the instance registered as a member of the fleet.
+package follower
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"knapweedreel/internal/catalog"
+	"knapweedreel/internal/health"
+	"knapweedreel/internal/member"
+	"knapweedreel/internal/routing"
+)
+
+// Config holds what the follower needs.
+type Config struct {
+	Self    catalog.Member
+	Regions map[string]string // failure domain → region
+	Log     *zap.Logger
+	Scope   tally.Scope
+	// Jitter returns a number from 0 to 1 by which retries are spread.
+	Jitter func() float64
+}
+
+// Follower follows the store. Run its three loops as children of a supervisor.
+type Follower struct {
+	cfg    Config
+	source catalog.Source
+	log    *zap.Logger
+
+	events   chan event
+	snapshot atomic.Pointer[routing.Snapshot]
+	members  atomic.Pointer[catalog.Directory]
+	limits   atomic.Pointer[catalog.Limits]
+	width    chan int
+	ready    chan struct{} // closed once there is a configuration
+	leaving  chan struct{} // closed by Leave
+
+	// Of the control goroutine.
+	catalog  *catalog.Catalog
+	table    *routing.Table
+	version  uint64
+	sequence uint64
+}
+
+// event is a message to the control goroutine.
+type event struct {
+	changes []catalog.Change
+	whole   bool  // changes are the whole content of the store
+	err     error // the store could not be read
+}
+
+// New returns a follower. Nothing runs before its loops.
+func New(cfg Config, source catalog.Source) *Follower {
+	f := &Follower{
+		cfg: cfg, source: source, log: cfg.Log,
+		events: make(chan event), width: make(chan int, 1),
+		ready: make(chan struct{}), leaving: make(chan struct{}),
+		catalog: catalog.New(),
+	}
+	f.publish(time.Now())
+	return f
+}
+
+// Snapshot returns the current routing snapshot, never nil.
+func (f *Follower) Snapshot() *routing.Snapshot { return f.snapshot.Load() }
+
+// Directory returns the members as callers are told them, never nil.
+func (f *Follower) Directory() *catalog.Directory { return f.members.Load() }
+
+// Limits returns what the configuration in force says of callers' limits.
+func (f *Follower) Limits() catalog.Limits { return *f.limits.Load() }
+
+// Ready reports whether the instance has a configuration and is not leaving.
+func (f *Follower) Ready() bool {
+	select {
+	case <-f.leaving:
+		return false
+	default:
+		return f.Snapshot().Ready
+	}
+}
+
+// Leave ends the registration and makes the instance not ready. It is called
+// once.
+func (f *Follower) Leave() { close(f.leaving) }
+
+// tickInterval is the time between looks at what changes with time alone.
+const tickInterval = 250 * time.Millisecond
+
+// Run is the control goroutine. It owns the catalog.
+func (f *Follower) Run(ctx context.Context) error {
+	ticks := time.NewTicker(tickInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-f.events:
+			f.apply(e, time.Now())
+		case now := <-ticks.C:
+			cold := f.catalog.Cold(now.Add(-tickInterval))
+			if f.note(f.catalog.Tick(now)) || cold {
+				f.publish(now)
+			}
+		}
+	}
+}
+
+func (f *Follower) apply(e event, now time.Time) {
+	if e.err != nil {
+		f.catalog.Lost()
+		return
+	}
+	f.catalog.Reached(now)
+	var events []catalog.Event
+	if e.whole {
+		events = f.catalog.Reset(e.changes, now)
+	} else {
+		for i := range e.changes {
+			events = append(events, f.catalog.Apply(&e.changes[i], now)...)
+		}
+	}
+	if f.note(events) || e.whole || len(e.changes) > 0 {
+		f.publish(now)
+	}
+}
+
+// note logs what the instance believes anew.
+func (f *Follower) note(events []catalog.Event) bool {
+	for _, e := range events {
+		f.log.Info(e.Name, zap.String("id", e.ID), zap.String("detail", e.Detail), zap.Uint64("revision", e.Revision))
+		f.cfg.Scope.Tagged(map[string]string{"event": e.Name}).Counter("catalog_events").Inc(1)
+	}
+	return len(events) > 0
+}
+
+// publish builds a snapshot aside and swaps it in.
+func (f *Follower) publish(now time.Time) {
+	limits := catalog.Limits{}
+	if c := f.catalog.Configuration(); c != nil {
+		limits = c.Limits
+		if c.Version != f.version {
+			f.version, f.table = c.Version, c.Table()
+		}
+	}
+	self := member.Info{
+		ID: f.cfg.Self.ID, Boot: uint64(f.cfg.Self.Incarnation), EntryAddress: f.cfg.Self.Address,
+		Region: f.cfg.Self.Region, FailureDomain: f.cfg.Self.FailureDomain, State: member.Active,
+	}
+	snap := f.catalog.Snapshot(catalog.View{Self: self, Regions: f.cfg.Regions}, f.table, now)
+	f.sequence++
+	snap.Sequence = f.sequence
+	f.limits.Store(&limits)
+	f.members.Store(f.catalog.Directory())
+	f.snapshot.Store(snap)
+	if snap.Ready {
+		select {
+		case <-f.ready:
+		default:
+			close(f.ready)
+			f.log.Info("ready", zap.Uint64("configuration", f.version))
+		}
+	}
+}
+
+// ReportOutcome counts an attempt. The entry itself decides from outcomes.
+func (f *Follower) ReportOutcome(o health.Outcome) {
+	f.cfg.Scope.Tagged(map[string]string{"service": o.Upstream.Service, "class": o.Class.String()}).Counter("outcomes").Inc(1)
+}
--- /dev/null
+++ b/internal/instance/follower/membership.go
@@ -0,0 +1,114 @@
+package follower
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"knapweedreel/internal/catalog"
+)
+
+// Times of a member's entry.
+const (
+	// memberTTL is the time after which the entry of an instance that has died
+	// ends. Callers keep addresses for seconds anyway.
+	memberTTL = 3 * time.Second
+	// renewInterval lets two renewals in a row fail.
+	renewInterval = time.Second
+	// withdrawLimit bounds the time for removing the entry at a planned stop.
+	withdrawLimit = time.Second
+)
+
+// Member keeps this instance registered from the time when it is ready until
+// it leaves.
+func (f *Follower) Member(ctx context.Context) error {
+	select {
+	case <-f.ready:
+	case <-ctx.Done():
+		return nil
+	}
+	m := membership{f: f, self: f.cfg.Self}
+	ticks := time.NewTicker(renewInterval)
+	defer ticks.Stop()
+	m.keep(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-f.leaving:
+			m.withdraw(ctx)
+			<-ctx.Done()
+			return nil
+		case m.self.Width = <-f.width:
+			m.update(ctx)
+		case <-ticks.C:
+			m.keep(ctx)
+		}
+	}
+}
+
+// SetWidth publishes among how many instances the callers of this region should
+// be spread, as seen from here.
+func (f *Follower) SetWidth(n int) {
+	select {
+	case <-f.width:
+	default:
+	}
+	f.width <- n
+}
+
+// membership is the state of this instance's entry.
+type membership struct {
+	f            *Follower
+	self         catalog.Member
+	registration *catalog.Registration // nil while not registered
+}
+
+// keep renews the registration, or registers anew.
+func (m *membership) keep(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, renewInterval)
+	defer cancel()
+	if m.registration != nil {
+		err := m.f.source.Renew(ctx, *m.registration)
+		if !errors.Is(err, catalog.ErrExpired) {
+			m.logFailure("member_not_renewed", err)
+			return
+		}
+		m.f.log.Warn("member_expired", zap.Uint64("lease", m.registration.Lease))
+		m.registration = nil
+	}
+	r, err := m.f.source.Register(ctx, m.self, memberTTL)
+	if err != nil {
+		m.logFailure("member_not_registered", err)
+		return
+	}
+	m.registration = &r
+	m.f.log.Info("member_registered", zap.Uint64("lease", r.Lease), zap.Duration("ttl", r.TTL), zap.Int("width", m.self.Width))
+}
+
+func (m *membership) update(ctx context.Context) {
+	if m.registration == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, renewInterval)
+	defer cancel()
+	m.logFailure("member_not_updated", m.f.source.Update(ctx, *m.registration, m.self))
+	m.f.log.Info("member_width", zap.Int("width", m.self.Width))
+}
+
+func (m *membership) withdraw(ctx context.Context) {
+	if m.registration == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, withdrawLimit)
+	defer cancel()
+	m.logFailure("member_not_withdrawn", m.f.source.Withdraw(ctx, *m.registration))
+}
+
+func (m *membership) logFailure(event string, err error) {
+	if err != nil {
+		m.f.log.Warn(event, zap.Error(err))
+	}
+}
--- a/internal/settings/normalize.go
+++ b/internal/settings/normalize.go
@@ -16,6 +16,12 @@
 	DefaultLeaseMS             = 15_000
 	DefaultKeepMS              = 10_000
 	DefaultStopLimitMS         = 120_000
+	DefaultMemoryMB            = 256
+	DefaultLinkMbps            = 1_000
+	DefaultDescriptors         = 4_096
+	DefaultRetryShare          = 0.1
+	DefaultRetryReserve        = 10
+	DefaultRetryWindowMS       = 10_000
 
 	// drainMarginMS is added to KeepMS for DrainMS: a caller whose address
 	// answer has just expired needs time to ask again.
@@ -30,6 +36,19 @@
 	setDefault(&s.LogLevel, DefaultLogLevel)
 	s.Limits.normalize()
 	s.Times.normalize()
+	if s.Platform != nil {
+		s.Platform.normalize()
+	}
+}
+
+func (p *Platform) normalize() {
+	setDefault(&p.Cores, 1)
+	setDefault(&p.MemoryMB, DefaultMemoryMB)
+	setDefault(&p.LinkMbps, DefaultLinkMbps)
+	setDefault(&p.Descriptors, DefaultDescriptors)
+	setDefault(&p.RetryShare, DefaultRetryShare)
+	setDefault(&p.RetryReserve, DefaultRetryReserve)
+	setDefault(&p.RetryWindowMS, DefaultRetryWindowMS)
 }
 
 func (l *Limits) normalize() {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,10 +34,43 @@
 	Limits Limits `json:"limits"`
 	// Times are timeouts and intervals.
 	Times Times `json:"times"`
+	// Platform makes the instance run on a platform that gives it a store and
+	// the registrations of upstreams. Peers, keys, the admin address and
+	// documents are not used then. Default none.
+	Platform *Platform `json:"platform,omitempty"`
 	// LogLevel is "debug", "info" (default), "warn" or "error".
 	LogLevel string `json:"log_level"`
 }
 
+// Platform says where an instance on a platform listens, and what it may use.
+type Platform struct {
+	// ReadyAddress is where the platform asks whether the instance is ready.
+	ReadyAddress string `json:"ready_address"`
+	// DirectoryAddress is where callers ask which addresses to use.
+	DirectoryAddress string `json:"directory_address"`
+	// MetricsAddress is where metrics are served. Default none.
+	MetricsAddress string `json:"metrics_address"`
+	// Regions gives the region of each failure domain.
+	Regions map[string]string `json:"regions"`
+	// Cores is the processor time, in cores, that the instance may use.
+	Cores float64 `json:"cores"`
+	// MemoryMB is the memory that the instance may use.
+	MemoryMB int `json:"memory_mb"`
+	// LinkMbps is the bandwidth of the instance's link in Mbit/s.
+	LinkMbps float64 `json:"link_mbps"`
+	// Descriptors is the number of sockets and files that may be open.
+	Descriptors int `json:"descriptors"`
+	// RetryShare is the share of a service's requests that the whole fleet may
+	// send to a second upstream. Default 0.1.
+	RetryShare float64 `json:"retry_share"`
+	// RetryReserve is what the whole fleet may send beyond RetryShare within
+	// RetryWindowMS. Default 10.
+	RetryReserve int `json:"retry_reserve"`
+	// RetryWindowMS is the time over which retries are counted, in
+	// milliseconds. Default 10,000.
+	RetryWindowMS int `json:"retry_window_ms"`
+}
+
 // InitialPeer is an instance known from the settings.
 type InitialPeer struct {
 	// Instance is the peer's name, as in its certificate.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -14,6 +14,11 @@
 	maxBufferBytes  = 16 << 20
 	maxConnections  = 1_000_000
 	maxExplanations = 1_000_000
+	minCores        = 0.01
+	maxCores        = 1_000
+	minMemoryMB     = 32
+	minLinkMbps     = 0.1
+	minDescriptors  = 64
 )
 
 // Validate returns the mistakes of settings that were normalized. Problems
@@ -24,6 +29,24 @@
 	p.CheckName("region", s.Region)
 	p.CheckName("failure_domain", s.FailureDomain)
 	p.CheckAddress("entry_address", s.EntryAddress)
+	p.CheckAddress("store_address", s.StoreAddress)
+	if s.Platform != nil {
+		s.Platform.validate(&p)
+	} else {
+		s.validateOwn(&p)
+	}
+	s.Limits.validate(&p)
+	s.Times.validate(&p)
+	switch s.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		p.Add("log_level", "is %q, want \"debug\", \"info\", \"warn\" or \"error\"", s.LogLevel)
+	}
+	return p
+}
+
+// validateOwn checks what an instance needs that is not on a platform.
+func (s *Settings) validateOwn(p *jsonc.Problems) {
 	p.CheckAddress("peer_address", s.PeerAddress)
 	if s.PeerListenAddress != s.PeerAddress {
 		p.CheckAddress("peer_listen_address", s.PeerListenAddress)
@@ -33,22 +56,28 @@
 		p.CheckAddress(fmt.Sprintf("initial_peers[%d].peer_address", i), peer.PeerAddress)
 	}
 	p.CheckAddress("admin_address", s.AdminAddress)
-	p.CheckAddress("store_address", s.StoreAddress)
 	if s.ListAddress != s.StoreAddress {
 		p.CheckAddress("list_address", s.ListAddress)
 	}
 	if s.EntryAddress != "" && s.EntryAddress == s.AdminAddress {
 		p.Add("admin_address", "is the same as entry_address")
 	}
-	s.Keys.validate(&p)
-	s.Limits.validate(&p)
-	s.Times.validate(&p)
-	switch s.LogLevel {
-	case "debug", "info", "warn", "error":
-	default:
-		p.Add("log_level", "is %q, want \"debug\", \"info\", \"warn\" or \"error\"", s.LogLevel)
+	s.Keys.validate(p)
+}
+
+func (f *Platform) validate(p *jsonc.Problems) {
+	p.CheckAddress("platform.ready_address", f.ReadyAddress)
+	p.CheckAddress("platform.directory_address", f.DirectoryAddress)
+	if f.MetricsAddress != "" {
+		p.CheckAddress("platform.metrics_address", f.MetricsAddress)
 	}
-	return p
+	jsonc.CheckRange(p, "platform.cores", f.Cores, minCores, maxCores)
+	jsonc.CheckRange(p, "platform.memory_mb", f.MemoryMB, minMemoryMB, maxConnections)
+	jsonc.CheckRange(p, "platform.link_mbps", f.LinkMbps, minLinkMbps, maxConnections)
+	jsonc.CheckRange(p, "platform.descriptors", f.Descriptors, minDescriptors, 10*maxConnections)
+	jsonc.CheckRange(p, "platform.retry_share", f.RetryShare, 0, 1)
+	jsonc.CheckRange(p, "platform.retry_reserve", f.RetryReserve, 0, maxConnections)
+	jsonc.CheckRange(p, "platform.retry_window_ms", f.RetryWindowMS, 1, jsonc.MaxTimeMS)
 }
 
 func (k *Keys) validate(p *jsonc.Problems) {
