--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -111,9 +111,9 @@
 type Source interface {
 	// Load returns all items and the index from which to wait for changes.
 	Load(ctx context.Context) ([]Change, uint64, error)
-	// Changes waits for changes after an index and returns them with the index
-	// to continue from. It may return none.
-	Changes(ctx context.Context, after uint64) ([]Change, uint64, error)
+	// Changes waits for changes after an index, for at most the given time, and
+	// returns them with the index to continue from. It may return none.
+	Changes(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error)
 	// Register enters a member for the given time.
 	Register(ctx context.Context, m Member, ttl time.Duration) (Registration, error)
 	// Renew extends a registration, or returns ErrExpired.
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -37,7 +37,7 @@
 		return err
 	}
 	if cfg.Platform != nil {
-		return serveOnPlatform(ctx, s, cfg)
+		return serveOnPlatform(ctx, s, file, cfg)
 	}
 	log, err := telemetry.NewLogger(s.stderr, cfg.LogLevel)
 	if err != nil {
@@ -48,7 +48,7 @@
 
 // serveOnPlatform runs an instance on the platform, which collects standard
 // output.
-func serveOnPlatform(ctx context.Context, s *session, cfg settings.Settings) error {
+func serveOnPlatform(ctx context.Context, s *session, file string, cfg settings.Settings) error {
 	log, err := telemetry.NewLogger(s.stdout, cfg.LogLevel)
 	if err != nil {
 		return err
@@ -56,6 +56,7 @@
 	source := platform.NewStore(cfg.StoreAddress)
 	return instance.RunOnPlatform(ctx, cfg, instance.Platform{
 		Source: source, Protocol: platform.Protocol(),
-		ReadinessPage: platform.ReadinessPage, ResolvePage: platform.ResolvePage, Close: source.Close,
+		ReadinessPage: platform.ReadinessPage, ResolvePage: platform.ResolvePage,
+		SettingsFile: file, Close: source.Close,
 	}, log)
 }
--- a/internal/instance/entry/drain.go
+++ b/internal/instance/entry/drain.go
@@ -28,7 +28,7 @@
 // and none arrives, and stops accepting. Requests that are still in flight when
 // the stop limit has passed after the drain time are cut off, and the error
 // says so. Callers that go on opening connections delay the end for at most
-// the drain time again. If ctx ends first, Drain returns its error and leaves
+// the quiet limit. If ctx ends first, Drain returns its error and leaves
 // the server running.
 //
 // Run returns only when its own context ends.
@@ -39,7 +39,7 @@
 	}
 	limit, cancel := context.WithTimeout(ctx, milliseconds(s.cfg.Times.StopLimitMS))
 	defer cancel()
-	s.callers.await(limit, milliseconds(s.cfg.Times.DrainMS), quietTime)
+	s.callers.await(limit, milliseconds(s.cfg.Times.QuietLimitMS), quietTime)
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -121,6 +121,7 @@
 	set(&t.ConnectMS, 1_000)
 	set(&t.KeepMS, 10_000)
 	set(&t.DrainMS, t.KeepMS+2_000)
+	set(&t.QuietLimitMS, t.DrainMS)
 	set(&t.StopLimitMS, 120_000)
 	return l, t
 }
--- a/internal/instance/follower/watch.go
+++ b/internal/instance/follower/watch.go
@@ -21,6 +21,11 @@
 	// Changes that come meanwhile are gathered, which saves calls: each one ends
 	// the waiting calls of all instances.
 	gatherTime = 500 * time.Millisecond
+	// watchWait bounds each wait for changes. A store that has dropped its
+	// history does not tell a wait that was begun before, and the changes have
+	// to be noticed all the same within the 3 s after which the platform counts
+	// the store as sound again.
+	watchWait = 2500 * time.Millisecond
 )
 
 // Watch reads the store's content and then follows its changes.
@@ -49,7 +54,7 @@
 	began := time.Now()
 	var err error
 	if w.loaded {
-		e.changes, w.index, err = w.f.source.Changes(ctx, w.index)
+		e.changes, w.index, err = w.f.source.Changes(ctx, w.index, watchWait)
 	} else {
 		e.changes, w.index, err = w.f.source.Load(ctx)
 	}
--- a/internal/instance/onplatform.go
+++ b/internal/instance/onplatform.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,6 +34,8 @@
 	ReadinessPage func(ready func() bool) http.Handler
 	// ResolvePage tells callers which addresses to use, and for how long.
 	ResolvePage func(locate func(host, region string) []string, keep func() time.Duration) http.Handler
+	// SettingsFile is the file that the settings were read from. It is followed.
+	SettingsFile string
 	// Close gives up what the adapter holds.
 	Close func()
 }
@@ -82,10 +85,12 @@
 	metrics  *telemetry.Metrics
 	follower *follower.Follower
 	entry    *entry.Server
+	keep     atomic.Int64 // time.Duration for which callers keep an address answer
 }
 
 func buildOnPlatform(s settings.Settings, p Platform, log *zap.Logger) *platformParts {
 	n := &platformParts{settings: s, platform: p, boot: time.Now().UnixMilli(), log: log}
+	n.keep.Store(int64(milliseconds(s.Times.KeepMS)))
 	n.metrics = telemetry.NewMetrics(func(err error) { log.Debug("metric_not_registered", zap.Error(err)) })
 	n.follower = follower.New(follower.Config{
 		Self: catalog.Member{
@@ -147,11 +152,13 @@
 func (n *platformParts) children() []supervisor.Child {
 	p := n.settings.Platform
 	ready := n.platform.ReadinessPage(n.follower.Ready)
-	resolve := n.platform.ResolvePage(n.locate, func() time.Duration { return milliseconds(n.settings.Times.KeepMS) })
+	resolve := n.platform.ResolvePage(n.locate, func() time.Duration { return time.Duration(n.keep.Load()) })
+	settingsFile := &reloader{path: n.platform.SettingsFile, apply: n.applySettings, log: n.log}
 	children := []supervisor.Child{
 		{Name: "control", Run: n.follower.Run, Essential: true},
 		{Name: "watch", Run: n.follower.Watch},
 		{Name: "member", Run: n.follower.Member},
+		{Name: "settings", Run: settingsFile.run},
 		{Name: "readiness", Run: page{p.ReadyAddress, ready}.run},
 		{Name: "directory", Run: page{p.DirectoryAddress, resolve}.run},
 	}
--- a/internal/settings/normalize.go
+++ b/internal/settings/normalize.go
@@ -68,6 +68,7 @@
 	setDefault(&t.LeaseMS, DefaultLeaseMS)
 	setDefault(&t.KeepMS, DefaultKeepMS)
 	setDefault(&t.DrainMS, t.KeepMS+drainMarginMS)
+	setDefault(&t.QuietLimitMS, t.DrainMS)
 	setDefault(&t.StopLimitMS, DefaultStopLimitMS)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -133,6 +133,11 @@
 	// DrainMS is the time for which a stopping instance goes on accepting
 	// requests. At least KeepMS. Default KeepMS + 2,000.
 	DrainMS int `json:"drain_ms"`
+	// QuietLimitMS is the longest time after DrainMS for which a stopping
+	// instance goes on accepting until callers are quiet. A shorter time cuts
+	// off callers that keep its address for longer than they should; they find
+	// another one when their connection is refused. Default DrainMS.
+	QuietLimitMS int `json:"quiet_limit_ms"`
 	// StopLimitMS is the longest time for requests in flight to end after
 	// that. Default 120,000.
 	StopLimitMS int `json:"stop_limit_ms"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -40,7 +40,7 @@
 		Keys:   Keys{CertificateFile: "i1.pem", KeyFile: "i1.key", AuthorityFile: "authority.pem"},
 		Limits: Limits{CallerConnections: 4096, HeaderBytes: 32 << 10, BufferedAnswerBytes: 64 << 10, BufferedBodyBytes: 64 << 10, Explanations: 1024},
 		Times: Times{HeaderMS: 30_000, ConnectMS: 1_000, StoreMS: 2_000, HeartbeatMS: 1_000, PeerTimeoutMS: 3_000,
-			LeaseMS: 15_000, KeepMS: 4_000, DrainMS: 6_000, StopLimitMS: 120_000},
+			LeaseMS: 15_000, KeepMS: 4_000, DrainMS: 6_000, QuietLimitMS: 6_000, StopLimitMS: 120_000},
 		LogLevel: "info",
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -107,6 +107,7 @@
 		{"times.lease_ms", t.LeaseMS},
 		{"times.keep_ms", t.KeepMS},
 		{"times.drain_ms", t.DrainMS},
+		{"times.quiet_limit_ms", t.QuietLimitMS},
 		{"times.stop_limit_ms", t.StopLimitMS},
 	} {
 		jsonc.CheckRange(p, f.field, f.value, 1, jsonc.MaxTimeMS)
--- a/internal/store/httpcall/conn.go
+++ b/internal/store/httpcall/conn.go
@@ -22,6 +22,11 @@
 	idleLimit = 10 * time.Second
 )
 
+// connectTimeout is the longest time for opening a connection. The operating
+// system sends a lost opening packet again after 1 s, 2 s, 4 s and so on; a new
+// connection finds a path that has just come back sooner.
+const connectTimeout = 600 * time.Millisecond
+
 // keepAlive finds a dead store below a pending watch within about 4 s; the
 // watch itself would notice it after up to 20 s.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
@@ -121,7 +126,7 @@
 }
 
 func (p *Client) dial(ctx context.Context) (*conn, error) {
-	d := net.Dialer{KeepAliveConfig: keepAlive}
+	d := net.Dialer{KeepAliveConfig: keepAlive, Timeout: connectTimeout}
 	nc, err := d.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
