--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -58,6 +58,7 @@
 	BadAnswer          Kind = "bad-answer"
 	CrossedAnswer      Kind = "crossed-answer"
 	TruncatedAnswer    Kind = "truncated-answer"
+	Stopping           Kind = "stopping"
 	CallerGone         Kind = "caller-gone"
 	CallerBodyFailed   Kind = "caller-body-failed"
 	Internal           Kind = "internal"
@@ -109,6 +110,7 @@
 	{BadAnswer, http.StatusBadGateway, Unknown, 0, "The upstream's answer is malformed or has no length."},
 	{CrossedAnswer, http.StatusBadGateway, Unknown, 0, "The upstream's answer belongs to another request."},
 	{TruncatedAnswer, http.StatusBadGateway, Unknown, 0, "The upstream's answer ended early."},
+	{Stopping, http.StatusGatewayTimeout, Unknown, 0, "The instance stopped before the upstream had answered."},
 	{CallerGone, StatusCallerGone, Unknown, 0, "The caller closed its connection before the answer."},
 	{CallerBodyFailed, http.StatusBadRequest, Unknown, 0, "The caller's body ended early."},
 	{Internal, http.StatusInternalServerError, Unknown, 0, "The instance failed in an unexpected way."},
--- a/internal/instance/entry/drain.go
+++ b/internal/instance/entry/drain.go
@@ -19,6 +19,9 @@
 // quietInterval is the time between looks at the callers' connections.
 const quietInterval = 20 * time.Millisecond
 
+// lastAnswers is the time for the answers to requests that are cut off.
+const lastAnswers = 150 * time.Millisecond
+
 // drainState is the state of a planned stop.
 type drainState struct{ started atomic.Bool }
 
@@ -29,7 +32,7 @@
 // the stop limit has passed after the drain time are cut off, and the error
 // says so. Callers that go on opening connections delay the end for at most
 // the quiet limit. If ctx ends first, Drain returns its error and leaves
-// the server running.
+// the server running. Requests that are cut off are answered as such.
 //
 // Run returns only when its own context ends.
 func (s *Server) Drain(ctx context.Context) error {
@@ -47,11 +50,17 @@
 	if server == nil {
 		return nil
 	}
-	if err := server.Shutdown(limit); err != nil {
+	err := server.Shutdown(limit)
+	if err == nil {
+		return nil
+	}
+	s.end()
+	last, cancelLast := context.WithTimeout(ctx, lastAnswers)
+	defer cancelLast()
+	if server.Shutdown(last) != nil {
 		_ = server.Close()
-		return errors.Mark(errors.Wrap(err, "planned stop"), errDrainLimit)
 	}
-	return nil
+	return errors.Mark(errors.Wrap(err, "planned stop"), errDrainLimit)
 }
 
 func pause(ctx context.Context, d time.Duration) error {
--- a/internal/instance/entry/drain_test.go
+++ b/internal/instance/entry/drain_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"knapweedreel/internal/errkind"
 	"knapweedreel/internal/settings"
 )
 
@@ -103,6 +104,36 @@
 	}
 }
 
+// Guards against a request whose connection is closed without an answer at the
+// end of a stop, which leaves its caller in the dark about what happened.
+func TestDrainLimitAnswersRequests(t *testing.T) {
+	began := make(chan struct{})
+	up := standin(t, "u1", func(_ http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+	})
+	s, url := startServer(t, &fakeControl{snap: snapshotOf(testDocument(), up)}, func(cfg *Config) {
+		cfg.Times = settings.Times{DrainMS: 1, StopLimitMS: 50}
+	})
+	answered := make(chan string, 1)
+	go func() {
+		resp, err := callers.RoundTrip(request(t, http.MethodGet, url+"/write/x", nil))
+		if err != nil {
+			answered <- err.Error()
+			return
+		}
+		_ = resp.Body.Close()
+		answered <- resp.Header.Get(errkind.HeaderError)
+	}()
+	<-began
+	if err := result(t, drainAsync(t.Context(), s)); !errors.Is(err, errDrainLimit) {
+		t.Errorf("error %v", err)
+	}
+	if got := <-answered; got != string(errkind.Stopping) {
+		t.Errorf("the caller got %q", got)
+	}
+}
+
 // Guards against a stop that cannot be abandoned.
 func TestDrainCancelled(t *testing.T) {
 	c := &fakeControl{snap: snapshotOf(testDocument())}
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -65,6 +66,8 @@
 	http     *http.Server
 
 	drain   drainState
+	ending  context.Context // done when requests in flight have to be answered
+	end     context.CancelFunc
 	callers callerTable
 }
 
@@ -97,6 +100,7 @@
 		services: make(map[string]*service),
 		rand:     cfg.Rand,
 	}
+	s.ending, s.end = context.WithCancel(context.Background())
 	s.callers.active = make(map[net.Conn]struct{})
 	return s
 }
--- a/internal/instance/entry/exchange.go
+++ b/internal/instance/entry/exchange.go
@@ -87,6 +87,9 @@
 			return errkind.Of(failure)
 		}
 	}
+	if e.s.ending.Err() != nil && errors.Is(err, context.Canceled) {
+		return errkind.Stopping
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		return errkind.DeadlineExceeded
 	}
--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -93,6 +93,7 @@
 	var cancel context.CancelFunc
 	e.ctx, cancel = context.WithDeadline(e.r.Context(), e.deadline)
 	defer cancel()
+	defer context.AfterFunc(s.ending, cancel)()
 	if n := e.r.ContentLength; n > 0 && n <= int64(s.cfg.Limits.BufferedBodyBytes) && !e.body.asked {
 		// A caller that sends slowly does not hold a slot meanwhile.
 		e.body.await(e.ctx)
@@ -200,8 +201,8 @@
 		e.st.metrics.overhead.RecordDuration(max(0, x.Total-x.Queued-e.upstreamTime))
 	}
 	metrics.request(x.Status, x.Kind).Inc(1)
-	s.log.Info("request", zap.String("request_id", x.RequestID), zap.String("service", x.Service),
+	s.log.Info("request", zap.String("request_id", x.RequestID), zap.String("service", x.Service), zap.Uint64("revision", x.Revision),
 		zap.String("route", x.Route), zap.String("caller", x.Caller), zap.Int("status", x.Status),
 		zap.String("kind", x.Kind), zap.String("run", x.Run), zap.Int("attempts", len(x.Attempts)),
-		zap.String("upstream", lastUpstream(x.Attempts)), zap.Duration("queued", x.Queued), zap.Duration("total", x.Total))
+		zap.String("tries", tries(x.Attempts)), zap.Duration("queued", x.Queued), zap.Duration("total", x.Total))
 }
