placement: try only upstreams that have joined later

Only an upstream that joins later, in the instance's own region, is now tried out of turn. Log lines of requests name for each attempt the belief and the load at the time of the choice, by which this was found.

--- a/internal/instance/entry/attempt.go
+++ b/internal/instance/entry/attempt.go
@@ -149,6 +149,8 @@
 		Took:       time.Since(a.started),
 		BytesSent:  a.trace.Sent,
 		RetryCause: a.cause,
+		Faulty:     a.choice.placed.faulty,
+		Load:       a.choice.placed.load,
 	}
 	switch {
 	case a.refused != upstream.NotRefused:
--- a/internal/instance/entry/explain.go
+++ b/internal/instance/entry/explain.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"fmt"
+	"strings"
 	"sync"
 
 	"knapweedreel/internal/instance/admin"
@@ -43,10 +45,23 @@
 // ExplainRequest returns the explanation of one of the latest requests.
 func (s *Server) ExplainRequest(id string) (admin.RequestExplanation, bool) { return s.ring.get(id) }
 
-// lastUpstream names the upstream of the last attempt.
-func lastUpstream(attempts []admin.Attempt) string {
-	if len(attempts) == 0 {
-		return ""
+// tries describes the attempts of a request in one field of its log line: for
+// each one the upstream, the belief that it was faulty, its load, whether the
+// connection was fresh, the result, the time taken and the cause of the retry.
+func tries(attempts []admin.Attempt) string {
+	var b strings.Builder
+	for i, a := range attempts {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		conn := "kept"
+		if a.Fresh {
+			conn = "fresh"
+		}
+		fmt.Fprintf(&b, "%s,faulty=%.2f,load=%d,%s,%s,%dms", a.Upstream, a.Faulty, a.Load, conn, a.Result, a.Took.Milliseconds())
+		if a.RetryCause != "" {
+			b.WriteString("," + a.RetryCause)
+		}
 	}
-	return attempts[len(attempts)-1].Upstream
+	return b.String()
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -25,16 +25,19 @@
 	queuedCost = 0.6
 	// coldCost is the cost of an upstream that is still slow.
 	coldCost = 0.15
-	// trialGain makes an upstream that was never tried be tried.
+	// trialGain makes an upstream that has joined get its first request.
 	trialGain = 0.5
 	// tieCost spreads requests between upstreams that are equal otherwise.
 	tieCost = 0.004
 )
 
 const (
-	// trialAfter is the time after which an upstream that was not tried gets a
+	// trialAfter is the time after which an upstream that has joined gets a
 	// request whatever the others are like.
 	trialAfter = time.Second
+	// settledAfter is the time after which upstreams that appear have joined;
+	// those before were there from the start.
+	settledAfter = 5 * time.Second
 	// excess is the number of requests beyond its slots that an upstream gets,
 	// as a share of its slots. Requests beyond it wait here, where they can
 	// still go to any upstream.
@@ -98,7 +101,8 @@
 	if c.Cold {
 		cost += coldCost
 	}
-	if !s.tried && now.Sub(s.known) >= trialAfter {
+	joined := !t.first.IsZero() && s.known.Sub(t.first) >= settledAfter
+	if joined && !s.tried && c.Transfer == 0 && now.Sub(s.known) >= trialAfter {
 		cost -= trialGain
 	}
 	return cost
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -11,6 +11,7 @@
 	model     Model
 	upstreams map[string]*state
 	times     map[string]*Times // by route
+	first     time.Time         // when the first upstream was seen
 }
 
 // state is what is known of one upstream.
@@ -43,6 +44,9 @@
 func (t *Tracker) state(id string, now time.Time) *state {
 	s := t.upstreams[id]
 	if s == nil {
+		if t.first.IsZero() {
+			t.first = now
+		}
 		s = &state{known: now}
 		s.faulty, s.at = t.model.stationary(), now
 		t.upstreams[id] = s
