Share attempts among the instances that serve a region

Now each attempt's start and end go to the other serving instances of the region in sealed datagrams, only when there is something to tell. The key is stored by the first instance that finds none.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -61,7 +61,8 @@
 type Member struct {
 	ID            string `json:"id"`
 	Incarnation   int64  `json:"incarnation"`
-	Address       string `json:"address"` // where callers connect, IP:port
+	Address       string `json:"address"`      // where callers connect, IP:port
+	PeerAddress   string `json:"peer_address"` // where evidence is received (UDP), IP:port
 	Region        string `json:"region"`
 	FailureDomain string `json:"failure_domain"`
 	// Width is the number of instances among which the callers of this
@@ -71,7 +72,7 @@
 }
 
 // Change is a change of one item in the store. Exactly one of Configuration,
-// Upstream, Member, Removed and Unreadable tells what happened.
+// Upstream, Member, Key, Removed and Unreadable tells what happened.
 type Change struct {
 	Kind          Kind
 	ID            string // of the upstream or member
@@ -79,6 +80,7 @@
 	Configuration *Configuration
 	Upstream      *Upstream
 	Member        *Member
+	Key           []byte // the fleet's key
 	Removed       bool
 	Unreadable    error // why the item names nothing that can be used
 }
@@ -91,6 +93,7 @@
 	KindConfiguration Kind = "configuration"
 	KindUpstream      Kind = "upstream"
 	KindMember        Kind = "member"
+	KindKey           Kind = "key"
 )
 
 // ErrHistoryLost means that the changes after an index are no longer known, so
@@ -122,4 +125,6 @@
 	Update(ctx context.Context, r Registration, m Member) error
 	// Withdraw removes a member's entry.
 	Withdraw(ctx context.Context, r Registration) error
+	// OfferKey stores the fleet's key, unless there is one.
+	OfferKey(ctx context.Context, key []byte) error
 }
--- a/internal/catalog/locate.go
+++ b/internal/catalog/locate.go
@@ -55,6 +55,22 @@
 	return picked
 }
 
+// Serving returns the members that serve the callers of any of the hosts in a
+// region.
+func (d *Directory) Serving(hosts []string, region string) []Member {
+	seen := make(map[string]bool)
+	var all []Member
+	for _, host := range hosts {
+		for _, m := range d.Locate(host, region) {
+			if !seen[m.ID] {
+				seen[m.ID] = true
+				all = append(all, m)
+			}
+		}
+	}
+	return all
+}
+
 // ranked returns members in the order in which the callers of a host use them.
 func ranked(host string, members []Member) []Member {
 	rank := func(m *Member) uint64 { return xxhash.Sum64String(host + "\x00" + m.ID) }
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"bytes"
 	"cmp"
 	"maps"
 	"slices"
@@ -22,6 +23,7 @@
 	configuration *Configuration
 	upstreams     map[string]*upstreamEntry
 	members       map[string]*memberEntry
+	key           []byte
 	loaded        bool
 	lost          bool      // the store cannot be reached
 	returned      time.Time // when it was reached again, zero if it was never lost
@@ -105,6 +107,8 @@
 		return c.removeUpstream(ch, now)
 	case ch.Kind == KindUpstream:
 		return c.putUpstream(ch, now)
+	case ch.Kind == KindKey:
+		return c.putKey(ch)
 	case ch.Kind == KindMember && ch.Removed:
 		return c.removeMember(ch, now)
 	case ch.Kind == KindMember:
@@ -190,6 +194,19 @@
 	return []Event{{Name: "member_left", ID: m.ID, Detail: m.Address, Revision: ch.Revision}}
 }
 
+// putKey takes over a new key. A key that is removed stays in use here until
+// there is another one.
+func (c *Catalog) putKey(ch *Change) []Event {
+	if ch.Removed || bytes.Equal(ch.Key, c.key) {
+		return nil
+	}
+	c.key = ch.Key
+	return []Event{{Name: "fleet_key_changed", Revision: ch.Revision}}
+}
+
+// Key returns the fleet's key, nil for none.
+func (c *Catalog) Key() []byte { return c.key }
+
 // Tick removes what has had its grace, and returns what the instance believes
 // anew.
 func (c *Catalog) Tick(now time.Time) []Event {
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -16,6 +16,7 @@
 
 	"knapweedreel/internal/health"
 	"knapweedreel/internal/instance/entry/upstream"
+	"knapweedreel/internal/instance/evidence"
 	"knapweedreel/internal/routing"
 	"knapweedreel/internal/settings"
 )
@@ -45,6 +46,8 @@
 	// see most of the requests of their region. nil shares slots among instances
 	// by home slots instead.
 	Placement *Placement
+	// Share tells other instances of an attempt; nil for none. It must not block.
+	Share func(evidence.Record)
 	// Upstreams changes how connections to upstreams are opened, for tests.
 	Upstreams upstream.Config
 }
--- a/internal/instance/entry/placing.go
+++ b/internal/instance/entry/placing.go
@@ -2,10 +2,12 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"knapweedreel/internal/errkind"
 	"knapweedreel/internal/health"
+	"knapweedreel/internal/instance/evidence"
 	"knapweedreel/internal/placement"
 	"knapweedreel/internal/routing"
 )
@@ -33,6 +35,9 @@
 	answerKB = 2
 	// unknownKB stands for the size of a body without a length, in KiB.
 	unknownKB = 64
+	// remoteMemory is the time after which an attempt of another instance is
+	// forgotten whose end was not told.
+	remoteMemory = 10 * time.Second
 	// guessShare is the share of a route's latency objective that stands for
 	// its usual time while no answer was seen.
 	guessShare = 0.3
@@ -42,22 +47,40 @@
 // guarded by the service's mutex.
 type placing struct {
 	cfg     *Placement
+	name    string // of the service
 	tracker *placement.Tracker
+	share   func(evidence.Record)       // nil for none
+	remote  map[remoteKey]remoteAttempt // attempts of other instances that go on
+}
+
+// remoteKey identifies an attempt of another instance.
+type remoteKey struct{ boot, attempt uint64 }
+
+type remoteAttempt struct {
+	upstream string
+	attempt  *placement.Attempt
+	started  time.Time
 }
 
 // placed is a choice as the tracker knows it.
 type placed struct {
 	attempt *placement.Attempt
 	times   *placement.Times
+	route   string
+	started time.Time
+	number  uint64  // of the attempt, unique at this instance
 	faulty  float64 // belief at the time of the choice
 	load    int
 }
 
-func newPlacing(cfg *Placement) *placing {
-	if cfg == nil {
+func newPlacing(name string, cfg Config) *placing {
+	if cfg.Placement == nil {
 		return nil
 	}
-	return &placing{cfg: cfg, tracker: placement.NewTracker(cfg.Model)}
+	return &placing{
+		cfg: cfg.Placement, name: name, tracker: placement.NewTracker(cfg.Placement.Model),
+		share: cfg.Share, remote: make(map[remoteKey]remoteAttempt),
+	}
 }
 
 func (p *placing) times(w *want) *placement.Times {
@@ -67,11 +90,64 @@
 func (p *placing) start(c *choice, w *want, now time.Time) {
 	c.placed.times = p.times(w)
 	c.placed.attempt = p.tracker.Start(c.upstream.ID, c.placed.times, now)
+	c.placed.route, c.placed.number, c.placed.started = w.route, attemptNumber.Add(1), now
+	p.tell(c, placement.Pending, now)
+}
+
+// attemptNumber numbers the attempts of this process.
+var attemptNumber atomic.Uint64
+
+// tell shares the state of an attempt with other instances.
+func (p *placing) tell(c *choice, o placement.Outcome, now time.Time) {
+	if p.share == nil {
+		return
+	}
+	p.share(evidence.Record{
+		Attempt: c.placed.number, Service: p.name, Upstream: c.upstream.ID, Route: c.placed.route,
+		AgeMS: uint32(now.Sub(c.placed.started).Milliseconds()), Outcome: o,
+	})
 }
 
 // end notes the outcome of an attempt.
 func (p *placing) end(c choice, class health.Class, now time.Time) {
-	p.tracker.End(c.upstream.ID, c.placed.attempt, outcomeOf(class), now)
+	o := p.tracker.End(c.upstream.ID, c.placed.attempt, outcomeOf(class), now)
+	p.tell(&c, o, now)
+}
+
+// learn takes in what another instance tells of an attempt.
+func (p *placing) learn(boot uint64, r *evidence.Record, objective time.Duration, now time.Time) {
+	key := remoteKey{boot, r.Attempt}
+	known, ok := p.remote[key]
+	if !ok {
+		times := p.tracker.Times(r.Route, time.Duration(guessShare*float64(objective)))
+		started := r.Started(now)
+		known = remoteAttempt{r.Upstream, p.tracker.RemoteStart(r.Upstream, times, started, now), started}
+	}
+	if r.Outcome == placement.Pending {
+		p.remote[key] = known
+		return
+	}
+	delete(p.remote, key)
+	p.tracker.RemoteEnd(known.upstream, known.attempt, r.Outcome, now)
+}
+
+// Learn takes in what another instance, of the given boot, tells of its
+// attempts. Upstreams and routes that this instance does not know are ignored.
+func (s *Server) Learn(boot uint64, records []evidence.Record) {
+	snap, now := s.control.Snapshot(), time.Now()
+	for i := range records {
+		r := &records[i]
+		svc := snap.Services[r.Service]
+		if svc == nil || !slices.ContainsFunc(svc.Upstreams, func(u routing.Upstream) bool { return u.ID == r.Upstream }) {
+			continue
+		}
+		st := s.service(r.Service)
+		st.mu.Lock()
+		if st.placing != nil {
+			st.placing.learn(boot, r, defaultDeadline, now)
+		}
+		st.mu.Unlock()
+	}
 }
 
 func outcomeOf(class health.Class) placement.Outcome {
@@ -85,7 +161,12 @@
 }
 
 // forget drops upstreams that are no longer there. A removed service is nil.
-func (p *placing) forget(svc *routing.Service) {
+func (p *placing) forget(svc *routing.Service, now time.Time) {
+	for key, a := range p.remote {
+		if now.Sub(a.started) > remoteMemory {
+			delete(p.remote, key)
+		}
+	}
 	p.tracker.Forget(func(id string) bool {
 		return svc != nil && slices.ContainsFunc(svc.Upstreams, func(u routing.Upstream) bool { return u.ID == id })
 	})
--- a/internal/instance/entry/service.go
+++ b/internal/instance/entry/service.go
@@ -55,7 +55,7 @@
 			refusals:  newBucket(refusalShare, refusalReserve, 2*refusalReserve),
 			probes:    newBucket(probeShare, 0, 1),
 			latencies: make(map[string]*estimate),
-			placing:   newPlacing(s.cfg.Placement),
+			placing:   newPlacing(name, s.cfg),
 		}
 		if p := s.cfg.Placement; p != nil {
 			// One budget covers all further attempts.
@@ -181,7 +181,7 @@
 		}
 	}
 	if st.placing != nil {
-		st.placing.forget(svc)
+		st.placing.forget(svc, now)
 	}
 	for id, f := range st.failures {
 		if now.Sub(f.last) >= failingTime {
--- a/internal/instance/follower/follower.go
+++ b/internal/instance/follower/follower.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"knapweedreel/internal/catalog"
 	"knapweedreel/internal/health"
+	"knapweedreel/internal/instance/evidence"
 	"knapweedreel/internal/member"
 	"knapweedreel/internal/routing"
 )
@@ -37,6 +39,8 @@
 	snapshot atomic.Pointer[routing.Snapshot]
 	members  atomic.Pointer[catalog.Directory]
 	limits   atomic.Pointer[catalog.Limits]
+	peers    atomic.Pointer[[]netip.AddrPort]
+	keys     atomic.Pointer[evidence.Keys]
 	width    chan int
 	ready    chan struct{} // closed once there is a configuration
 	leaving  chan struct{} // closed by Leave
@@ -45,6 +49,7 @@
 	catalog  *catalog.Catalog
 	table    *routing.Table
 	version  uint64
+	key      []byte
 	sequence uint64
 }
 
@@ -63,6 +68,7 @@
 		ready: make(chan struct{}), leaving: make(chan struct{}),
 		catalog: catalog.New(),
 	}
+	f.keys.Store(&evidence.Keys{})
 	f.publish(time.Now())
 	return f
 }
@@ -76,6 +82,13 @@
 // Limits returns what the configuration in force says of callers' limits.
 func (f *Follower) Limits() catalog.Limits { return *f.limits.Load() }
 
+// Peers returns the UDP addresses of the other instances that serve callers of
+// this region.
+func (f *Follower) Peers() []netip.AddrPort { return *f.peers.Load() }
+
+// Keys returns the fleet's keys.
+func (f *Follower) Keys() evidence.Keys { return *f.keys.Load() }
+
 // Ready reports whether the instance has a configuration and is not leaving.
 func (f *Follower) Ready() bool {
 	select {
@@ -157,7 +170,10 @@
 	f.sequence++
 	snap.Sequence = f.sequence
 	f.limits.Store(&limits)
-	f.members.Store(f.catalog.Directory())
+	directory := f.catalog.Directory()
+	f.members.Store(directory)
+	f.publishPeers(directory)
+	f.publishKeys()
 	f.snapshot.Store(snap)
 	if snap.Ready {
 		select {
--- a/internal/instance/follower/membership.go
+++ b/internal/instance/follower/membership.go
@@ -8,6 +8,8 @@
 	"go.uber.org/zap"
 
 	"knapweedreel/internal/catalog"
+	"knapweedreel/internal/instance/evidence"
+	"knapweedreel/internal/store"
 )
 
 // Times of a member's entry.
@@ -30,6 +32,7 @@
 		return nil
 	}
 	m := membership{f: f, self: f.cfg.Self}
+	m.offerKey(ctx)
 	ticks := time.NewTicker(renewInterval)
 	defer ticks.Stop()
 	m.keep(ctx)
@@ -66,6 +69,23 @@
 	registration *catalog.Registration // nil while not registered
 }
 
+// keyDelay is the longest time before an instance that finds no key offers one.
+// Instances that start together wait for different times, so that few do.
+const keyDelay = 500 * time.Millisecond
+
+// offerKey makes sure that the fleet has a key for messages between instances.
+func (m *membership) offerKey(ctx context.Context) {
+	pause(ctx, time.Duration(m.f.cfg.Jitter()*float64(keyDelay)))
+	if m.f.Keys().Seal != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, renewInterval)
+	defer cancel()
+	if err := m.f.source.OfferKey(ctx, evidence.NewKey()); err != nil && !errors.Is(err, store.ErrConflict) {
+		m.f.log.Warn("fleet_key_not_offered", zap.Error(err))
+	}
+}
+
 // keep renews the registration, or registers anew.
 func (m *membership) keep(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, renewInterval)
--- /dev/null
+++ b/internal/instance/follower/peers.go
@@ -0,0 +1,53 @@
+package follower
+
+import (
+	"bytes"
+	"crypto/cipher"
+	"net/netip"
+
+	"go.uber.org/zap"
+
+	"knapweedreel/internal/catalog"
+	"knapweedreel/internal/instance/evidence"
+)
+
+// publishPeers publishes who else serves callers of this region.
+func (f *Follower) publishPeers(d *catalog.Directory) {
+	var hosts []string
+	if f.table != nil {
+		hosts = f.table.Hosts()
+	}
+	peers := make([]netip.AddrPort, 0)
+	for _, m := range d.Serving(hosts, f.cfg.Self.Region) {
+		if m.ID == f.cfg.Self.ID {
+			continue
+		}
+		address, err := netip.ParseAddrPort(m.PeerAddress)
+		if err != nil {
+			f.log.Warn("peer_address_invalid", zap.String("id", m.ID), zap.Error(err))
+			continue
+		}
+		peers = append(peers, address)
+	}
+	f.peers.Store(&peers)
+}
+
+// publishKeys takes over a changed key. Datagrams sealed with the one before it
+// are still read.
+func (f *Follower) publishKeys() {
+	key := f.catalog.Key()
+	if key == nil || bytes.Equal(key, f.key) {
+		return
+	}
+	f.key = key
+	aead, err := evidence.NewAEAD(key)
+	if err != nil {
+		f.log.Error("fleet_key_invalid", zap.Error(err))
+		return
+	}
+	open := []cipher.AEAD{aead}
+	if old := f.keys.Load().Seal; old != nil {
+		open = append(open, old)
+	}
+	f.keys.Store(&evidence.Keys{Seal: aead, Open: open})
+}
--- a/internal/instance/onplatform.go
+++ b/internal/instance/onplatform.go
@@ -19,6 +19,7 @@
 	"knapweedreel/internal/errkind"
 	"knapweedreel/internal/instance/entry"
 	"knapweedreel/internal/instance/entry/upstream"
+	"knapweedreel/internal/instance/evidence"
 	"knapweedreel/internal/instance/follower"
 	"knapweedreel/internal/placement"
 	"knapweedreel/internal/settings"
@@ -85,6 +86,7 @@
 	metrics  *telemetry.Metrics
 	follower *follower.Follower
 	entry    *entry.Server
+	evidence *evidence.Exchange
 	keep     atomic.Int64 // time.Duration for which callers keep an address answer
 }
 
@@ -94,14 +96,19 @@
 	n.metrics = telemetry.NewMetrics(func(err error) { log.Debug("metric_not_registered", zap.Error(err)) })
 	n.follower = follower.New(follower.Config{
 		Self: catalog.Member{
-			ID: s.Instance, Incarnation: n.boot, Address: s.EntryAddress, Region: s.Region, FailureDomain: s.FailureDomain,
+			ID: s.Instance, Incarnation: n.boot, Address: s.EntryAddress, PeerAddress: s.PeerAddress, Region: s.Region, FailureDomain: s.FailureDomain,
 			Width: catalog.MinWidth,
 		},
 		Regions: s.Platform.Regions, Log: log, Scope: n.metrics.Scope, Jitter: rand.Float64,
 	}, p.Source)
+	n.evidence = evidence.New(evidence.Config{
+		Address: s.PeerListenAddress, Boot: rand.Uint64(), Peers: n.follower.Peers, Keys: n.follower.Keys,
+		Deliver: func(sender uint64, records []evidence.Record) { n.entry.Learn(sender, records) },
+		Log:     log, Scope: n.metrics.Scope,
+	})
 	n.entry = entry.New(entry.Config{
 		Instance: s.Instance, Address: s.EntryAddress, Limits: s.Limits, Times: s.Times, Log: log, Scope: n.metrics.Scope,
-		Placement: placementOf(s.Platform),
+		Placement: placementOf(s.Platform), Share: n.evidence.Share,
 		Upstreams: upstream.Config{Protocol: p.Protocol, Dial: dialer(s.Times).DialContext},
 	}, n.follower)
 	return n
@@ -159,6 +166,7 @@
 		{Name: "watch", Run: n.follower.Watch},
 		{Name: "member", Run: n.follower.Member},
 		{Name: "settings", Run: settingsFile.run},
+		{Name: "evidence", Run: n.evidence.Run},
 		{Name: "readiness", Run: page{p.ReadyAddress, ready}.run},
 		{Name: "directory", Run: page{p.DirectoryAddress, resolve}.run},
 	}
--- a/internal/placement/belief.go
+++ b/internal/placement/belief.go
@@ -70,12 +70,16 @@
 	start   time.Time
 	times   *Times // of healthy answers to such requests
 	outcome Outcome
+	remote  bool // made by another instance
 }
 
 // limits of the evidence kept for each upstream.
 const (
 	maxEvidence = 24
 	evidenceAge = 3 * time.Second
+	// remoteLimit is the time after which an attempt of another instance counts
+	// as ended without news.
+	remoteLimit = 8 * time.Second
 )
 
 // belief is what is known of one upstream.
@@ -119,6 +123,9 @@
 	n := 0
 	for _, a := range b.evidence {
 		old := len(b.evidence)-n > maxEvidence || now.Sub(a.start) > evidenceAge
+		if a.remote && a.outcome == Pending && now.Sub(a.start) > remoteLimit {
+			a.outcome = Void // the news of its end was lost
+		}
 		if a.outcome == Pending || !old {
 			break
 		}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -77,10 +77,16 @@
 }
 
 func (s *state) load(now time.Time) int {
+	others := 0
+	for _, a := range s.evidence {
+		if a.remote && a.outcome == Pending {
+			others++
+		}
+	}
 	if now.Sub(s.reported) < loadAge {
-		return s.inFlight + s.others
+		others = max(others, s.others)
 	}
-	return s.inFlight
+	return s.inFlight + others
 }
 
 func (s *state) hasRoom(c *Candidate, load int, now time.Time) bool {
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -73,16 +73,13 @@
 	b.evidence = slices.Insert(b.evidence, i, a)
 }
 
-// End notes what came of an attempt and frees its place.
-func (t *Tracker) End(id string, a *Attempt, o Outcome, now time.Time) {
+// End notes what came of an attempt and frees its place. It returns the outcome
+// that counts: an attempt that was given up on may be Bad.
+func (t *Tracker) End(id string, a *Attempt, o Outcome, now time.Time) Outcome {
 	s := t.state(id, now)
 	s.inFlight = max(0, s.inFlight-1)
 	t.settle(s, a, o, now)
-}
-
-// Settle notes what came of an attempt that still holds its place.
-func (t *Tracker) Settle(id string, a *Attempt, o Outcome, now time.Time) {
-	t.settle(t.state(id, now), a, o, now)
+	return a.outcome
 }
 
 // silentShare is the share of healthy answers that still come, below which an
@@ -103,14 +100,18 @@
 	s.fold(&t.model, now)
 }
 
-// Report takes in an attempt that another instance made.
-func (t *Tracker) Report(id string, started time.Time, o Outcome, now time.Time) {
-	s := t.upstreams[id]
-	if s == nil || started.Before(s.at) {
-		return
-	}
-	s.add(&Attempt{start: started, outcome: o})
+// RemoteStart notes that another instance has sent a request to an upstream.
+func (t *Tracker) RemoteStart(id string, times *Times, started, now time.Time) *Attempt {
+	s := t.state(id, now)
+	a := &Attempt{start: started, times: times, remote: true}
 	s.fold(&t.model, now)
+	s.add(a)
+	return a
+}
+
+// RemoteEnd notes what came of another instance's attempt.
+func (t *Tracker) RemoteEnd(id string, a *Attempt, o Outcome, now time.Time) {
+	t.settle(t.state(id, now), a, o, now)
 }
 
 // loadAge is the time for which a reported load is used.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -52,6 +53,9 @@
 	return nil
 }
 
+// Hosts returns the hosts that have routes, in order.
+func (t *Table) Hosts() []string { return slices.Sorted(maps.Keys(t.byHost)) }
+
 // Services returns the names of the services to which a host leads.
 func (t *Table) Services(host string) []string {
 	var names []string
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,7 +13,8 @@
 	FailureDomain string `json:"failure_domain"`
 	// EntryAddress is where callers connect (TCP, HTTP).
 	EntryAddress string `json:"entry_address"`
-	// PeerAddress is where other instances connect (UDP, QUIC).
+	// PeerAddress is where other instances connect (UDP, QUIC), or where they
+	// send evidence on a platform (UDP).
 	PeerAddress string `json:"peer_address"`
 	// PeerListenAddress is where this instance listens for other instances
 	// when packets to PeerAddress are forwarded to it. Default: PeerAddress.
@@ -35,8 +36,8 @@
 	// Times are timeouts and intervals.
 	Times Times `json:"times"`
 	// Platform makes the instance run on a platform that gives it a store and
-	// the registrations of upstreams. Peers, keys, the admin address and
-	// documents are not used then. Default none.
+	// the registrations of upstreams. Initial peers, keys, the admin address
+	// and documents are not used then. Default none.
 	Platform *Platform `json:"platform,omitempty"`
 	// LogLevel is "debug", "info" (default), "warn" or "error".
 	LogLevel string `json:"log_level"`
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -30,6 +30,10 @@
 	p.CheckName("failure_domain", s.FailureDomain)
 	p.CheckAddress("entry_address", s.EntryAddress)
 	p.CheckAddress("store_address", s.StoreAddress)
+	p.CheckAddress("peer_address", s.PeerAddress)
+	if s.PeerListenAddress != s.PeerAddress {
+		p.CheckAddress("peer_listen_address", s.PeerListenAddress)
+	}
 	if s.Platform != nil {
 		s.Platform.validate(&p)
 	} else {
@@ -47,10 +51,6 @@
 
 // validateOwn checks what an instance needs that is not on a platform.
 func (s *Settings) validateOwn(p *jsonc.Problems) {
-	p.CheckAddress("peer_address", s.PeerAddress)
-	if s.PeerListenAddress != s.PeerAddress {
-		p.CheckAddress("peer_listen_address", s.PeerListenAddress)
-	}
 	for i, peer := range s.InitialPeers {
 		p.CheckName(fmt.Sprintf("initial_peers[%d].instance", i), peer.Instance)
 		p.CheckAddress(fmt.Sprintf("initial_peers[%d].peer_address", i), peer.PeerAddress)
