Send late idempotent requests to another upstream in time; one group of hosts

The guess now comes with the record. Log lines say why no further attempt followed. Each host had serving instances of its own, so that evidence went to five peers; hosts of one shard now share them.

--- a/internal/catalog/locate.go
+++ b/internal/catalog/locate.go
@@ -3,8 +3,11 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+
+	"knapweedreel/internal/member"
 )
 
 // MinWidth is the number of instances among which the callers of a region are
@@ -72,8 +75,11 @@
 }
 
 // ranked returns members in the order in which the callers of a host use them.
+// All hosts of a shard have the same order, so that few instances serve a small
+// fleet and a large one divides its services.
 func ranked(host string, members []Member) []Member {
-	rank := func(m *Member) uint64 { return xxhash.Sum64String(host + "\x00" + m.ID) }
+	shard := strconv.Itoa(member.ShardOf(host, member.Shards(len(members))))
+	rank := func(m *Member) uint64 { return xxhash.Sum64String(shard + "\x00" + m.ID) }
 	return slices.SortedFunc(slices.Values(members), func(a, b Member) int {
 		return cmp.Or(cmp.Compare(rank(&a), rank(&b)), cmp.Compare(a.ID, b.ID))
 	})
--- a/internal/instance/admin/types.go
+++ b/internal/instance/admin/types.go
@@ -38,6 +38,9 @@
 	Result     string        `json:"result"` // status or error kind
 	BytesSent  bool          `json:"bytes_sent"`
 	RetryCause string        `json:"retry_cause,omitempty"`
+	// Last tells why no further attempt followed, empty if one did or none was
+	// wanted.
+	Last string `json:"last,omitempty"`
 	// Fails is the probability, from 0 to 1, that the attempt would fail, as
 	// estimated when the upstream was chosen, and Load the requests that it was known to have. Only
 	// instances that place requests by belief know them.
--- a/internal/instance/entry/explain.go
+++ b/internal/instance/entry/explain.go
@@ -62,6 +62,9 @@
 		if a.RetryCause != "" {
 			b.WriteString("," + a.RetryCause)
 		}
+		if a.Last != "" {
+			b.WriteString(",last:" + a.Last)
+		}
 	}
 	return b.String()
 }
--- a/internal/instance/entry/late.go
+++ b/internal/instance/entry/late.go
@@ -32,6 +32,9 @@
 	done   bool // the answer header is there, or the attempt has failed
 	timer  *time.Timer
 	next   *choice // slot taken for the attempt after a cut; read after stop
+	// refused tells why the request was not sent to another upstream when its
+	// answer was late; read after stop
+	refused string
 }
 
 // arm lets up call back when its answer is late.
@@ -86,21 +89,26 @@
 // request, if that is allowed. The goroutine that serves the request waits for
 // the upstream meanwhile.
 func (a *attempt) takeSuccessor() *choice {
-	if !a.e.route.Idempotent || a.number >= a.e.retryLimit() || a.e.body != nil && !a.e.body.replayable() {
+	if a.late.refused = a.e.noRetry(a); !a.e.route.Idempotent || a.late.refused != "" {
 		return nil
 	}
 	w := *a.e.want
 	w.retry = true
 	w.tried = append(slices.Clone(w.tried), a.choice.upstream.ID)
 	c, ok := a.st.tryAcquire(&w)
-	if !ok {
-		return nil
-	}
-	if slices.Contains(w.tried, c.upstream.ID) || !a.st.spend(false) {
-		a.st.giveBack(c, health.Neutral)
+	switch {
+	case !ok:
+		a.late.refused = lastNoSlot
 		return nil
+	case slices.Contains(w.tried, c.upstream.ID):
+		a.late.refused = lastNoSlot
+	case !a.st.spend(false):
+		a.late.refused = lastBudget
+	default:
+		return &c
 	}
-	return &c
+	a.st.giveBack(c, health.Neutral)
+	return nil
 }
 
 // stop ends the watch and tells whether the attempt was cut off.
--- a/internal/instance/entry/placing.go
+++ b/internal/instance/entry/placing.go
@@ -66,7 +66,7 @@
 type placed struct {
 	attempt *placement.Attempt
 	times   *placement.Times
-	route   string
+	want    *want
 	started time.Time
 	number  uint64  // of the attempt, unique at this instance
 	fails   float64 // probability of failure at the time of the choice
@@ -83,14 +83,15 @@
 	}
 }
 
-func (p *placing) times(w *want) *placement.Times {
-	return p.tracker.Times(w.route, time.Duration(guessShare*float64(w.objective)))
-}
+func (p *placing) times(w *want) *placement.Times { return p.tracker.Times(w.route, guess(w)) }
+
+// guess returns the usual time of a route while no answer was seen.
+func guess(w *want) time.Duration { return time.Duration(guessShare * float64(w.objective)) }
 
 func (p *placing) start(c *choice, w *want, now time.Time) {
 	c.placed.times = p.times(w)
 	c.placed.attempt = p.tracker.Start(c.upstream.ID, c.placed.times, now)
-	c.placed.route, c.placed.number, c.placed.started = w.route, attemptNumber.Add(1), now
+	c.placed.want, c.placed.number, c.placed.started = w, attemptNumber.Add(1), now
 	p.tell(c, placement.Pending, now)
 }
 
@@ -103,8 +104,9 @@
 		return
 	}
 	p.share(evidence.Record{
-		Attempt: c.placed.number, Service: p.name, Upstream: c.upstream.ID, Route: c.placed.route,
+		Attempt: c.placed.number, Service: p.name, Upstream: c.upstream.ID, Route: c.placed.want.route,
 		AgeMS: uint32(now.Sub(c.placed.started).Milliseconds()), Outcome: o,
+		GuessMS: uint32(guess(c.placed.want).Milliseconds()),
 	})
 }
 
@@ -115,11 +117,11 @@
 }
 
 // learn takes in what another instance tells of an attempt.
-func (p *placing) learn(boot uint64, r *evidence.Record, objective time.Duration, now time.Time) {
+func (p *placing) learn(boot uint64, r *evidence.Record, now time.Time) {
 	key := remoteKey{boot, r.Attempt}
 	known, ok := p.remote[key]
 	if !ok {
-		times := p.tracker.Times(r.Route, time.Duration(guessShare*float64(objective)))
+		times := p.tracker.Times(r.Route, milliseconds(int(r.GuessMS)))
 		started := r.Started(now)
 		known = remoteAttempt{r.Upstream, p.tracker.RemoteStart(r.Upstream, times, started, now), started}
 	}
@@ -144,7 +146,7 @@
 		st := s.service(r.Service)
 		st.mu.Lock()
 		if st.placing != nil {
-			st.placing.learn(boot, r, defaultDeadline, now)
+			st.placing.learn(boot, r, now)
 		}
 		st.mu.Unlock()
 	}
--- a/internal/instance/entry/retry.go
+++ b/internal/instance/entry/retry.go
@@ -18,6 +18,16 @@
 	causeLate       = "late"
 )
 
+// Reasons for which no further attempt follows, for explanations.
+const (
+	lastLimit      = "attempt-limit"
+	lastOver       = "request-over"
+	lastBody       = "body-not-kept"
+	lastMayHaveRun = "may-have-run"
+	lastBudget     = "retry-budget"
+	lastNoSlot     = "no-other-upstream"
+)
+
 // proxy makes the attempts of a request and answers it. An error means that
 // nothing was written to the caller.
 func (s *Server) proxy(e *exchange) error {
@@ -85,7 +95,7 @@
 
 // mayRetry returns the cause for which another attempt is allowed, or "".
 func (e *exchange) mayRetry(a *attempt) string {
-	if a.number >= e.retryLimit() || e.ctx.Err() != nil || e.body != nil && !e.body.replayable() {
+	if a.last = e.noRetry(a); a.last != "" {
 		return ""
 	}
 	cause := ""
@@ -97,12 +107,30 @@
 	case e.route.Idempotent:
 		cause = causeIdempotent
 	}
-	if cause == "" || !a.st.spend(cause != causeIdempotent) {
+	if cause == "" {
+		a.last = lastMayHaveRun
+		return ""
+	}
+	if !a.st.spend(cause != causeIdempotent) {
+		a.last = lastBudget
 		return ""
 	}
 	return cause
 }
 
+// noRetry returns why no attempt can follow a whatever came of it, or "".
+func (e *exchange) noRetry(a *attempt) string {
+	switch {
+	case a.number >= e.retryLimit():
+		return lastLimit
+	case e.ctx.Err() != nil:
+		return lastOver
+	case e.body != nil && !e.body.replayable():
+		return lastBody
+	}
+	return ""
+}
+
 // another returns the slot and the cause of the attempt after a, or false when
 // there is to be none.
 func (e *exchange) another(a *attempt) (c choice, cause string, ok bool) {
--- a/internal/instance/evidence/evidence.go
+++ b/internal/instance/evidence/evidence.go
@@ -30,6 +30,7 @@
 	Route    string            // name
 	AgeMS    uint32            // milliseconds since its start
 	Outcome  placement.Outcome // Pending when it starts
+	GuessMS  uint32            // usual time of the route while no answer was seen, in milliseconds
 }
 
 // Started returns when the attempt began, as seen from an instance that
