--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -32,6 +32,9 @@
 	// than the request's own prospects: without it the instance knows of no
 	// other upstream when those in use fall ill.
 	staleGain = 0.15
+	// retestGain makes an upstream that is believed to be faulty be used again
+	// while the service loses requests all the same.
+	retestGain = 0.8
 	// tieCost spreads requests between upstreams that are equal otherwise.
 	tieCost = 0.004
 )
@@ -46,6 +49,15 @@
 	// staleAfter is the time after the last request from which an upstream counts
 	// as not used.
 	staleAfter = 1500 * time.Millisecond
+	// retestInterval is the least time between requests to upstreams that are
+	// believed to be faulty.
+	retestInterval = 600 * time.Millisecond
+	// losingShare is the share of the latest requests that fail from which a
+	// service counts as losing requests, and losingLeast their least number.
+	losingShare = 0.1
+	losingLeast = 4
+	// losingWindow is the time over which these are counted.
+	losingWindow = 2500 * time.Millisecond
 	// staleMargin is how far above that of an upstream of which nothing is known
 	// the probability of failure may be to count as no knowledge.
 	staleMargin = 0.02
@@ -68,6 +80,7 @@
 func (t *Tracker) Choose(cands []Candidate, skip func(id string) bool, now time.Time) (Choice, bool) {
 	best := Choice{Cost: math.Inf(1)}
 	found := false
+	t.losing = t.isLosing(now)
 	for i := range cands {
 		c := &cands[i]
 		if skip != nil && skip(c.ID) {
@@ -84,9 +97,31 @@
 			best, found = Choice{Index: i, Fails: fails, Load: load, Cost: cost}, true
 		}
 	}
+	if found && t.losing && best.Fails > t.unknown+staleMargin {
+		t.retested = now
+	}
 	return best, found
 }
 
+// isLosing reports whether the service loses a notable share of its requests.
+// A request that is late already counts as lost.
+func (t *Tracker) isLosing(now time.Time) bool {
+	lost, all := 0, 0
+	for _, s := range t.upstreams {
+		for _, a := range s.evidence {
+			age := now.Sub(a.start)
+			if age > losingWindow || a.outcome == Void || a.outcome == Pending && age < a.times.Median() {
+				continue
+			}
+			all++
+			if a.outcome == Bad || a.outcome == Pending && a.times.slower(age) < silentShare {
+				lost++
+			}
+		}
+	}
+	return lost >= losingLeast && float64(lost) >= losingShare*float64(all)
+}
+
 func (s *state) load(now time.Time) int {
 	others := 0
 	for _, a := range s.evidence {
@@ -117,8 +152,13 @@
 	if c.Cold {
 		cost += coldCost
 	}
-	if c.Transfer == 0 && now.Sub(s.last) >= staleAfter && fails <= t.unknown+staleMargin {
-		cost -= staleGain
+	if c.Transfer == 0 && now.Sub(s.last) >= staleAfter {
+		switch {
+		case fails <= t.unknown+staleMargin:
+			cost -= staleGain
+		case t.losing && now.Sub(t.retested) >= retestInterval:
+			cost -= retestGain
+		}
 	}
 	joined := !t.first.IsZero() && s.known.Sub(t.first) >= settledAfter
 	if joined && !s.tried && c.Transfer == 0 && now.Sub(s.known) >= trialAfter {
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -13,6 +13,8 @@
 	upstreams map[string]*state
 	times     map[string]*Times // by route
 	first     time.Time         // when the first upstream was seen
+	losing    bool              // the service loses requests, as of the latest choice
+	retested  time.Time         // when an upstream believed to be faulty was used last
 }
 
 // state is what is known of one upstream.
