--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,228 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"knapweedreel/internal/document"
+	"knapweedreel/internal/member"
+	"knapweedreel/internal/routing"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func at(d time.Duration) time.Time { return epoch.Add(d) }
+
+func configuration(version uint64) Change {
+	return Change{Kind: KindConfiguration, ID: "configuration", Configuration: &Configuration{
+		Version: version,
+		Routes: []Route{{
+			Name: "r", Host: "a.example", Rule: document.Route{Method: "*", Path: "/a/*", DeadlineMS: 1000},
+			Parts: []routing.Part{{Service: "s", Weight: 1}},
+		}},
+		Services: map[string]Service{"s": {Connections: 40}},
+	}}
+}
+
+func upstreamChange(id string, change func(*Upstream)) Change {
+	u := &Upstream{ID: id, Service: "s", Address: "10.0.0.1:80", FailureDomain: "z1", Slots: 6, Incarnation: 1}
+	if change != nil {
+		change(u)
+	}
+	return Change{Kind: KindUpstream, ID: id, Upstream: u}
+}
+
+func removed(k Kind, id string) Change { return Change{Kind: k, ID: id, Removed: true} }
+
+// used returns the upstreams that traffic would use.
+func used(c *Catalog, now time.Time) []string {
+	var table *routing.Table
+	if c.Configuration() != nil {
+		table = c.Configuration().Table()
+	}
+	s := c.Snapshot(View{Self: member.Info{ID: "i"}, Regions: map[string]string{"z1": "south"}}, table, now)
+	ids := []string{}
+	if svc := s.Services["s"]; svc != nil {
+		for _, u := range svc.Upstreams {
+			ids = append(ids, u.ID)
+		}
+	}
+	return ids
+}
+
+func loaded(changes ...Change) *Catalog {
+	c := New()
+	c.Reset(append([]Change{configuration(1)}, changes...), epoch)
+	return c
+}
+
+func wantUsed(t *testing.T, what string, c *Catalog, now time.Time, want ...string) {
+	t.Helper()
+	if want == nil {
+		want = []string{}
+	}
+	if diff := cmp.Diff(want, used(c, now)); diff != "" {
+		t.Errorf("%s: %s", what, diff)
+	}
+}
+
+// Guards against an instance that goes back to an older configuration, or loses
+// the one in force to a broken or removed one.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	c := New()
+	if c.Ready() {
+		t.Error("ready without a configuration")
+	}
+	c.Reset(nil, epoch)
+	if c.Ready() {
+		t.Error("ready with an empty store")
+	}
+	for _, step := range []struct {
+		change Change
+		want   uint64
+	}{
+		{configuration(3), 3}, {configuration(2), 3}, {configuration(7), 7},
+		{removed(KindConfiguration, "configuration"), 7},
+		{Change{Kind: KindConfiguration, Unreadable: fmt.Errorf("broken")}, 7},
+	} {
+		c.Apply(&step.change, epoch)
+		if got := c.Configuration().Version; got != step.want {
+			t.Errorf("version %d in force, want %d", got, step.want)
+		}
+	}
+}
+
+// Guards against new requests to an upstream that is leaving, also when a later
+// entry of the same start says otherwise, and against none after a restart.
+func TestLeavingUpstreamGetsNothingUntilItRestarts(t *testing.T) {
+	c := loaded(upstreamChange("a", nil))
+	wantUsed(t, "ready", c, epoch, "a")
+	leaving := upstreamChange("a", func(u *Upstream) { u.Leaving = true })
+	c.Apply(&leaving, epoch)
+	wantUsed(t, "leaving", c, epoch)
+	again := upstreamChange("a", nil)
+	c.Apply(&again, epoch)
+	wantUsed(t, "ready again in the same incarnation", c, epoch)
+	restarted := upstreamChange("a", func(u *Upstream) { u.Incarnation = 2 })
+	c.Apply(&restarted, epoch)
+	wantUsed(t, "restarted", c, epoch, "a")
+}
+
+// Guards against requests to an upstream whose entry has just vanished: it may
+// not have said that it is leaving.
+func TestVanishedUpstreamIsGoneAtOnce(t *testing.T) {
+	c := loaded(upstreamChange("a", nil), upstreamChange("b", nil))
+	gone := removed(KindUpstream, "a")
+	c.Apply(&gone, epoch)
+	wantUsed(t, "vanished", c, epoch, "b")
+	c.Reset([]Change{configuration(1)}, epoch)
+	wantUsed(t, "missing from the whole content", c, epoch)
+}
+
+// Guards against a service without upstreams after an outage in which all
+// entries lapsed, and against using one for longer than the grace.
+func TestLapsedUpstreamsHaveAGraceAfterAnOutage(t *testing.T) {
+	c := loaded(upstreamChange("a", nil), upstreamChange("b", nil), upstreamChange("c", func(u *Upstream) { u.Leaving = true }))
+	c.Lost()
+	c.Reached(at(10 * time.Second))
+	c.Reset([]Change{configuration(1)}, at(10*time.Second))
+	wantUsed(t, "on return", c, at(10*time.Second), "a", "b")
+	back := upstreamChange("b", nil)
+	c.Apply(&back, at(11*time.Second))
+	c.Tick(at(10*time.Second + ReturnGrace - time.Millisecond))
+	wantUsed(t, "within the grace", c, at(11*time.Second), "a", "b")
+	c.Tick(at(10*time.Second + ReturnGrace))
+	wantUsed(t, "after the grace", c, at(13*time.Second), "b")
+}
+
+// Guards against an unreadable entry that is used on.
+func TestUnreadableEntryNamesNoUpstream(t *testing.T) {
+	c := loaded(upstreamChange("a", nil), upstreamChange("b", nil))
+	events := c.Apply(&Change{Kind: KindUpstream, ID: "a", Unreadable: fmt.Errorf("broken")}, epoch)
+	if len(events) == 0 || events[0].Name != "entry_unreadable" {
+		t.Errorf("events %+v", events)
+	}
+	wantUsed(t, "unreadable", c, epoch, "b")
+}
+
+// Guards against an upstream of an unknown service or one that starts slowly
+// being treated as any other.
+func TestSnapshotTellsColdUpstreams(t *testing.T) {
+	c := loaded(upstreamChange("a", func(u *Upstream) { u.ColdFor = time.Second }), upstreamChange("b", func(u *Upstream) { u.Service = "other" }))
+	for _, step := range []struct {
+		now  time.Duration
+		cold bool
+	}{{0, true}, {2 * time.Second, false}} {
+		s := c.Snapshot(View{Regions: map[string]string{"z1": "south"}}, c.Configuration().Table(), at(step.now))
+		u := s.Services["s"].Upstreams
+		if len(u) != 1 || u[0].Cold != step.cold || u[0].Region != "south" || u[0].MaxConnections != 10 {
+			t.Errorf("after %v: %+v", step.now, u)
+		}
+	}
+}
+
+func memberChange(i int, region string, width int) Change {
+	id := fmt.Sprintf("%s-%d", region, i)
+	return Change{Kind: KindMember, ID: id, Member: &Member{
+		ID: id, Address: fmt.Sprintf("10.0.%d.%d:80", len(region), i), Region: region, FailureDomain: fmt.Sprintf("%s-z%d", region, i%2), Width: width,
+	}}
+}
+
+func fleet(regions ...string) *Catalog {
+	c := New()
+	for _, r := range regions {
+		for i := range 6 {
+			m := memberChange(i, r, MinWidth)
+			c.Apply(&m, epoch)
+		}
+	}
+	return c
+}
+
+// Guards against callers that are sent to other regions, to one failure domain
+// only, or to different instances by different instances' answers.
+func TestLocateNamesFewInstancesOfTheRegion(t *testing.T) {
+	d := fleet("south", "north").Directory()
+	got := d.Locate("a.example", "south")
+	if len(got) != MinWidth || got[0].Region != "south" || got[0].FailureDomain == got[1].FailureDomain {
+		t.Errorf("%+v", got)
+	}
+	if diff := cmp.Diff(got, fleet("north", "south").Directory().Locate("a.example", "south")); diff != "" {
+		t.Error(diff)
+	}
+	if got := d.Locate("a.example", "west"); len(got) != MinWidth {
+		t.Errorf("%d instances for a region without any", len(got))
+	}
+}
+
+// Guards against callers that stay with the few instances of low load under a
+// load that these report.
+func TestLocateGrowsWithTheLoad(t *testing.T) {
+	c := fleet("south")
+	m := memberChange(3, "south", 5)
+	c.Apply(&m, epoch)
+	if got := c.Directory().Locate("a.example", "south"); len(got) != 5 {
+		t.Errorf("%d instances", len(got))
+	}
+}
+
+// Guards against an answer without addresses when the store has removed the
+// entries of all members, and against one that names a lost member on and on.
+func TestLocateNamesVanishedMembersLast(t *testing.T) {
+	c := fleet("south")
+	for i := range 5 {
+		gone := removed(KindMember, fmt.Sprintf("south-%d", i))
+		c.Apply(&gone, epoch)
+	}
+	got := c.Directory().Locate("a.example", "south")
+	if len(got) != MinWidth || got[0].ID != "south-5" {
+		t.Errorf("%+v", got)
+	}
+	c.Tick(at(memberGrace + time.Second))
+	if got := c.Directory().Locate("a.example", "south"); len(got) != 1 {
+		t.Errorf("%+v", got)
+	}
+}
