--- /dev/null
+++ b/internal/instance/follower/follower_test.go
@@ -0,0 +1,208 @@
+package follower
+
+import (
+	"context"
+	"net/http/httptest"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"knapweedreel/internal/catalog"
+	"knapweedreel/platform"
+	"knapweedreel/platform/standin"
+)
+
+const waitLimit = 20 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	configuration = `{"version":%VERSION%,"routes":{"r":{"host":"a.example","prefix":"/a/","kind":"safe","timeout":"1s","service":"s"}},"services":{"s":{}}}`
+	registration  = `{"address":"10.0.0.1:80","born":7,"info":{"service":"s","zone":"z1","slots":6},"status":{"state":"ready"}}`
+)
+
+func put(s *standin.Store, version string) {
+	text := configuration
+	i := len(`{"version":`)
+	s.Put("op/config", []byte(text[:i]+version+text[i+len("%VERSION%"):]))
+}
+
+// run starts a follower of the store until the test ends.
+func run(t *testing.T, id string, source catalog.Source) *Follower {
+	t.Helper()
+	f := New(Config{
+		Self:    catalog.Member{ID: id, Address: "10.0.0.9:80", PeerAddress: "10.0.0.9:81", Region: "south", FailureDomain: "z1", Width: catalog.MinWidth},
+		Regions: map[string]string{"z1": "south"}, Log: zap.NewNop(), Scope: tally.NoopScope, Jitter: func() float64 { return 0 },
+	}, source)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{}, 3)
+	for _, loop := range []func(context.Context) error{f.Run, f.Watch, f.Member} {
+		go func() {
+			if err := loop(ctx); err != nil {
+				t.Error(err)
+			}
+			ended <- struct{}{}
+		}()
+	}
+	t.Cleanup(func() {
+		cancel()
+		for range 3 {
+			<-ended
+		}
+	})
+	return f
+}
+
+func startStore(t *testing.T) (*standin.Store, *platform.Store) {
+	t.Helper()
+	s := standin.NewStore()
+	srv := httptest.NewServer(s)
+	c := platform.NewStore(srv.Listener.Addr().String())
+	t.Cleanup(func() {
+		c.Close()
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return s, c
+}
+
+func eventually(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	limit := time.After(waitLimit)
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	for !cond() {
+		select {
+		case <-limit:
+			t.Fatalf("not seen in time: %s", what)
+		case <-tick.C:
+		}
+	}
+}
+
+func version(f *Follower) uint64 {
+	if svc := f.Snapshot().Services["s"]; svc != nil {
+		return svc.Revision
+	}
+	return 0
+}
+
+func upstreams(f *Follower) int {
+	if svc := f.Snapshot().Services["s"]; svc != nil {
+		return len(svc.Upstreams)
+	}
+	return 0
+}
+
+// Guards against an instance that is ready before it knows a configuration, is
+// not registered, or has no key to talk to others.
+func TestFollowerBecomesReadyWithTheConfiguration(t *testing.T) {
+	s, c := startStore(t)
+	f := run(t, "i1", c)
+	eventually(t, "the empty store is read", func() bool { return s.Calls()["/knapweedreel/kv-watch"] > 0 })
+	if f.Ready() || len(s.Keys("fleet/")) != 0 {
+		t.Errorf("ready %t, keys %v", f.Ready(), s.Keys("fleet/"))
+	}
+	put(s, "3")
+	eventually(t, "ready", f.Ready)
+	eventually(t, "registered with a key", func() bool {
+		return slices.Equal(s.Keys("fleet/"), []string{"fleet/key", "fleet/members/i1"}) && f.Keys().Seal != nil
+	})
+	eventually(t, "in the directory", func() bool { return len(f.Directory().Locate("a.example", "south")) == 1 })
+	f.Leave()
+	eventually(t, "withdrawn", func() bool { return len(s.Keys("fleet/members/")) == 0 })
+	if f.Ready() {
+		t.Error("ready after leaving")
+	}
+}
+
+// Guards against an instance that stays with an old configuration after the
+// store dropped its history below a waiting watch, which the store does not
+// tell. The limit is the time within which it must be in force.
+func TestFollowerNoticesALostHistory(t *testing.T) {
+	s, c := startStore(t)
+	put(s, "3")
+	f := run(t, "i1", c)
+	eventually(t, "version 3", func() bool { return version(f) == 3 })
+	quiet := &silentWatches{Store: c}
+	g := run(t, "i2", quiet)
+	eventually(t, "version 3 at the second", func() bool { return version(g) == 3 && quiet.waiting.Load() })
+	put(s, "4")
+	s.Compact()
+	eventually(t, "version 4", func() bool { return version(g) == 4 })
+}
+
+// silentWatches is a store whose waiting watches hear nothing of changes.
+type silentWatches struct {
+	*platform.Store
+	waiting atomic.Bool
+}
+
+func (q *silentWatches) Changes(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Change, uint64, error) {
+	q.waiting.Store(true)
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return q.Store.Changes(ctx, after, time.Millisecond)
+}
+
+// Guards against a service without upstreams, or callers without addresses,
+// while the store is away, however it fails, and against an instance that does
+// not come back with it.
+func TestFollowerOutlivesTheStore(t *testing.T) {
+	for _, fault := range []standin.Fault{standin.Busy, standin.Many, standin.Reset, standin.Silent} {
+		s, c := startStore(t)
+		put(s, "3")
+		s.Put("servers/a", []byte(registration))
+		f := run(t, "i1", c)
+		eventually(t, "registered", func() bool { return upstreams(f) == 1 && len(f.Directory().Locate("a.example", "south")) == 1 })
+		s.SetFault(fault)
+		s.Expire()
+		eventually(t, "calls that fail", func() bool { return len(s.Keys("fleet/members/")) == 0 && s.Calls()["/knapweedreel/kv-keep"] > 1 })
+		if upstreams(f) != 1 || !f.Ready() || len(f.Directory().Locate("a.example", "south")) == 0 {
+			t.Errorf("fault %d: %d upstreams, ready %t", fault, upstreams(f), f.Ready())
+		}
+		s.SetFault(standin.Sound)
+		put(s, "5")
+		eventually(t, "version 5 and registered again", func() bool { return version(f) == 5 && len(s.Keys("fleet/members/")) == 1 })
+	}
+}
+
+// Guards against a registration that is lost with the answer to its write.
+func TestMemberOutlivesLostAnswers(t *testing.T) {
+	s, c := startStore(t)
+	s.SetFault(standin.LoseSome)
+	put(s, "3")
+	run(t, "i1", c)
+	eventually(t, "registered", func() bool { return len(s.Keys("fleet/members/")) == 1 })
+}
+
+// Guards against evidence that is sent to this instance itself or to nobody.
+func TestPeersAreTheOthersThatServeTheRegion(t *testing.T) {
+	s, c := startStore(t)
+	put(s, "3")
+	f, g := run(t, "i1", c), run(t, "i2", c)
+	eventually(t, "one peer each", func() bool { return len(f.Peers()) == 1 && len(g.Peers()) == 1 })
+}
+
+// Guards against a key that is written by each instance anew.
+func TestInstancesShareOneKey(t *testing.T) {
+	s, c := startStore(t)
+	put(s, "3")
+	f, g := run(t, "i1", c), run(t, "i2", c)
+	eventually(t, "keys", func() bool { return f.Keys().Seal != nil && g.Keys().Seal != nil })
+	plain := []byte("x")
+	sealed := f.Keys().Seal.Seal(nil, nil, plain, nil)
+	if _, err := g.Keys().Seal.Open(nil, nil, sealed, nil); err != nil {
+		t.Error(errors.Wrap(err, "the second instance's key"))
+	}
+}
