Send callers to the largest instances, more of them under load

Members now say what they can serve; callers are sent to those with at least half of the largest capacity, and an instance that is used above 0.6 of its own publishes how many should share the load. Estimates are kept for 20 ms and upstreams of other regions looked at only when the own region has no good one, since 228 upstreams were judged anew for each request. The replays let requests wait as the entry does.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -65,6 +65,8 @@
 	PeerAddress   string `json:"peer_address"` // where evidence is received (UDP), IP:port
 	Region        string `json:"region"`
 	FailureDomain string `json:"failure_domain"`
+	// Capacity is the number of requests per second that the member can serve.
+	Capacity float64 `json:"capacity"`
 	// Width is the number of instances among which the callers of this
 	// member's region should be spread, as far as this member can tell from
 	// its own load.
--- a/internal/catalog/locate.go
+++ b/internal/catalog/locate.go
@@ -43,11 +43,8 @@
 	if len(near) == 0 {
 		near = registered
 	}
-	width := MinWidth
-	for _, m := range near {
-		width = max(width, m.Width)
-	}
-	picked := spread(near, width)
+	width := widest(near)
+	picked := spread(largest(near), width)
 	// Members whose entries have vanished may live on while the store is away.
 	for _, m := range inRegion(ranked(host, d.vanished), region) {
 		if len(picked) >= MinWidth {
@@ -58,6 +55,17 @@
 	return picked
 }
 
+// Width returns among how many instances the callers of a region are spread.
+func (d *Directory) Width(region string) int { return widest(inRegion(d.registered, region)) }
+
+func widest(members []Member) int {
+	width := MinWidth
+	for _, m := range members {
+		width = max(width, m.Width)
+	}
+	return width
+}
+
 // Serving returns the members that serve the callers of any of the hosts in a
 // region.
 func (d *Directory) Serving(hosts []string, region string) []Member {
@@ -85,6 +93,24 @@
 	})
 }
 
+// largest puts the members first that can serve at least half as many requests
+// as the largest one. Fewer instances then see more of each upstream's answers,
+// and a large body does not fill a narrow link.
+func largest(members []Member) []Member {
+	most := 0.0
+	for _, m := range members {
+		most = max(most, m.Capacity)
+	}
+	small := func(m Member) int {
+		if m.Capacity < most/2 {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(members, func(a, b Member) int { return cmp.Compare(small(a), small(b)) })
+	return members
+}
+
 func inRegion(members []Member, region string) []Member {
 	var near []Member
 	for _, m := range members {
@@ -95,15 +121,16 @@
 	return near
 }
 
-// spread returns the first members up to width, each from a failure domain that
-// has given the fewest before it.
+// spread returns the first members up to width. The second one is the first of
+// another failure domain that is not much smaller.
 func spread(members []Member, width int) []Member {
-	given := make(map[string]int)
-	order := make(map[string]int, len(members)) // position within the failure domain
-	for _, m := range members {
-		order[m.ID] = given[m.FailureDomain]
-		given[m.FailureDomain]++
+	for i := 1; i < len(members); i++ {
+		m := members[i]
+		if m.FailureDomain != members[0].FailureDomain && m.Capacity >= members[0].Capacity/2 {
+			copy(members[2:i+1], members[1:i])
+			members[1] = m
+			break
+		}
 	}
-	slices.SortStableFunc(members, func(a, b Member) int { return cmp.Compare(order[a.ID], order[b.ID]) })
 	return members[:min(width, len(members))]
 }
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -68,6 +69,7 @@
 	rand     *rand.Rand // seeds the services' random sources
 	http     *http.Server
 
+	served  atomic.Uint64 // requests that were read
 	drain   drainState
 	ending  context.Context // done when requests in flight have to be answered
 	end     context.CancelFunc
@@ -111,6 +113,9 @@
 // protocol returns the protocol with callers and upstreams.
 func (s *Server) protocol() *upstream.Protocol { return s.pools.Protocol() }
 
+// Requests returns the number of requests that the server has read.
+func (s *Server) Requests() uint64 { return s.served.Load() }
+
 // withDefaults fills in the defaults that settings document, for callers that
 // build settings by hand.
 func withDefaults(l settings.Limits, t settings.Times) (settings.Limits, settings.Times) {
--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -18,6 +18,7 @@
 
 // ServeHTTP serves one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.served.Add(1)
 	e := &exchange{
 		s: s, w: w, rc: http.NewResponseController(w), r: r,
 		started: time.Now(), caller: callerOf(r),
--- a/internal/instance/follower/watch.go
+++ b/internal/instance/follower/watch.go
@@ -20,12 +20,12 @@
 	// gatherTime is the least time between the ends of two waits for changes.
 	// Changes that come meanwhile are gathered, which saves calls: each one ends
 	// the waiting calls of all instances.
-	gatherTime = 900 * time.Millisecond
+	gatherTime = 1400 * time.Millisecond
 	// watchWait bounds each wait for changes. A store that has dropped its
 	// history does not tell a wait that was begun before, and the changes have
 	// to be noticed all the same within the 3 s after which the platform counts
 	// the store as sound again.
-	watchWait = 2500 * time.Millisecond
+	watchWait = 2800 * time.Millisecond
 )
 
 // Watch reads the store's content and then follows its changes.
--- a/internal/instance/onplatform.go
+++ b/internal/instance/onplatform.go
@@ -97,7 +97,7 @@
 	n.follower = follower.New(follower.Config{
 		Self: catalog.Member{
 			ID: s.Instance, Incarnation: n.boot, Address: s.EntryAddress, PeerAddress: s.PeerAddress, Region: s.Region, FailureDomain: s.FailureDomain,
-			Width: catalog.MinWidth,
+			Capacity: capacity(s.Platform), Width: catalog.MinWidth,
 		},
 		Regions: s.Platform.Regions, Log: log, Scope: n.metrics.Scope, Jitter: rand.Float64,
 	}, p.Source)
@@ -167,6 +167,7 @@
 		{Name: "member", Run: n.follower.Member},
 		{Name: "settings", Run: settingsFile.run},
 		{Name: "evidence", Run: n.evidence.Run},
+		{Name: "load", Run: n.watchLoad},
 		{Name: "readiness", Run: page{p.ReadyAddress, ready}.run},
 		{Name: "directory", Run: page{p.DirectoryAddress, resolve}.run},
 	}
--- a/internal/placement/belief.go
+++ b/internal/placement/belief.go
@@ -149,8 +149,25 @@
 	settled  joint // as of the time at, from evidence that is not kept
 	at       time.Time
 	evidence []*Attempt // in the order of their starts
+
+	estimate  float64   // probability of failure
+	estimated time.Time // when it was computed, zero after new evidence
+}
+
+// estimateAge is the time for which an estimate is used without new evidence.
+const estimateAge = 20 * time.Millisecond
+
+// fails returns the probability that a request of this instance fails.
+func (b *belief) fails(m *Model, now time.Time) float64 {
+	if b.estimated.IsZero() || now.Sub(b.estimated) >= estimateAge {
+		b.estimate, b.estimated = m.prospects(b.now(m, now)), now
+	}
+	return b.estimate
 }
 
+// changed makes the next estimate take in new evidence.
+func (b *belief) changed() { b.estimated = time.Time{} }
+
 // now returns the belief at the given time.
 func (b *belief) now(m *Model, now time.Time) joint {
 	j, at := b.settled, b.at
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -58,6 +58,11 @@
 	losingLeast = 4
 	// losingWindow is the time over which these are counted.
 	losingWindow = 2500 * time.Millisecond
+	// remoteFrom is the cost from which upstreams of other regions are looked at.
+	remoteFrom = 0.05
+	// judgeInterval is the least time between two judgements of whether the
+	// service loses requests.
+	judgeInterval = 100 * time.Millisecond
 	// staleMargin is how far above that of an upstream of which nothing is known
 	// the probability of failure may be to count as no knowledge.
 	staleMargin = 0.02
@@ -78,11 +83,31 @@
 // Choose returns the best candidate, or false when none has room. skip excludes
 // candidates; it may be nil.
 func (t *Tracker) Choose(cands []Candidate, skip func(id string) bool, now time.Time) (Choice, bool) {
+	if now.Sub(t.judged) >= judgeInterval {
+		t.losing, t.judged = t.isLosing(now), now
+	}
+	best, found := t.cheapest(cands, skip, now, false)
+	if !found || best.Cost > remoteFrom {
+		if other, ok := t.cheapest(cands, skip, now, true); ok && (!found || other.Cost < best.Cost) {
+			best, found = other, true
+		}
+	}
+	if found && t.losing && best.Fails > t.unknown+staleMargin {
+		t.retested = now
+	}
+	return best, found
+}
+
+// cheapest returns the candidate with the lowest cost of those in the own
+// region, or of all others.
+func (t *Tracker) cheapest(cands []Candidate, skip func(id string) bool, now time.Time, remote bool) (Choice, bool) {
 	best := Choice{Cost: math.Inf(1)}
 	found := false
-	t.losing = t.isLosing(now)
 	for i := range cands {
 		c := &cands[i]
+		if (c.Transfer > 0) != remote {
+			continue
+		}
 		if skip != nil && skip(c.ID) {
 			continue
 		}
@@ -91,15 +116,12 @@
 		if !s.hasRoom(c, load, now) {
 			continue
 		}
-		fails := t.model.prospects(s.now(&t.model, now))
+		fails := s.fails(&t.model, now)
 		cost := t.cost(c, s, fails, load, now)
 		if cost < best.Cost {
 			best, found = Choice{Index: i, Fails: fails, Load: load, Cost: cost}, true
 		}
 	}
-	if found && t.losing && best.Fails > t.unknown+staleMargin {
-		t.retested = now
-	}
 	return best, found
 }
 
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -66,8 +66,12 @@
 	return all
 }
 
+// patience is the time for which a request waits for room, as the entry lets it
+// wait within its latency objective.
+const patience = 1200 * time.Millisecond
+
 // replay plays a load. choose returns the upstream of a request, or false to
-// refuse it.
+// let it wait.
 func (l load) replay(seed uint64, tr *Tracker, choose func(c []Candidate, now time.Time) (int, bool)) result {
 	r := rand.New(rand.NewPCG(seed, 1))
 	spells := l.spells(r)
@@ -79,6 +83,7 @@
 	var running endings
 	busy := make([]int, l.upstreams)
 	times := tr.Times("r", medianTime)
+	var waiting []time.Time // arrivals
 	for now := time.Duration(0); now < time.Duration(l.seconds)*time.Second; {
 		now += time.Duration(r.ExpFloat64() * float64(l.clump) / l.perSecond * float64(time.Second))
 		t := epoch.Add(now)
@@ -90,11 +95,19 @@
 			busy[n]--
 		}
 		for range l.clump {
-			i, ok := choose(cands, t)
-			if !ok {
+			waiting = append(waiting, t)
+		}
+		for len(waiting) > 0 {
+			if t.Sub(waiting[0]) > patience {
 				out.refused++
+				waiting = waiting[1:]
 				continue
 			}
+			i, ok := choose(cands, t)
+			if !ok {
+				break
+			}
+			waiting = waiting[1:]
 			faulty := false
 			for _, change := range spells[i] {
 				if change <= now {
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -14,6 +14,7 @@
 	times     map[string]*Times // by route
 	first     time.Time         // when the first upstream was seen
 	losing    bool              // the service loses requests, as of the latest choice
+	judged    time.Time         // when losing was found out
 	retested  time.Time         // when an upstream believed to be faulty was used last
 }
 
@@ -78,6 +79,7 @@
 		i--
 	}
 	b.evidence = slices.Insert(b.evidence, i, a)
+	b.changed()
 }
 
 // End notes what came of an attempt and frees its place. It returns the outcome
@@ -105,6 +107,7 @@
 		a.times.Add(now.Sub(a.start))
 	}
 	s.fold(&t.model, now)
+	s.changed()
 }
 
 // RemoteStart notes that another instance has sent a request to an upstream.
