placement: use upstreams again whose spell may be over

An upstream that was believed to be faulty was used again after 12 s only, while spells last 7 s on average. It is now used again after about 6 s, and while the service loses requests one request in eight may go to such an upstream.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -31,7 +31,7 @@
 	// used for a while and is not known to be faulty. Its answer is worth more
 	// than the request's own prospects: without it the instance knows of no
 	// other upstream when those in use fall ill.
-	staleGain = 0.15
+	staleGain = 0.4
 	// retestGain makes an upstream that is believed to be faulty be used again
 	// while the service loses requests all the same.
 	retestGain = 0.8
@@ -49,12 +49,12 @@
 	// staleAfter is the time after the last request from which an upstream counts
 	// as not used.
 	staleAfter = 1500 * time.Millisecond
-	// retestInterval is the least time between requests to upstreams that are
-	// believed to be faulty.
-	retestInterval = 600 * time.Millisecond
+	// retestEach is the number of requests of which one may go to an upstream that
+	// is believed to be faulty. Its spell may be over.
+	retestEach = 8
 	// losingShare is the share of the latest requests that fail from which a
 	// service counts as losing requests, and losingLeast their least number.
-	losingShare = 0.1
+	losingShare = 0.08
 	losingLeast = 4
 	// losingWindow is the time over which these are counted.
 	losingWindow = 2500 * time.Millisecond
@@ -64,8 +64,10 @@
 	// service loses requests.
 	judgeInterval = 100 * time.Millisecond
 	// staleMargin is how far above that of an upstream of which nothing is known
-	// the probability of failure may be to count as no knowledge.
-	staleMargin = 0.02
+	// the probability of failure may be for an upstream that is not used to be
+	// used again. A belief of a fault comes down to it within about 6 s; a
+	// smaller margin leaves upstreams whose spell is over unused for longer.
+	staleMargin = 0.14
 	// excess is the number of requests beyond its slots that an upstream gets,
 	// as a share of its slots. Requests beyond it wait here, where they can
 	// still go to any upstream.
@@ -92,8 +94,8 @@
 			best, found = other, true
 		}
 	}
-	if found && t.losing && best.Fails > t.unknown+staleMargin {
-		t.retested = now
+	if t.sinceRetest++; found && t.losing && best.Fails > t.unknown+staleMargin {
+		t.sinceRetest = 0
 	}
 	return best, found
 }
@@ -178,7 +180,7 @@
 		switch {
 		case fails <= t.unknown+staleMargin:
 			cost -= staleGain
-		case t.losing && now.Sub(t.retested) >= retestInterval:
+		case t.losing && t.sinceRetest >= retestEach:
 			cost -= retestGain
 		}
 	}
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -15,7 +15,8 @@
 	first     time.Time         // when the first upstream was seen
 	losing    bool              // the service loses requests, as of the latest choice
 	judged    time.Time         // when losing was found out
-	retested  time.Time         // when an upstream believed to be faulty was used last
+
+	sinceRetest int // choices since an upstream believed to be faulty was used
 }
 
 // state is what is known of one upstream.
