Bound the log of an instance on a platform, count store calls, serve metrics

Lines are written by a goroutine of their own from 512 KiB of memory at most; a reader that stops reading drops lines, which are counted and told. Lines of one event are sampled above 300 a second; requests that failed are an event of their own. Metrics of the store's calls and of the configuration's age are served on the metrics address.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 
 	"github.com/integrii/flaggy"
@@ -49,14 +50,17 @@
 // serveOnPlatform runs an instance on the platform, which collects standard
 // output.
 func serveOnPlatform(ctx context.Context, s *session, file string, cfg settings.Settings) error {
-	log, err := telemetry.NewLogger(s.stdout, cfg.LogLevel)
+	metrics := telemetry.NewMetrics(func(err error) { fmt.Fprintln(s.stderr, "metric not registered:", err) })
+	sampled := metrics.Scope.Counter("log_lines_sampled_out")
+	log, flush, err := telemetry.NewServiceLogger(s.stdout, cfg.LogLevel, func() { sampled.Inc(1) })
 	if err != nil {
 		return err
 	}
+	defer flush()
 	source := platform.NewStore(cfg.StoreAddress)
 	return instance.RunOnPlatform(ctx, cfg, instance.Platform{
 		Source: source, Protocol: platform.Protocol(),
 		ReadinessPage: platform.ReadinessPage, ResolvePage: platform.ResolvePage,
-		SettingsFile: file, Close: source.Close,
+		SettingsFile: file, Metrics: metrics, Close: source.Close,
 	}, log)
 }
--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -202,7 +202,11 @@
 		e.st.metrics.overhead.RecordDuration(max(0, x.Total-x.Queued-e.upstreamTime))
 	}
 	metrics.request(x.Status, x.Kind).Inc(1)
-	s.log.Info("request", zap.String("request_id", x.RequestID), zap.String("service", x.Service), zap.Uint64("revision", x.Revision),
+	level, event := zap.InfoLevel, "request"
+	if x.Kind != "" || x.Status >= http.StatusInternalServerError {
+		level, event = zap.WarnLevel, "request_failed"
+	}
+	s.log.Log(level, event, zap.String("request_id", x.RequestID), zap.String("service", x.Service), zap.Uint64("revision", x.Revision),
 		zap.String("route", x.Route), zap.String("caller", x.Caller), zap.Int("status", x.Status),
 		zap.String("kind", x.Kind), zap.String("run", x.Run), zap.Int("attempts", len(x.Attempts)),
 		zap.String("tries", tries(x.Attempts)), zap.Duration("queued", x.Queued), zap.Duration("total", x.Total))
--- a/internal/instance/follower/follower.go
+++ b/internal/instance/follower/follower.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
@@ -17,6 +18,7 @@
 	"knapweedreel/internal/instance/evidence"
 	"knapweedreel/internal/member"
 	"knapweedreel/internal/routing"
+	"knapweedreel/internal/store"
 )
 
 // Config holds what the follower needs.
@@ -51,6 +53,8 @@
 	version  uint64
 	key      []byte
 	sequence uint64
+	heard    time.Time // when the store answered last
+	adopted  time.Time // when the configuration came into force
 }
 
 // event is a message to the control goroutine.
@@ -117,6 +121,7 @@
 		case e := <-f.events:
 			f.apply(e, time.Now())
 		case now := <-ticks.C:
+			f.gauge(now)
 			cold := f.catalog.Cold(now.Add(-tickInterval))
 			if f.note(f.catalog.Tick(now)) || cold {
 				f.publish(now)
@@ -125,11 +130,38 @@
 	}
 }
 
+// gauge publishes the age of what the instance believes.
+func (f *Follower) gauge(now time.Time) {
+	f.cfg.Scope.Gauge("store_silence_seconds").Update(now.Sub(f.heard).Seconds())
+	f.cfg.Scope.Gauge("configuration_version").Update(float64(f.version))
+	f.cfg.Scope.Gauge("configuration_age_seconds").Update(now.Sub(f.adopted).Seconds())
+}
+
+// count counts a call to the store by its result.
+func (f *Follower) count(call string, err error) {
+	result := "ok"
+	switch {
+	case err == nil:
+	case errors.Is(err, catalog.ErrHistoryLost):
+		result = "history-lost"
+	case errors.Is(err, catalog.ErrExpired):
+		result = "expired"
+	case errors.Is(err, store.ErrConflict):
+		result = "conflict"
+	case errors.Is(err, store.ErrUnknownResult):
+		result = "unknown"
+	default:
+		result = "failed"
+	}
+	f.cfg.Scope.Tagged(map[string]string{"call": call, "result": result}).Counter("platform_store_calls").Inc(1)
+}
+
 func (f *Follower) apply(e event, now time.Time) {
 	if e.err != nil {
 		f.catalog.Lost()
 		return
 	}
+	f.heard = now
 	f.catalog.Reached(now)
 	var events []catalog.Event
 	if e.whole {
@@ -159,7 +191,7 @@
 	if c := f.catalog.Configuration(); c != nil {
 		limits = c.Limits
 		if c.Version != f.version {
-			f.version, f.table = c.Version, c.Table()
+			f.version, f.table, f.adopted = c.Version, c.Table(), now
 		}
 	}
 	self := member.Info{
--- a/internal/instance/follower/membership.go
+++ b/internal/instance/follower/membership.go
@@ -92,6 +92,7 @@
 	defer cancel()
 	if m.registration != nil {
 		err := m.f.source.Renew(ctx, *m.registration)
+		m.f.count("renew", err)
 		if !errors.Is(err, catalog.ErrExpired) {
 			m.logFailure("member_not_renewed", err)
 			return
@@ -100,6 +101,7 @@
 		m.registration = nil
 	}
 	r, err := m.f.source.Register(ctx, m.self, memberTTL)
+	m.f.count("register", err)
 	if err != nil {
 		m.logFailure("member_not_registered", err)
 		return
--- a/internal/instance/follower/watch.go
+++ b/internal/instance/follower/watch.go
@@ -55,8 +55,10 @@
 	var err error
 	if w.loaded {
 		e.changes, w.index, err = w.f.source.Changes(ctx, w.index, watchWait)
+		w.f.count("watch", err)
 	} else {
 		e.changes, w.index, err = w.f.source.Load(ctx)
+		w.f.count("load", err)
 	}
 	if err != nil {
 		return err
--- a/internal/instance/onplatform.go
+++ b/internal/instance/onplatform.go
@@ -37,6 +37,8 @@
 	ResolvePage func(locate func(host, region string) []string, keep func() time.Duration) http.Handler
 	// SettingsFile is the file that the settings were read from. It is followed.
 	SettingsFile string
+	// Metrics is where the instance counts. It is closed at the end.
+	Metrics *telemetry.Metrics
 	// Close gives up what the adapter holds.
 	Close func()
 }
@@ -91,9 +93,8 @@
 }
 
 func buildOnPlatform(s settings.Settings, p Platform, log *zap.Logger) *platformParts {
-	n := &platformParts{settings: s, platform: p, boot: time.Now().UnixMilli(), log: log}
+	n := &platformParts{settings: s, platform: p, boot: time.Now().UnixMilli(), log: log, metrics: p.Metrics}
 	n.keep.Store(int64(milliseconds(s.Times.KeepMS)))
-	n.metrics = telemetry.NewMetrics(func(err error) { log.Debug("metric_not_registered", zap.Error(err)) })
 	n.follower = follower.New(follower.Config{
 		Self: catalog.Member{
 			ID: s.Instance, Incarnation: n.boot, Address: s.EntryAddress, PeerAddress: s.PeerAddress, Region: s.Region, FailureDomain: s.FailureDomain,
--- /dev/null
+++ b/internal/telemetry/async.go
@@ -0,0 +1,95 @@
+package telemetry
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// asyncBytes bounds the log lines that wait to be written. It holds a second of
+// lines at the highest rate that sampling lets through.
+const asyncBytes = 512 << 10
+
+// AsyncWriter writes lines from a goroutine of its own. A line that finds no
+// room is dropped and counted: a reader that stops reading the log must not
+// stop requests.
+type AsyncWriter struct {
+	w       io.Writer
+	wake    chan struct{} // capacity 1
+	idle    chan struct{} // capacity 1, signalled when nothing is left to write
+	dropped atomic.Int64
+
+	mu      sync.Mutex
+	pending []byte
+	writing bool
+}
+
+// NewAsyncWriter returns a writer to w. Its goroutine ends with the process.
+func NewAsyncWriter(w io.Writer) *AsyncWriter {
+	a := &AsyncWriter{w: w, wake: make(chan struct{}, 1), idle: make(chan struct{}, 1)}
+	go a.run()
+	return a
+}
+
+// Write queues a line. It never blocks and never fails.
+func (a *AsyncWriter) Write(line []byte) (int, error) {
+	a.mu.Lock()
+	if len(a.pending)+len(line) > asyncBytes {
+		a.mu.Unlock()
+		a.dropped.Add(1)
+		return len(line), nil
+	}
+	a.pending = append(a.pending, line...)
+	a.mu.Unlock()
+	signal(a.wake)
+	return len(line), nil
+}
+
+// Dropped returns the number of lines that found no room.
+func (a *AsyncWriter) Dropped() int64 { return a.dropped.Load() }
+
+func (a *AsyncWriter) run() {
+	var spare []byte
+	for range a.wake {
+		for {
+			a.mu.Lock()
+			batch := a.pending
+			a.pending, a.writing = spare[:0], len(batch) > 0
+			a.mu.Unlock()
+			if len(batch) == 0 {
+				break
+			}
+			// There is nowhere to report a log that cannot be written.
+			_, _ = a.w.Write(batch)
+			spare = batch
+		}
+		signal(a.idle)
+	}
+}
+
+// Flush waits until all lines are written, at most for the given time.
+func (a *AsyncWriter) Flush(limit time.Duration) {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	for {
+		a.mu.Lock()
+		done := len(a.pending) == 0 && !a.writing
+		a.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-a.idle:
+		case <-t.C:
+			return
+		}
+	}
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"slices"
+	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	zaplogfmt "github.com/jsternberg/zap-logfmt"
@@ -31,6 +33,67 @@
 	return zap.New(plainErrors{core}), nil
 }
 
+// Sampling of lines of one event in one second: the first ones are written, and
+// then one of several. Failures are events of their own.
+const (
+	sampleFirst      = 300
+	sampleThereafter = 20
+)
+
+// flushLimit is the time for the last lines of a process.
+const flushLimit = 200 * time.Millisecond
+
+// NewServiceLogger returns a logger for a process whose log is collected from w.
+// Its volume is bounded and it never blocks. dropped is called for each line
+// that sampling leaves out; lines that find no room are reported by the lines
+// after them. flush writes what is left.
+func NewServiceLogger(w io.Writer, level string, dropped func()) (log *zap.Logger, flush func(), err error) {
+	out := NewAsyncWriter(w)
+	log, err = NewLogger(out, level)
+	if err != nil {
+		return nil, nil, err
+	}
+	hook := zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
+		if d&zapcore.LogDropped != 0 {
+			dropped()
+		}
+	})
+	log = log.WithOptions(zap.WrapCore(func(c zapcore.Core) zapcore.Core {
+		return zapcore.NewSamplerWithOptions(&lossReporter{Core: c, out: out}, time.Second, sampleFirst, sampleThereafter, hook)
+	}))
+	return log, func() { out.Flush(flushLimit) }, nil
+}
+
+// lossReporter adds to the next line the number of lines that found no room
+// before it.
+type lossReporter struct {
+	zapcore.Core
+	out      *AsyncWriter
+	reported atomic.Int64
+}
+
+// With adds fields to the logger's context.
+func (c *lossReporter) With(fields []zapcore.Field) zapcore.Core {
+	return &lossReporter{Core: c.Core.With(fields), out: c.out}
+}
+
+// Check adds the core to the entry when its level is enabled.
+func (c *lossReporter) Check(e zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if c.Enabled(e.Level) {
+		return checked.AddCore(e, c)
+	}
+	return checked
+}
+
+// Write writes one line.
+func (c *lossReporter) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	total := c.out.Dropped()
+	if old := c.reported.Swap(total); total > old {
+		fields = append(slices.Clone(fields), zap.Int64("lines_dropped", total))
+	}
+	return c.Core.Write(e, fields)
+}
+
 // plainErrors writes errors by their message. Without it an error that knows
 // its stack trace takes many times the length of its line.
 type plainErrors struct{ zapcore.Core }
