entry: attempts that could not be sent do not use up a route's attempts

A connection that is refused is no attempt: nothing was sent and no upstream counts it. Up to three such are made now. The answer connect-failed is 503, since the request was not run and may come again. Tests of placement in the entry are added: genuine answers, late lookups, refusals at once, shared and learned evidence.

--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -103,7 +103,7 @@
 	{DeadlineBeforeSend, http.StatusGatewayTimeout, NotRun, 0, "The deadline passed before the request was sent to an upstream."},
 	{NoUpstream, http.StatusServiceUnavailable, NotRun, time.Second, "No upstream of the service can take the request."},
 	{UpstreamRefused, http.StatusServiceUnavailable, NotRun, time.Second, "Every upstream that was tried refused the request without running it."},
-	{ConnectFailed, http.StatusBadGateway, NotRun, time.Second, "No connection to an upstream could be opened."},
+	{ConnectFailed, http.StatusServiceUnavailable, NotRun, time.Second, "No connection to an upstream could be opened."},
 	{DeadlineExceeded, http.StatusGatewayTimeout, Unknown, 0, "The deadline passed after the request was sent to an upstream."},
 	{UpstreamReset, http.StatusBadGateway, Unknown, 0, "The upstream's connection broke after part of the request was sent."},
 	{UpstreamSilent, http.StatusGatewayTimeout, Unknown, 0, "The upstream sent nothing for longer than the limit."},
--- a/internal/instance/entry/exchange.go
+++ b/internal/instance/entry/exchange.go
@@ -41,6 +41,7 @@
 	route        *document.Route
 	body         *requestBody // nil without a body
 	aborted      bool
+	unsent       int      // attempts that were not sent and do not count as attempts
 	deadPooled   []string // upstreams whose pooled connection was dead
 	unknown      error    // first failure after which the request may have been run
 	upstreamTime time.Duration
--- /dev/null
+++ b/internal/instance/entry/placing_test.go
@@ -0,0 +1,271 @@
+package entry
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"knapweedreel/internal/document"
+	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/health"
+	"knapweedreel/internal/instance/entry/upstream"
+	"knapweedreel/internal/instance/evidence"
+	"knapweedreel/internal/placement"
+	"knapweedreel/internal/routing"
+)
+
+// testProtocol is a protocol whose successes carry a signature.
+func testProtocol() upstream.Protocol {
+	p := upstream.OwnProtocol()
+	p.Expect, p.Signature, p.Load = "Test-Expect", "Test-Signature", "Test-Load"
+	p.ParseLoad = func(v string) (upstream.Load, bool) { return upstream.Load{Running: len(v)}, v != "" }
+	return p
+}
+
+// placedServer runs a server that places requests by belief.
+func placedServer(t *testing.T, retries int, share func(evidence.Record), ups ...routing.Upstream) (*Server, string) {
+	t.Helper()
+	doc := testDocument()
+	for i := range doc.Routes {
+		doc.Routes[i].Retries, doc.Routes[i].ObjectiveMS = &retries, 2_000
+	}
+	return startServer(t, &fakeControl{snap: snapshotOf(doc, ups...)}, func(cfg *Config) {
+		cfg.Placement = &Placement{Model: placement.DefaultModel(), RetryShare: 0.1, RetryReserve: 5}
+		cfg.Upstreams = upstream.Config{Protocol: testProtocol()}
+		cfg.Share = share
+	})
+}
+
+// deadUpstream returns an upstream whose address refuses connections.
+func deadUpstream(t *testing.T, id string) routing.Upstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return upstreamAt(id, l.Addr().String())
+}
+
+func signed(w http.ResponseWriter, r *http.Request) {
+	data, _ := io.ReadAll(r.Body)
+	w.Header().Set("Test-Signature", "genuine")
+	_, _ = w.Write(data)
+}
+
+// Guards against a request that fails because upstreams could not be reached,
+// although nothing was sent and another one is well: such attempts are not
+// attempts that the route limits.
+func TestUnsentAttemptsDoNotCount(t *testing.T) {
+	live := standin(t, "live", signed)
+	live.Region = "elsewhere" // chosen last
+	_, url := placedServer(t, 0, nil, deadUpstream(t, "d1"), deadUpstream(t, "d2"), live)
+	for range 4 {
+		resp, got := do(t, request(t, http.MethodPost, url+"/write/x", []byte("body")))
+		if resp.StatusCode != http.StatusOK || string(got) != "body" {
+			t.Errorf("status %d, answer %q", resp.StatusCode, got)
+		}
+	}
+}
+
+// Guards against a success that the upstream has not made, or has made for
+// another request.
+func TestOnlyGenuineSuccessesArePassedOn(t *testing.T) {
+	for name, h := range map[string]http.HandlerFunc{
+		"no signature": succeed,
+		"encoded": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Encoding", "gzip")
+			signed(w, r)
+		},
+		"no identity": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Del(upstream.HeaderRequestID)
+			signed(w, r)
+		},
+	} {
+		_, url := placedServer(t, 0, nil, standin(t, "u1", h))
+		resp, _ := do(t, request(t, http.MethodPost, url+"/write/x", []byte("body")))
+		if got := resp.Header.Get(errkind.HeaderError); got != string(errkind.BadAnswer) {
+			t.Errorf("%s: status %d, kind %q", name, resp.StatusCode, got)
+		}
+	}
+}
+
+// Guards against a request that another upstream runs after an address was given
+// to it, and against giving up when the upstream that is meant is gone.
+func TestReplacedUpstreamIsNotUsed(t *testing.T) {
+	var meant atomic.Value
+	other := standin(t, "old", func(w http.ResponseWriter, r *http.Request) {
+		meant.Store(r.Header.Get("Test-Expect"))
+		w.Header().Set(upstream.HeaderRefused, "shed")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	live := standin(t, "live", signed)
+	live.Region = "elsewhere"
+	_, url := placedServer(t, 1, nil, other, live)
+	resp, _ := do(t, request(t, http.MethodPost, url+"/write/x", []byte("body")))
+	if resp.StatusCode != http.StatusOK || meant.Load() != "old" {
+		t.Errorf("status %d, meant %v", resp.StatusCode, meant.Load())
+	}
+}
+
+// Guards against a lookup that waits for an upstream that hangs until its
+// deadline, while another one answers. The load is that of a spell: the nearer
+// upstream hangs after it has answered well.
+func TestLateLookupGoesToAnotherUpstream(t *testing.T) {
+	var hang atomic.Bool
+	near := standin(t, "near", func(w http.ResponseWriter, r *http.Request) {
+		if hang.Load() {
+			<-r.Context().Done()
+			return
+		}
+		signed(w, r)
+	})
+	far := standin(t, "far", signed)
+	far.Region = "elsewhere"
+	_, url := placedServer(t, 1, nil, near, far)
+	for range 30 {
+		do(t, request(t, http.MethodGet, url+"/read/x", nil))
+	}
+	hang.Store(true)
+	began := time.Now()
+	resp, _ := do(t, request(t, http.MethodGet, url+"/read/x", nil))
+	if resp.StatusCode != http.StatusOK || time.Since(began) > 5*time.Second {
+		t.Errorf("status %d after %v", resp.StatusCode, time.Since(began))
+	}
+}
+
+// Guards against a request that waits although its answer cannot come in time,
+// and against a claim that it may have run. The load is a burst at a service of
+// one slot.
+func TestRequestsThatWouldWaitInVainAreRefusedAtOnce(t *testing.T) {
+	up := standin(t, "u1", func(w http.ResponseWriter, r *http.Request) {
+		pause := time.NewTimer(300 * time.Millisecond)
+		defer pause.Stop()
+		<-pause.C
+		signed(w, r)
+	})
+	up.Slots, up.MaxConnections = 1, 1
+	_, url := placedServer(t, 0, nil, up)
+	var mu sync.Mutex
+	kinds := map[string]int{}
+	slowest := time.Duration(0)
+	var wg sync.WaitGroup
+	for range 30 {
+		wg.Go(func() {
+			began := time.Now()
+			resp, err := callers.RoundTrip(request(t, http.MethodPost, url+"/write/x", []byte("body")))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer func() { _ = resp.Body.Close() }()
+			_, _ = io.Copy(io.Discard, resp.Body)
+			mu.Lock()
+			defer mu.Unlock()
+			kind := resp.Header.Get(errkind.HeaderError)
+			kinds[kind]++
+			if kind == string(errkind.QueueFull) {
+				slowest = max(slowest, time.Since(began))
+				if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(errkind.HeaderRun) != string(errkind.NotRun) {
+					t.Errorf("refused with status %d and run state %q", resp.StatusCode, resp.Header.Get(errkind.HeaderRun))
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if kinds[""] == 0 || kinds[string(errkind.QueueFull)] == 0 {
+		t.Errorf("outcomes %v", kinds)
+	}
+	t.Logf("outcomes %v, slowest refusal %v", kinds, slowest)
+}
+
+// Guards against urgent requests that wait behind less urgent ones.
+func TestQueueServesByPriority(t *testing.T) {
+	var q fairQueue
+	for i, caller := range []string{"a", "b", "c"} {
+		q.push(&waiter{want: &want{caller: caller, priority: 2 - i}})
+	}
+	q.rank()
+	if got := strings.Join(q.turns, ""); got != "cba" {
+		t.Errorf("turns %s", got)
+	}
+	if n := q.ahead(1); n != 2 {
+		t.Errorf("%d requests go before one of priority 1", n)
+	}
+}
+
+// Guards against attempts of which other instances learn too late, not at all,
+// or without their end.
+func TestAttemptsAreShared(t *testing.T) {
+	var mu sync.Mutex
+	var records []evidence.Record
+	_, url := placedServer(t, 0, func(r evidence.Record) {
+		mu.Lock()
+		defer mu.Unlock()
+		records = append(records, r)
+	}, standin(t, "u1", signed))
+	do(t, request(t, http.MethodPost, url+"/write/x", []byte("body")))
+	mu.Lock()
+	defer mu.Unlock()
+	if len(records) != 2 || records[0].Outcome != placement.Pending || records[1].Outcome != placement.Good ||
+		records[0].Attempt != records[1].Attempt || records[0].Upstream != "u1" || records[0].Service != "svc" {
+		t.Errorf("%+v", records)
+	}
+}
+
+// Guards against what others have learned being ignored: after their failures
+// the upstream is not chosen while another one is well.
+func TestLearnedFailuresChangeTheChoice(t *testing.T) {
+	c := &fakeControl{snap: snapshotOf(testDocument(), upstreamAt("u1", "127.0.0.1:1"), upstreamAt("u2", "127.0.0.1:2"))}
+	s := New(Config{Placement: &Placement{Model: placement.DefaultModel()}}, c)
+	st := s.service("svc")
+	w := wantOf("x")
+	w.objective = 2 * time.Second
+	for _, id := range []string{"u1", "u2"} {
+		records := make([]evidence.Record, 6)
+		for i := range records {
+			records[i] = evidence.Record{Attempt: uint64(i), Service: "svc", Upstream: id, Route: w.route, AgeMS: 300, Outcome: placement.Good, GuessMS: 600}
+			if id == "u1" {
+				records[i].Outcome = placement.Bad
+			}
+		}
+		s.Learn(uint64(len(id)+int(id[1])), records)
+	}
+	s.Learn(9, []evidence.Record{{Service: "svc", Upstream: "unknown"}, {Service: "unknown", Upstream: "u1"}})
+	for range 5 {
+		choice, ok := st.tryAcquire(w)
+		if !ok || choice.upstream.ID != "u2" {
+			t.Fatalf("chose %+v", choice)
+		}
+		st.giveBack(choice, health.OK)
+	}
+}
+
+// Guards against a request of a routing table that is sent to another service or
+// treated as another route.
+func TestMatchUsesTheRoutingTable(t *testing.T) {
+	snap := snapshotOf(testDocument(), upstreamAt("u1", "127.0.0.1:1"))
+	snap.Table = routing.NewTable([]*routing.Route{{
+		Name: "r", Host: "a.example", Rule: document.Route{Method: "*", Path: "/a/*"},
+		Split: routing.NewSplit([]routing.Part{{Service: "svc", Weight: 1}}),
+	}})
+	req := request(t, http.MethodGet, "http://127.0.0.1/a/x", nil)
+	req.Host = "A.example:80"
+	svc, route, err := match(snap, req)
+	if err != nil || svc.Name != "svc" || route.Path != "/a/*" {
+		t.Errorf("service %v, route %v, error %v", svc, route, err)
+	}
+	req.Host = "b.example"
+	if _, _, err := match(snap, req); errkind.Of(err) != errkind.UnknownRoute {
+		t.Errorf("unknown host: %v", err)
+	}
+	snap.Ready, snap.Table = false, routing.NewTable(nil)
+	if _, _, err := match(snap, req); errkind.Of(err) != errkind.NoDocument {
+		t.Errorf("no configuration: %v", err)
+	}
+}
--- a/internal/instance/entry/retry.go
+++ b/internal/instance/entry/retry.go
@@ -10,6 +10,10 @@
 // defaultRetries is the document's default number of further attempts.
 const defaultRetries = 2
 
+// maxUnsent is the number of attempts beyond the limit that a request may make
+// because others could not be sent at all, for lack of a connection.
+const maxUnsent = 3
+
 // Causes of further attempts, for explanations.
 const (
 	causeRefused    = "refused"
@@ -111,7 +115,8 @@
 		a.last = lastMayHaveRun
 		return ""
 	}
-	if !a.st.spend(cause != causeIdempotent) {
+	unpaid := cause == causeNotSent && a.st.placing != nil // no upstream sees it as a retry
+	if !unpaid && !a.st.spend(cause != causeIdempotent) {
 		a.last = lastBudget
 		return ""
 	}
@@ -121,7 +126,7 @@
 // noRetry returns why no attempt can follow a whatever came of it, or "".
 func (e *exchange) noRetry(a *attempt) string {
 	switch {
-	case a.number >= e.retryLimit():
+	case a.number-e.unsent >= e.retryLimit() && !(a.err != nil && !a.trace.Sent && e.unsent < maxUnsent):
 		return lastLimit
 	case e.ctx.Err() != nil:
 		return lastOver
@@ -160,6 +165,9 @@
 func (e *exchange) tried(a *attempt) {
 	id, w := a.choice.upstream.ID, e.want
 	w.retry = true
+	if a.err != nil && !a.trace.Sent && e.unsent < maxUnsent {
+		e.unsent++
+	}
 	if !a.choice.home && !a.choice.probe {
 		w.borrowed++
 	}
