--- a/internal/instance/evidence/evidence_test.go
+++ b/internal/instance/evidence/evidence_test.go
@@ -16,8 +16,6 @@
 	"knapweedreel/internal/placement"
 )
 
-const waitLimit = 20 * time.Second
-
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 func keysOf(t *testing.T, key []byte) Keys {
--- a/internal/instance/follower/follower_test.go
+++ b/internal/instance/follower/follower_test.go
@@ -105,7 +105,7 @@
 func TestFollowerBecomesReadyWithTheConfiguration(t *testing.T) {
 	s, c := startStore(t)
 	f := run(t, "i1", c)
-	eventually(t, "the empty store is read", func() bool { return s.Calls()["/knapweedreel/kv-watch"] > 0 })
+	eventually(t, "the empty store is read", func() bool { return s.Calls()["watch"] > 0 })
 	if f.Ready() || len(s.Keys("fleet/")) != 0 {
 		t.Errorf("ready %t, keys %v", f.Ready(), s.Keys("fleet/"))
 	}
@@ -167,7 +167,7 @@
 		eventually(t, "registered", func() bool { return upstreams(f) == 1 && len(f.Directory().Locate("a.example", "south")) == 1 })
 		s.SetFault(fault)
 		s.Expire()
-		eventually(t, "calls that fail", func() bool { return len(s.Keys("fleet/members/")) == 0 && s.Calls()["/knapweedreel/kv-keep"] > 1 })
+		eventually(t, "calls that fail", func() bool { return len(s.Keys("fleet/members/")) == 0 && s.Calls()["keep"] > 1 })
 		if upstreams(f) != 1 || !f.Ready() || len(f.Directory().Locate("a.example", "south")) == 0 {
 			t.Errorf("fault %d: %d upstreams, ready %t", fault, upstreams(f), f.Ready())
 		}
--- /dev/null
+++ b/scripts/check-names.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Checks that only platform/ and deploy/ know the names of the users' platform.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+names='kv-(key|range|watch|txn|lease|keep)|knapweedreel/(resolve|readiness)|Not-Executed|Response-Signature|Expect-Instance|Server-Load|Deadline-Ms"|KNAPWEEDREEL_BOOT|trafficSplit|warmupLeft|maxAttempts|morePages|storeRevision'
+found=$(git grep -nE "$names" -- '*.go' ':!platform/' ':!test/' | grep -v 'Knapweedreel-Deadline-Ms' || true)
+if [ -n "$found" ]; then
+  echo "names of the platform outside platform/:"
+  echo "$found"
+  exit 1
+fi
