--- a/internal/placement/belief.go
+++ b/internal/placement/belief.go
@@ -133,6 +133,7 @@
 	times   *Times // of healthy answers to such requests
 	outcome Outcome
 	remote  bool // made by another instance
+	retest  bool // sent although the upstream was believed to be faulty
 }
 
 // limits of the evidence kept for each upstream.
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -128,13 +128,15 @@
 }
 
 // isLosing reports whether the service loses a notable share of its requests.
-// A request that is late already counts as lost.
+// A request that is late already counts as lost. Those that were sent to
+// upstreams believed to be faulty do not count, else such requests would bring
+// about further ones.
 func (t *Tracker) isLosing(now time.Time) bool {
 	lost, all := 0, 0
 	for _, s := range t.upstreams {
 		for _, a := range s.evidence {
 			age := now.Sub(a.start)
-			if age > losingWindow || a.outcome == Void || a.outcome == Pending && age < a.times.Median() {
+			if age > losingWindow || a.retest || a.outcome == Void || a.outcome == Pending && age < a.times.Median() {
 				continue
 			}
 			all++
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -68,7 +68,7 @@
 	s.inFlight++
 	s.tried = true
 	s.last = now
-	a := &Attempt{start: now, times: times}
+	a := &Attempt{start: now, times: times, retest: s.fails(&t.model, now) > t.unknown+staleMargin}
 	s.add(a)
 	return a
 }
