--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -47,15 +47,17 @@
 	// those before were there from the start.
 	settledAfter = 5 * time.Second
 	// staleAfter is the time after the last request from which an upstream counts
-	// as not used.
-	staleAfter = 1500 * time.Millisecond
+	// as not used, and staleLosing the same while the service loses requests:
+	// then it matters more to know all that are well.
+	staleAfter  = 4 * time.Second
+	staleLosing = 1500 * time.Millisecond
 	// retestEach is the number of requests of which one may go to an upstream that
 	// is believed to be faulty. Its spell may be over.
 	retestEach = 8
 	// losingShare is the share of the latest requests that fail from which a
 	// service counts as losing requests, and losingLeast their least number.
-	losingShare = 0.08
-	losingLeast = 4
+	losingShare = 0.12
+	losingLeast = 6
 	// losingWindow is the time over which these are counted.
 	losingWindow = 2500 * time.Millisecond
 	// remoteFrom is the cost from which upstreams of other regions are looked at.
@@ -127,6 +129,13 @@
 	return best, found
 }
 
+func (t *Tracker) staleTime() time.Duration {
+	if t.losing {
+		return staleLosing
+	}
+	return staleAfter
+}
+
 // isLosing reports whether the service loses a notable share of its requests.
 // A request that is late already counts as lost. Those that were sent to
 // upstreams believed to be faulty do not count, else such requests would bring
@@ -178,7 +187,7 @@
 	if c.Cold {
 		cost += coldCost
 	}
-	if c.Transfer == 0 && now.Sub(s.last) >= staleAfter {
+	if c.Transfer == 0 && now.Sub(s.last) >= t.staleTime() {
 		switch {
 		case fails <= t.unknown+staleMargin:
 			cost -= staleGain
