--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build run test prove bench capacity
+.PHONY: build run test prove bench capacity soak
 
 # The race detector slows tests down; the limit covers a slow machine.
 TEST_TIMEOUT = 20m
@@ -32,3 +32,7 @@
 
 capacity:
 	go test -run xxx -bench . -benchtime $(CAPACITY_BENCHTIME) -timeout 10m ./test/capacity > docs/capacity-points.txt
+
+# Plays random faults around real instances; FIRST=0 takes fresh seeds.
+soak:
+	go test -count=1 -v -timeout 60m ./test/soak -soak.seeds $(or $(SEEDS),10) -soak.first $(or $(FIRST),0)
