--- a/internal/instance/entry/attempt.go
+++ b/internal/instance/entry/attempt.go
@@ -45,7 +45,6 @@
 	whole   bool          // head is the whole body
 	reading time.Duration // waiting for the rest of a streamed answer
 	late    lateness
-	last    string // why no further attempt follows
 	ended   bool
 }
 
@@ -59,7 +58,6 @@
 	if a.late.stop() { // even if the answer has come in the meantime
 		a.err = errkind.Wrap(errkind.UpstreamSilent, errLate, "upstream %s", a.choice.upstream.ID)
 	}
-	a.last = a.late.refused
 	if a.err == nil {
 		a.st.noteLoad(a)
 		a.read()
@@ -153,7 +151,7 @@
 		RetryCause: a.cause,
 		Fails:      a.choice.placed.fails,
 		Load:       a.choice.placed.load,
-		Last:       a.last,
+		Last:       a.late.refused,
 	}
 	switch {
 	case a.refused != upstream.NotRefused:
--- a/internal/instance/entry/retry.go
+++ b/internal/instance/entry/retry.go
@@ -99,8 +99,8 @@
 
 // mayRetry returns the cause for which another attempt is allowed, or "".
 func (e *exchange) mayRetry(a *attempt) string {
-	if a.last = e.noRetry(a); a.last != "" {
-		return ""
+	if reason := e.noRetry(a); reason != "" {
+		return e.last(reason)
 	}
 	cause := ""
 	switch {
@@ -112,17 +112,23 @@
 		cause = causeIdempotent
 	}
 	if cause == "" {
-		a.last = lastMayHaveRun
-		return ""
+		return e.last(lastMayHaveRun)
 	}
 	unpaid := cause == causeNotSent && a.st.placing != nil // no upstream sees it as a retry
 	if !unpaid && !a.st.spend(cause != causeIdempotent) {
-		a.last = lastBudget
-		return ""
+		return e.last(lastBudget)
 	}
 	return cause
 }
 
+// last notes why no attempt follows the latest one. It returns no cause.
+func (e *exchange) last(reason string) string {
+	if n := len(e.explanation.Attempts); n > 0 {
+		e.explanation.Attempts[n-1].Last = reason
+	}
+	return ""
+}
+
 // noRetry returns why no attempt can follow a whatever came of it, or "".
 func (e *exchange) noRetry(a *attempt) string {
 	switch {
