entry: keep callers' connections as long as the configuration says

Found by reading: the operators' idle timeout was read and not used; connections were closed after 30 s, which meets callers that may reuse them for longer.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -39,10 +39,8 @@
 
 // Limits bound what callers may send. 0 means that the settings decide.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration // for a request's header
-	IdleTimeout   time.Duration // of a kept connection
+	BodyBytes   int64
+	IdleTimeout time.Duration // of a kept connection
 }
 
 // Upstream is an upstream as it has registered itself.
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -42,6 +42,7 @@
 		s.Table = routing.NewTable(nil)
 		return s
 	}
+	s.CallerIdle = c.configuration.Limits.IdleTimeout
 	for name, svc := range c.configuration.Services {
 		s.Services[name] = &routing.Service{
 			Name: name, Revision: c.configuration.Version, Served: true, Document: documentOf(name, svc),
--- a/internal/instance/entry/drain.go
+++ b/internal/instance/entry/drain.go
@@ -78,7 +78,8 @@
 type callerTable struct {
 	mu     sync.Mutex
 	active map[net.Conn]struct{}
-	last   time.Time // when a connection last changed its state
+	idle   map[net.Conn]time.Time // when it became idle
+	last   time.Time              // when a connection last changed its state
 }
 
 // state is the ConnState hook of the HTTP server. A new connection counts as
@@ -87,10 +88,26 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.last = time.Now()
+	delete(t.idle, c)
 	if state == http.StateNew || state == http.StateActive {
 		t.active[c] = struct{}{}
-	} else {
-		delete(t.active, c)
+		return
+	}
+	delete(t.active, c)
+	if state == http.StateIdle {
+		t.idle[c] = t.last
+	}
+}
+
+// closeIdle closes the connections that have been idle since before a time.
+func (t *callerTable) closeIdle(before time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c, since := range t.idle {
+		if since.Before(before) {
+			_ = c.Close()
+			delete(t.idle, c)
+		}
 	}
 }
 
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -107,6 +107,7 @@
 	}
 	s.ending, s.end = context.WithCancel(context.Background())
 	s.callers.active = make(map[net.Conn]struct{})
+	s.callers.idle = make(map[net.Conn]time.Time)
 	return s
 }
 
--- a/internal/instance/entry/run.go
+++ b/internal/instance/entry/run.go
@@ -78,7 +78,7 @@
 		Handler:           s,
 		Protocols:         protocols,
 		ReadHeaderTimeout: milliseconds(s.cfg.Times.HeaderMS),
-		IdleTimeout:       milliseconds(s.cfg.Times.HeaderMS),
+		IdleTimeout:       max(milliseconds(s.cfg.Times.HeaderMS), longestIdle),
 		MaxHeaderBytes:    s.cfg.Limits.HeaderBytes,
 		ErrorLog:          log.New(serverLog{s.log}, "", 0),
 		ConnContext:       withCallerConn,
@@ -86,6 +86,10 @@
 	}
 }
 
+// longestIdle bounds the time for which any caller's connection may be idle.
+// The settings or the configuration end it before.
+const longestIdle = 10 * time.Minute
+
 // serverLog writes what the HTTP server reports as log lines.
 type serverLog struct{ log *zap.Logger }
 
@@ -117,6 +121,11 @@
 }
 
 func (s *Server) tidyOnce(snap *routing.Snapshot, now time.Time) {
+	idle := snap.CallerIdle
+	if idle == 0 {
+		idle = milliseconds(s.cfg.Times.HeaderMS)
+	}
+	s.callers.closeIdle(now.Add(-idle))
 	known := make(map[health.Key]time.Duration)
 	for _, svc := range snap.Services {
 		if svc.Document == nil {
--- a/internal/instance/follower/follower.go
+++ b/internal/instance/follower/follower.go
@@ -40,7 +40,6 @@
 	events   chan event
 	snapshot atomic.Pointer[routing.Snapshot]
 	members  atomic.Pointer[catalog.Directory]
-	limits   atomic.Pointer[catalog.Limits]
 	peers    atomic.Pointer[[]netip.AddrPort]
 	keys     atomic.Pointer[evidence.Keys]
 	width    chan int
@@ -83,9 +82,6 @@
 // Directory returns the members as callers are told them, never nil.
 func (f *Follower) Directory() *catalog.Directory { return f.members.Load() }
 
-// Limits returns what the configuration in force says of callers' limits.
-func (f *Follower) Limits() catalog.Limits { return *f.limits.Load() }
-
 // Peers returns the UDP addresses of the other instances that serve callers of
 // this region.
 func (f *Follower) Peers() []netip.AddrPort { return *f.peers.Load() }
@@ -187,9 +183,7 @@
 
 // publish builds a snapshot aside and swaps it in.
 func (f *Follower) publish(now time.Time) {
-	limits := catalog.Limits{}
 	if c := f.catalog.Configuration(); c != nil {
-		limits = c.Limits
 		if c.Version != f.version {
 			f.version, f.table, f.adopted = c.Version, c.Table(), now
 		}
@@ -201,7 +195,6 @@
 	snap := f.catalog.Snapshot(catalog.View{Self: self, Regions: f.cfg.Regions}, f.table, now)
 	f.sequence++
 	snap.Sequence = f.sequence
-	f.limits.Store(&limits)
 	directory := f.catalog.Directory()
 	f.members.Store(directory)
 	f.publishPeers(directory)
--- a/internal/instance/onplatform.go
+++ b/internal/instance/onplatform.go
@@ -107,8 +107,10 @@
 		Deliver: func(sender uint64, records []evidence.Record) { n.entry.Learn(sender, records) },
 		Log:     log, Scope: n.metrics.Scope,
 	})
+	limits := s.Limits
+	limits.CallerConnections = min(limits.CallerConnections, s.Platform.Descriptors/2)
 	n.entry = entry.New(entry.Config{
-		Instance: s.Instance, Address: s.EntryAddress, Limits: s.Limits, Times: s.Times, Log: log, Scope: n.metrics.Scope,
+		Instance: s.Instance, Address: s.EntryAddress, Limits: limits, Times: s.Times, Log: log, Scope: n.metrics.Scope,
 		Placement: placementOf(s.Platform), Share: n.evidence.Share,
 		Upstreams: upstream.Config{Protocol: p.Protocol, Dial: dialer(s.Times).DialContext},
 	}, n.follower)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -20,8 +20,11 @@
 	Services map[string]*Service // by name
 	Hosts    map[string]*Service // by lower-case Host header without port
 	Table    *Table              // routes across services, nil where each document has its own hosts
-	Members  []Member            // the whole fleet, this instance included
-	Shards   int
+	// CallerIdle is the time for which a caller's connection may be idle, 0 if
+	// the settings decide.
+	CallerIdle time.Duration
+	Members    []Member // the whole fleet, this instance included
+	Shards     int
 }
 
 // Member is a member of the fleet as address answers need it.
--- a/internal/settings/normalize.go
+++ b/internal/settings/normalize.go
@@ -21,7 +21,6 @@
 	DefaultDescriptors         = 4_096
 	DefaultRetryShare          = 0.1
 	DefaultRetryReserve        = 10
-	DefaultRetryWindowMS       = 10_000
 
 	// drainMarginMS is added to KeepMS for DrainMS: a caller whose address
 	// answer has just expired needs time to ask again.
@@ -48,7 +47,6 @@
 	setDefault(&p.Descriptors, DefaultDescriptors)
 	setDefault(&p.RetryShare, DefaultRetryShare)
 	setDefault(&p.RetryReserve, DefaultRetryReserve)
-	setDefault(&p.RetryWindowMS, DefaultRetryWindowMS)
 }
 
 func (l *Limits) normalize() {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -59,17 +59,15 @@
 	MemoryMB int `json:"memory_mb"`
 	// LinkMbps is the bandwidth of the instance's link in Mbit/s.
 	LinkMbps float64 `json:"link_mbps"`
-	// Descriptors is the number of sockets and files that may be open.
+	// Descriptors is the number of sockets and files that may be open. Callers
+	// get half of them.
 	Descriptors int `json:"descriptors"`
 	// RetryShare is the share of a service's requests that the whole fleet may
 	// send to a second upstream. Default 0.1.
 	RetryShare float64 `json:"retry_share"`
-	// RetryReserve is what the whole fleet may send beyond RetryShare within
-	// RetryWindowMS. Default 10.
+	// RetryReserve is what the whole fleet may send beyond RetryShare at once.
+	// Default 10.
 	RetryReserve int `json:"retry_reserve"`
-	// RetryWindowMS is the time over which retries are counted, in
-	// milliseconds. Default 10,000.
-	RetryWindowMS int `json:"retry_window_ms"`
 }
 
 // InitialPeer is an instance known from the settings.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -77,7 +77,6 @@
 	jsonc.CheckRange(p, "platform.descriptors", f.Descriptors, minDescriptors, 10*maxConnections)
 	jsonc.CheckRange(p, "platform.retry_share", f.RetryShare, 0, 1)
 	jsonc.CheckRange(p, "platform.retry_reserve", f.RetryReserve, 0, maxConnections)
-	jsonc.CheckRange(p, "platform.retry_window_ms", f.RetryWindowMS, 1, jsonc.MaxTimeMS)
 }
 
 func (k *Keys) validate(p *jsonc.Problems) {
