--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -197,14 +197,24 @@
 	return out
 }
 
+// Ports of instances are below those that the kernel gives to outgoing
+// connections, which could take one while an instance is restarted.
+const (
+	firstPort = 10_000
+	lastPort  = 32_000
+)
+
 // freePorts returns loopback addresses that are free now.
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(out) < n; tries++ {
+		if tries > 1000 {
+			t.Fatal("no free ports")
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
 		if err != nil {
-			t.Fatal(err)
+			continue // in use
 		}
 		defer func() { _ = l.Close() }()
 		out = append(out, l.Addr().String())
