--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -43,9 +43,9 @@
 		return s
 	}
 	s.CallerIdle = c.configuration.Limits.IdleTimeout
-	for name, svc := range c.configuration.Services {
+	for name := range c.configuration.Services {
 		s.Services[name] = &routing.Service{
-			Name: name, Revision: c.configuration.Version, Served: true, Document: documentOf(name, svc),
+			Name: name, Revision: c.configuration.Version, Served: true, Document: documentOf(name),
 		}
 	}
 	for _, u := range c.sortedUpstreams() {
@@ -79,7 +79,9 @@
 	return max(1, limit/connectionShare)
 }
 
-func documentOf(name string, _ Service) *document.Document {
+// documentOf returns the document that stands for a service of the
+// configuration. Its routes are in the routing table.
+func documentOf(name string) *document.Document {
 	return &document.Document{Service: name, IdleTimeoutMS: int(upstreamIdle / time.Millisecond)}
 }
 
--- a/internal/instance/entry/placing.go
+++ b/internal/instance/entry/placing.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"knapweedreel/internal/errkind"
@@ -35,9 +34,6 @@
 	answerKB = 2
 	// unknownKB stands for the size of a body without a length, in KiB.
 	unknownKB = 64
-	// remoteMemory is the time after which an attempt of another instance is
-	// forgotten whose end was not told.
-	remoteMemory = 10 * time.Second
 	// guessShare is the share of a route's latency objective that stands for
 	// its usual time while no answer was seen.
 	guessShare = 0.3
@@ -53,15 +49,6 @@
 	remote  map[remoteKey]remoteAttempt // attempts of other instances that go on
 }
 
-// remoteKey identifies an attempt of another instance.
-type remoteKey struct{ boot, attempt uint64 }
-
-type remoteAttempt struct {
-	upstream string
-	attempt  *placement.Attempt
-	started  time.Time
-}
-
 // placed is a choice as the tracker knows it.
 type placed struct {
 	attempt *placement.Attempt
@@ -95,63 +82,12 @@
 	p.tell(c, placement.Pending, now)
 }
 
-// attemptNumber numbers the attempts of this process.
-var attemptNumber atomic.Uint64
-
-// tell shares the state of an attempt with other instances.
-func (p *placing) tell(c *choice, o placement.Outcome, now time.Time) {
-	if p.share == nil {
-		return
-	}
-	p.share(evidence.Record{
-		Attempt: c.placed.number, Service: p.name, Upstream: c.upstream.ID, Route: c.placed.want.route,
-		AgeMS: uint32(now.Sub(c.placed.started).Milliseconds()), Outcome: o,
-		GuessMS: uint32(guess(c.placed.want).Milliseconds()),
-	})
-}
-
 // end notes the outcome of an attempt.
 func (p *placing) end(c choice, class health.Class, now time.Time) {
 	o := p.tracker.End(c.upstream.ID, c.placed.attempt, outcomeOf(class), now)
 	p.tell(&c, o, now)
 }
 
-// learn takes in what another instance tells of an attempt.
-func (p *placing) learn(boot uint64, r *evidence.Record, now time.Time) {
-	key := remoteKey{boot, r.Attempt}
-	known, ok := p.remote[key]
-	if !ok {
-		times := p.tracker.Times(r.Route, milliseconds(int(r.GuessMS)))
-		started := r.Started(now)
-		known = remoteAttempt{r.Upstream, p.tracker.RemoteStart(r.Upstream, times, started, now), started}
-	}
-	if r.Outcome == placement.Pending {
-		p.remote[key] = known
-		return
-	}
-	delete(p.remote, key)
-	p.tracker.RemoteEnd(known.upstream, known.attempt, r.Outcome, now)
-}
-
-// Learn takes in what another instance, of the given boot, tells of its
-// attempts. Upstreams and routes that this instance does not know are ignored.
-func (s *Server) Learn(boot uint64, records []evidence.Record) {
-	snap, now := s.control.Snapshot(), time.Now()
-	for i := range records {
-		r := &records[i]
-		svc := snap.Services[r.Service]
-		if svc == nil || !slices.ContainsFunc(svc.Upstreams, func(u routing.Upstream) bool { return u.ID == r.Upstream }) {
-			continue
-		}
-		st := s.service(r.Service)
-		st.mu.Lock()
-		if st.placing != nil {
-			st.placing.learn(boot, r, now)
-		}
-		st.mu.Unlock()
-	}
-}
-
 func outcomeOf(class health.Class) placement.Outcome {
 	switch class {
 	case health.OK:
@@ -164,11 +100,7 @@
 
 // forget drops upstreams that are no longer there. A removed service is nil.
 func (p *placing) forget(svc *routing.Service, now time.Time) {
-	for key, a := range p.remote {
-		if now.Sub(a.started) > remoteMemory {
-			delete(p.remote, key)
-		}
-	}
+	p.forgetRemote(now)
 	p.tracker.Forget(func(id string) bool {
 		return svc != nil && slices.ContainsFunc(svc.Upstreams, func(u routing.Upstream) bool { return u.ID == id })
 	})
--- a/internal/instance/onplatform.go
+++ b/internal/instance/onplatform.go
@@ -129,10 +129,15 @@
 // regions, twice over because callers move from one instance to another.
 const servingInstances = 12
 
+// retryPart is the part of the fleet's share of retries that is used. Requests
+// are counted where they arrive, retries a little later, when fewer requests may
+// have come.
+const retryPart = 0.75
+
 func placementOf(p *settings.Platform) *entry.Placement {
 	return &entry.Placement{
 		Model:      placement.DefaultModel(),
-		RetryShare: 0.75 * p.RetryShare, RetryReserve: math.Max(1, float64(p.RetryReserve)/servingInstances),
+		RetryShare: retryPart * p.RetryShare, RetryReserve: math.Max(1, float64(p.RetryReserve)/servingInstances),
 		RemoteCost: remoteCost, RemoteCostPerKB: remoteCostPerKB,
 	}
 }
