follower: read the store's content as it may be a few seconds old when starting

Now the first load, and one after a refusal, takes content that may be old, which the store does not count; waiting for changes after its index brings the rest. A content older than the history is read anew as it is now. The new test was not ready within 20 s before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -112,8 +112,11 @@
 // Source reads and writes the platform's store. Errors of package store tell
 // calls that had no effect from those whose result is unknown.
 type Source interface {
-	// Load returns all items and the index from which to wait for changes.
-	Load(ctx context.Context) ([]Change, uint64, error)
+	// Load returns all items and the index from which to wait for changes. With
+	// stale they may be some seconds old, which costs the store less and is not
+	// refused when many instances read at once; waiting for changes after the
+	// index then brings what is missing.
+	Load(ctx context.Context, stale bool) ([]Change, uint64, error)
 	// Changes waits for changes after an index, for at most the given time, and
 	// returns them with the index to continue from. It may return none.
 	Changes(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error)
--- a/internal/instance/follower/follower_test.go
+++ b/internal/instance/follower/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptest"
 	"slices"
 	"sync/atomic"
@@ -177,6 +178,22 @@
 	}
 }
 
+// Guards against a fleet that does not come back after all its instances have
+// ended: together they may not read the whole content at the store's rate, and
+// each refusal would make one begin again.
+func TestFollowersStartTogether(t *testing.T) {
+	s, c := startStore(t)
+	put(s, "3")
+	for i := range 40 {
+		s.Put(fmt.Sprintf("servers/u-%02d", i), []byte(registration))
+	}
+	s.SetFault(standin.FewReads)
+	for i := range 4 {
+		f := run(t, fmt.Sprint("i", i), c)
+		eventually(t, "ready with all upstreams", func() bool { return f.Ready() && upstreams(f) == 40 })
+	}
+}
+
 // Guards against a registration that is lost with the answer to its write.
 func TestMemberOutlivesLostAnswers(t *testing.T) {
 	s, c := startStore(t)
--- a/internal/instance/follower/watch.go
+++ b/internal/instance/follower/watch.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"knapweedreel/internal/catalog"
+	"knapweedreel/internal/store"
 )
 
 // Times of the watch.
@@ -30,7 +31,7 @@
 
 // Watch reads the store's content and then follows its changes.
 func (f *Follower) Watch(ctx context.Context) error {
-	w := watch{f: f}
+	w := watch{f: f, stale: true}
 	for ctx.Err() == nil {
 		if err := w.step(ctx); err != nil {
 			w.failed(ctx, err)
@@ -43,6 +44,7 @@
 type watch struct {
 	f       *Follower
 	loaded  bool   // index is valid
+	stale   bool   // the next load may be old
 	index   uint64 // of the last change that was read
 	backoff time.Duration
 	lost    time.Time // when the store was lost, zero while it can be reached
@@ -57,8 +59,11 @@
 		e.changes, w.index, err = w.f.source.Changes(ctx, w.index, watchWait)
 		w.f.count("watch", err)
 	} else {
-		e.changes, w.index, err = w.f.source.Load(ctx)
+		e.changes, w.index, err = w.f.source.Load(ctx, w.stale)
 		w.f.count("load", err)
+		// The first load may be old: all instances may start at once. A store
+		// that has refused the last one is not asked for more than that.
+		w.stale = err != nil && errors.Is(err, store.ErrUnavailable)
 	}
 	if err != nil {
 		return err
@@ -90,6 +95,7 @@
 	w.loaded = false
 	if errors.Is(err, catalog.ErrHistoryLost) {
 		w.f.log.Info("store_history_lost", zap.Uint64("revision", w.index))
+		w.stale = false // an old content may end before the history begins
 		return
 	}
 	if w.lost.IsZero() {
