--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -65,6 +65,12 @@
 	// judgeInterval is the least time between two judgements of whether the
 	// service loses requests.
 	judgeInterval = 100 * time.Millisecond
+	// staleEach is the number of requests of which one may go to an upstream
+	// because it was not used, and staleEachLosing the same while the service
+	// loses requests. Without a limit a service with many upstreams and few
+	// requests would always use those that it knows least.
+	staleEach       = 6
+	staleEachLosing = 2
 	// staleMargin is how far above that of an upstream of which nothing is known
 	// the probability of failure may be for an upstream that is not used to be
 	// used again. A belief of a fault comes down to it within about 6 s; a
@@ -96,6 +102,10 @@
 			best, found = other, true
 		}
 	}
+	t.sinceStale++
+	if found && now.Sub(t.state(cands[best.Index].ID, now).last) >= t.staleTime() {
+		t.sinceStale = 0
+	}
 	if t.sinceRetest++; found && t.losing && best.Fails > t.unknown+staleMargin {
 		t.sinceRetest = 0
 	}
@@ -129,6 +139,13 @@
 	return best, found
 }
 
+func (t *Tracker) staleEach() int {
+	if t.losing {
+		return staleEachLosing
+	}
+	return staleEach
+}
+
 func (t *Tracker) staleTime() time.Duration {
 	if t.losing {
 		return staleLosing
@@ -189,7 +206,7 @@
 	}
 	if c.Transfer == 0 && now.Sub(s.last) >= t.staleTime() {
 		switch {
-		case fails <= t.unknown+staleMargin:
+		case fails <= t.unknown+staleMargin && t.sinceStale >= t.staleEach():
 			cost -= staleGain
 		case t.losing && t.sinceRetest >= retestEach:
 			cost -= retestGain
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -167,6 +167,20 @@
 	}
 }
 
+// Guards against a service that spends its requests on finding out about
+// upstreams that it does not need. The load is that of a large service at a
+// quiet hour: a hundred upstreams in the region, two requests a second for each
+// ten of them.
+func TestReplayManyUpstreamsAndFewRequests(t *testing.T) {
+	random, placed := compare(t, load{
+		name: "large and quiet day", upstreams: 100, slots: 6, perSecond: 20, seconds: 60,
+		healthy: 20 * time.Second, faulty: 7 * time.Second, hang: 0.75, clump: 1, deadline: 5 * time.Second,
+	})
+	if placed.lostShare() > random.lostShare()/2 || placed.refused > 0 {
+		t.Errorf("lost %.3f, refused %d; at random %.3f", placed.lostShare(), placed.refused, random.lostShare())
+	}
+}
+
 // Guards against a gain at low load that turns into a loss at high load. The
 // load is that of a busy day: two thirds of the slots in use, requests that come
 // three at a time, and the same spells.
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -16,6 +16,7 @@
 	losing    bool              // the service loses requests, as of the latest choice
 	judged    time.Time         // when losing was found out
 
+	sinceStale  int // choices since an upstream was used that was not used for a while
 	sinceRetest int // choices since an upstream believed to be faulty was used
 }
 
