--- a/internal/telemetry/async.go
+++ b/internal/telemetry/async.go
@@ -56,6 +56,7 @@
 			a.mu.Lock()
 			batch := a.pending
 			a.pending, a.writing = spare[:0], len(batch) > 0
+			spare = nil // belongs to pending now
 			a.mu.Unlock()
 			if len(batch) == 0 {
 				break
