--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -66,9 +66,10 @@
 			w.store.Compact()
 		}
 	case 6:
+		step := 1 + w.rand.IntN(3)
 		return func(context.Context, time.Duration) {
 			w.note("a new version of the configuration")
-			w.configure()
+			w.configure(step)
 		}
 	case 7:
 		return func(context.Context, time.Duration) { w.replace(u) }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -154,7 +154,7 @@
 	w.mu.Lock()
 	w.routes["/added/"] = "lookups"
 	w.mu.Unlock()
-	w.configure()
+	w.configure(1)
 	confirmed := time.Now()
 	for _, i := range w.instances {
 		status := 0
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -93,7 +93,7 @@
 	}
 	w.server = httptest.NewServer(w.store)
 	t.Cleanup(w.close)
-	w.configure()
+	w.configure(1)
 	for _, service := range []string{"lookups", "orders"} {
 		for range upstreamCount {
 			w.addUpstream(service)
@@ -135,11 +135,11 @@
 	w.events = append(w.events, fmt.Sprintf("%6.2f s ", time.Since(w.began).Seconds())+fmt.Sprintf(format, args...))
 }
 
-// configure puts the routes in force as a new version.
-func (w *world) configure() {
+// configure puts the routes in force as a new version, which is higher by step.
+func (w *world) configure(step int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.version += 1 + w.rand.IntN(3)
+	w.version += step
 	routes := map[string]any{}
 	for prefix, service := range w.routes {
 		kind := "unsafe"
