--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -156,11 +156,3 @@
 		}
 	}
 }
-
-// InFlight returns the number of own requests at an upstream.
-func (t *Tracker) InFlight(id string) int {
-	if s := t.upstreams[id]; s != nil {
-		return s.inFlight
-	}
-	return 0
-}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -56,19 +56,6 @@
 // Hosts returns the hosts that have routes, in order.
 func (t *Table) Hosts() []string { return slices.Sorted(maps.Keys(t.byHost)) }
 
-// Services returns the names of the services to which a host leads.
-func (t *Table) Services(host string) []string {
-	var names []string
-	for _, r := range t.byHost[host] {
-		for _, p := range r.Split.parts {
-			if !slices.Contains(names, p.Service) {
-				names = append(names, p.Service)
-			}
-		}
-	}
-	return names
-}
-
 // Part is a service's share of a route.
 type Part struct {
 	Service string
@@ -95,9 +82,6 @@
 	return s
 }
 
-// Parts returns the parts. They must not be changed.
-func (s *Split) Parts() []Part { return s.parts }
-
 // Next returns the service of the next request.
 func (s *Split) Next() string {
 	if len(s.parts) == 1 {
