peering: dial a failed link again from a socket of its own

Cause: all links of an instance leave from one UDP socket, so a dial after a link went silent takes the same pair of addresses, and a path that is silent for good swallows it too. The link comes back only when the other member dials, after 2.5 s of silence and 3 s of grace.

Ruled out: load. The log shows i00 dialing from 41.93 s on and nothing coming up, while i01 and i02, with another direction, had a link 24 ms after the loss.

The first dial to a member still uses the shared socket; after a link or a dial has failed, each dial has a socket of its own on a free port.

TestSilentPathIsLeft failed before (no link within 30 s) and passes.

--- a/internal/instance/peering/config.go
+++ b/internal/instance/peering/config.go
@@ -46,6 +46,8 @@
 	// Listen opens the UDP socket for all links. It is called at every start
 	// of Run.
 	Listen func() (net.PacketConn, error)
+	// Open opens a UDP socket on a free port for one link that is dialed again.
+	Open func() (net.PacketConn, error)
 	// ServerTLS and ClientTLS authenticate both sides by certificates.
 	ServerTLS *tls.Config
 	ClientTLS *tls.Config
--- a/internal/instance/peering/dialer.go
+++ b/internal/instance/peering/dialer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
 	"go.uber.org/zap"
 )
 
@@ -45,6 +46,7 @@
 		}
 		if err := n.dial(ctx, r, id); err != nil && ctx.Err() == nil {
 			n.metrics.failures.Inc(1)
+			n.markFailed(p)
 			n.cfg.Log.Debug("peer_dial_failed", zap.String("member", id), zap.Error(err))
 		}
 		if n.linked(p) {
@@ -74,6 +76,7 @@
 	n.metrics.dials.Inc(1)
 	n.mu.Lock()
 	info, ok := n.wanted[id]
+	failed := n.peerLocked(id).failed
 	n.mu.Unlock()
 	if !ok {
 		return errors.New("member is no longer wanted")
@@ -84,7 +87,7 @@
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, HelloTimeout)
 	defer cancel()
-	conn, err := r.transport.Dial(dialCtx, net.UDPAddrFromAddrPort(address), withProtocol(n.cfg.ClientTLS), quicConfig())
+	conn, err := n.connect(dialCtx, r, address, failed)
 	if err != nil {
 		return err
 	}
@@ -109,6 +112,41 @@
 	}
 }
 
+// connect opens a connection from the socket of all links, or from a socket of
+// its own after a failure: packets between two addresses can be lost for good
+// while those from another port pass.
+func (n *Node) connect(ctx context.Context, r *run, to netip.AddrPort, failed bool) (*quic.Conn, error) {
+	address, config := net.UDPAddrFromAddrPort(to), withProtocol(n.cfg.ClientTLS)
+	if !failed {
+		return r.transport.Dial(ctx, address, config, quicConfig())
+	}
+	socket, err := n.cfg.Open()
+	if err != nil {
+		return nil, errors.Wrap(err, "open socket for one link")
+	}
+	transport := &quic.Transport{Conn: socket}
+	release := func() {
+		_ = transport.Close()
+		_ = socket.Close()
+	}
+	conn, err := transport.Dial(ctx, address, config, quicConfig())
+	if err != nil {
+		release()
+		return nil, err
+	}
+	r.wg.Go(func() {
+		<-conn.Context().Done()
+		release()
+	})
+	return conn, nil
+}
+
+func (n *Node) markFailed(p *peer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p.failed = true
+}
+
 func (n *Node) peerOf(id string) *peer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/instance/peering/duplicate.go
+++ b/internal/instance/peering/duplicate.go
@@ -79,6 +79,7 @@
 	p := n.peers[k.info.ID]
 	p.links = slices.DeleteFunc(p.links, func(other *link) bool { return other == k })
 	last := len(p.links) == 0
+	p.failed = p.failed || last
 	p.signal()
 	if last && p.cancel == nil {
 		delete(n.peers, k.info.ID)
--- a/internal/instance/peering/harness_test.go
+++ b/internal/instance/peering/harness_test.go
@@ -120,6 +120,7 @@
 	cfg := Config{
 		ID: id, Self: func() member.Info { return e.info },
 		Listen:    func() (net.PacketConn, error) { return conn, nil },
+		Open:      func() (net.PacketConn, error) { return socket(t), nil },
 		ServerTLS: config, ClientTLS: config, DialGrace: grace,
 		Silence: limit, // tests send no heartbeats
 		Jitter:  func() float64 { return 0.5 }, Log: zap.NewNop(), Scope: e.scope,
--- a/internal/instance/peering/node.go
+++ b/internal/instance/peering/node.go
@@ -36,6 +36,7 @@
 	links   []*link       // the last one is in use, the others were replaced
 	changed chan struct{} // holds one element after links changed
 	cancel  context.CancelFunc
+	failed  bool // the last link ended, or none came up
 }
 
 // run is what one call of Run uses.
@@ -205,3 +206,14 @@
 		return net.ListenUDP("udp", a)
 	}
 }
+
+// OpenUDP opens a UDP socket on a free port of the IP in an IP:port.
+func OpenUDP(address string) func() (net.PacketConn, error) {
+	return func() (net.PacketConn, error) {
+		a, err := net.ResolveUDPAddr("udp", address)
+		if err != nil {
+			return nil, err
+		}
+		return net.ListenUDP("udp", &net.UDPAddr{IP: a.IP})
+	}
+}
--- a/internal/instance/peering/peering_test.go
+++ b/internal/instance/peering/peering_test.go
@@ -15,6 +15,7 @@
 	"knapweedreel/internal/document"
 	"knapweedreel/internal/health"
 	"knapweedreel/internal/member"
+	"knapweedreel/internal/standin/faultproxy"
 	"knapweedreel/internal/wire"
 )
 
@@ -172,7 +173,9 @@
 func TestOneWayCutEndsLinkForBoth(t *testing.T) {
 	ca := newAuthority(t)
 	var blocked atomic.Bool
-	a := start(t, "a", ca.tls(t, "a"), filtered{socket(t), &blocked}, 0)
+	a := start(t, "a", ca.tls(t, "a"), filtered{socket(t), &blocked}, 0, func(c *Config) {
+		c.Open = func() (net.PacketConn, error) { return filtered{socket(t), &blocked}, nil }
+	})
 	b := start(t, "b", ca.tls(t, "b"), socket(t), 0)
 	a.Connect([]member.Info{b.info})
 	b.Connect([]member.Info{a.info})
@@ -251,3 +254,25 @@
 		<-b.messages
 	}
 }
+
+// Guards against a link that went silent and is dialed again only over the
+// path that went silent, which stays so for good.
+func TestSilentPathIsLeft(t *testing.T) {
+	ca := newAuthority(t)
+	b := start(t, "b", ca.tls(t, "b"), socket(t), 0)
+	path, err := faultproxy.Start(faultproxy.Config{Network: faultproxy.UDP, Listen: "127.0.0.1:0", Target: b.info.PeerAddress})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = path.Close() })
+	a := start(t, "a", ca.tls(t, "a"), socket(t), 0, func(c *Config) { c.Silence = time.Second })
+	through := b.info
+	through.PeerAddress = path.Address()
+	a.Connect([]member.Info{through}) // only a dials, so that no other path opens the link
+	receive(t, "link", a.up)
+	if err := path.SetControl(faultproxy.Control{SilentExisting: true}); err != nil {
+		t.Fatal(err)
+	}
+	receive(t, "end of the silent link", a.down)
+	receive(t, "link over another path", a.up)
+}
