entry: divide the reserve of retries among the instances that serve now

Cause: the fleet's reserve was divided by 12 instances whatever their number. From 18 s on all 228 upstreams refuse a share of the requests, and 0.15 x 9629 of share leaves 832 attempts, which are the reserves of 48 instances: at high load callers are spread among more of them, and those that callers moved to still have a whole reserve.

Ruled out: late attempts of requests that may be repeated, since this service has none.

--- a/internal/catalog/locate.go
+++ b/internal/catalog/locate.go
@@ -58,6 +58,20 @@
 // Width returns among how many instances the callers of a region are spread.
 func (d *Directory) Width(region string) int { return widest(inRegion(d.registered, region)) }
 
+// Serving returns among how many instances the callers of all regions are
+// spread.
+func (d *Directory) Serving() int {
+	regions := make(map[string][]Member)
+	for _, m := range d.registered {
+		regions[m.Region] = append(regions[m.Region], m)
+	}
+	n := 0
+	for _, members := range regions {
+		n += min(widest(members), len(members))
+	}
+	return n
+}
+
 func widest(members []Member) int {
 	width := MinWidth
 	for _, m := range members {
@@ -66,9 +80,9 @@
 	return width
 }
 
-// Serving returns the members that serve the callers of any of the hosts in a
-// region.
-func (d *Directory) Serving(hosts []string, region string) []Member {
+// ServingHosts returns the members that serve the callers of any of the hosts in
+// a region.
+func (d *Directory) ServingHosts(hosts []string, region string) []Member {
 	seen := make(map[string]bool)
 	var all []Member
 	for _, host := range hosts {
--- a/internal/instance/entry/budget.go
+++ b/internal/instance/entry/budget.go
@@ -14,6 +14,24 @@
 	refusalReserve = 10
 )
 
+// Parts of the fleet's reserve of retries.
+const (
+	// servingFactor makes room for callers that move from some instances to
+	// others, where the reserve is still whole.
+	servingFactor = 2
+	// minServing is the number of instances among which the reserve is divided
+	// at least: as many as serve callers of three regions at low load, with
+	// room for moves.
+	minServing = 12
+)
+
+// reserve returns this instance's part of the fleet's reserve of retries, if
+// callers are spread among the given number of instances. Below 1 it has to be
+// completed by the share of requests before the first retry.
+func (p *Placement) reserve(serving int) float64 {
+	return p.RetryReserve / float64(max(minServing, servingFactor*serving))
+}
+
 // bucket is a token bucket that earns a share of a token with each request.
 type bucket struct {
 	tokens, share, limit float64
--- a/internal/instance/entry/placing.go
+++ b/internal/instance/entry/placing.go
@@ -15,7 +15,8 @@
 type Placement struct {
 	Model placement.Model
 	// RetryShare is the share of a service's requests that may be sent again,
-	// and RetryReserve what each service may spend beyond it at once.
+	// and RetryReserve what the whole fleet may spend beyond it at once for each
+	// service.
 	RetryShare, RetryReserve float64
 	// RemoteCost is the cost of a request in another region, as a probability
 	// of failure, and RemoteCostPerKB what each KiB of its body adds.
--- a/internal/instance/entry/service.go
+++ b/internal/instance/entry/service.go
@@ -59,7 +59,8 @@
 		}
 		if p := s.cfg.Placement; p != nil {
 			// One budget covers all further attempts.
-			st.retries = newBucket(p.RetryShare, p.RetryReserve, p.RetryReserve)
+			reserve := p.reserve(s.control.Snapshot().Serving)
+			st.retries = newBucket(p.RetryShare, reserve, max(1, reserve))
 		}
 		s.services[name] = st
 	}
@@ -79,6 +80,9 @@
 func (st *service) admitted() {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	if st.placing != nil {
+		st.retries.limit = max(1, st.placing.cfg.reserve(st.control.Snapshot().Serving))
+	}
 	st.retries.earn()
 	st.refusals.earn()
 }
--- a/internal/instance/follower/follower.go
+++ b/internal/instance/follower/follower.go
@@ -196,6 +196,7 @@
 	f.sequence++
 	snap.Sequence = f.sequence
 	directory := f.catalog.Directory()
+	snap.Serving = directory.Serving()
 	f.members.Store(directory)
 	f.publishPeers(directory)
 	f.publishKeys()
--- a/internal/instance/onplatform.go
+++ b/internal/instance/onplatform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -124,11 +123,6 @@
 	remoteCostPerKB = 0.02
 )
 
-// servingInstances is the number of instances among which the fleet's reserve of
-// retries is divided: as many as serve callers at low load in a fleet of three
-// regions, twice over because callers move from one instance to another.
-const servingInstances = 12
-
 // retryPart is the part of the fleet's share of retries that is used. Requests
 // are counted where they arrive, retries a little later, when fewer requests may
 // have come.
@@ -137,7 +131,7 @@
 func placementOf(p *settings.Platform) *entry.Placement {
 	return &entry.Placement{
 		Model:      placement.DefaultModel(),
-		RetryShare: retryPart * p.RetryShare, RetryReserve: math.Max(1, float64(p.RetryReserve)/servingInstances),
+		RetryShare: retryPart * p.RetryShare, RetryReserve: float64(p.RetryReserve),
 		RemoteCost: remoteCost, RemoteCostPerKB: remoteCostPerKB,
 	}
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -25,6 +25,9 @@
 	CallerIdle time.Duration
 	Members    []Member // the whole fleet, this instance included
 	Shards     int
+	// Serving is the number of instances among which the callers of all regions
+	// are spread, 0 while it is not known.
+	Serving int
 }
 
 // Member is a member of the fleet as address answers need it.
