placement: use unused upstreams again before the floor's window ends

Cause: an upstream that is not needed was used again only after 4 s, or after 1.5 s once the service was known to lose requests.

Unused upstreams are used again after 1.7 s, in one request of four in place of one of six.

TestReplayFloor failed before and passes.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -47,9 +47,10 @@
 	// those before were there from the start.
 	settledAfter = 5 * time.Second
 	// staleAfter is the time after the last request from which an upstream counts
-	// as not used, and staleLosing the same while the service loses requests:
-	// then it matters more to know all that are well.
-	staleAfter  = 4 * time.Second
+	// as not used. It is below the 2 s within which the users' platform wants most
+	// sound upstreams to be used. staleLosing is the same while the service loses
+	// requests: then it matters more to know all that are well.
+	staleAfter  = 1700 * time.Millisecond
 	staleLosing = 1500 * time.Millisecond
 	// retestEach is the number of requests of which one may go to an upstream that
 	// is believed to be faulty. Its spell may be over.
@@ -69,7 +70,7 @@
 	// because it was not used, and staleEachLosing the same while the service
 	// loses requests. Without a limit a service with many upstreams and few
 	// requests would always use those that it knows least.
-	staleEach       = 6
+	staleEach       = 4
 	staleEachLosing = 2
 	// staleMargin is how far above that of an upstream of which nothing is known
 	// the probability of failure may be for an upstream that is not used to be
