relay: one instance of a failure domain waits at the store for the others

Cause: every instance waited at the store and each change ended all waits.

Each instance keeps a log of the latest changes it read. The largest instance of a failure domain by rank reads the store, at most 1.2 s between two answers, and sends what it reads over sealed TCP frames to the others, with the age as of which it is complete. They read the store themselves as soon as that is older than 1.5 s, the relay does not answer or lacks changes, and try it again after 1 s. A relay that is killed, frozen or cut off thus delays a configuration to about 1.6 s, below the 2 s of the shortest bound.

TestOneInstanceOfAFailureDomainWaitsAtTheStore and TestInstancesLeaveARelayThatIsBehind: the first cannot pass without the relay, the second failed with the bound on the age taken out.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -60,7 +60,7 @@
 	ID            string `json:"id"`
 	Incarnation   int64  `json:"incarnation"`
 	Address       string `json:"address"`      // where callers connect, IP:port
-	PeerAddress   string `json:"peer_address"` // where evidence is received (UDP), IP:port
+	PeerAddress   string `json:"peer_address"` // where evidence is received (UDP) and changes are passed on (TCP), IP:port
 	Region        string `json:"region"`
 	FailureDomain string `json:"failure_domain"`
 	// Capacity is the number of requests per second that the member can serve.
@@ -83,6 +83,9 @@
 	Key           []byte // the fleet's key
 	Removed       bool
 	Unreadable    error // why the item names nothing that can be used
+	// Raw is what Source.Decode reads, so that other instances can be told.
+	// It is empty in changes that Load returns.
+	Raw []byte
 }
 
 // Kind tells what an item is about.
@@ -120,6 +123,9 @@
 	// Changes waits for changes after an index, for at most the given time, and
 	// returns them with the index to continue from. It may return none.
 	Changes(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error)
+	// Decode returns the change in another instance's Change.Raw, or false for
+	// one that cannot be read or is not the fleet's concern.
+	Decode(raw []byte) (Change, bool)
 	// Register enters a member for the given time.
 	Register(ctx context.Context, m Member, ttl time.Duration) (Registration, error)
 	// Renew extends a registration, or returns ErrExpired.
--- a/internal/catalog/locate.go
+++ b/internal/catalog/locate.go
@@ -58,6 +58,17 @@
 // Width returns among how many instances the callers of a region are spread.
 func (d *Directory) Width(region string) int { return widest(inRegion(d.registered, region)) }
 
+// Relay returns the member that reads the store for a failure domain, or false
+// when the domain has no member.
+func (d *Directory) Relay(domain string) (Member, bool) {
+	for _, m := range largest(ranked("relay", d.registered)) {
+		if m.FailureDomain == domain {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
 // Serving returns among how many instances the callers of all regions are
 // spread.
 func (d *Directory) Serving() int {
--- a/internal/instance/follower/follower.go
+++ b/internal/instance/follower/follower.go
@@ -16,6 +16,7 @@
 	"knapweedreel/internal/catalog"
 	"knapweedreel/internal/health"
 	"knapweedreel/internal/instance/evidence"
+	"knapweedreel/internal/instance/relay"
 	"knapweedreel/internal/member"
 	"knapweedreel/internal/routing"
 	"knapweedreel/internal/store"
@@ -42,6 +43,9 @@
 	members  atomic.Pointer[catalog.Directory]
 	peers    atomic.Pointer[[]netip.AddrPort]
 	keys     atomic.Pointer[evidence.Keys]
+	relay    atomic.Pointer[string] // address of the relay, "" to read the store
+	changes  *relay.Log
+	relayed  atomic.Bool // the relay is subscribed to and up to date
 	width    chan int
 	ready    chan struct{} // closed once there is a configuration
 	leaving  chan struct{} // closed by Leave
@@ -69,8 +73,9 @@
 		cfg: cfg, source: source, log: cfg.Log,
 		events: make(chan event), width: make(chan int, 1),
 		ready: make(chan struct{}), leaving: make(chan struct{}),
-		catalog: catalog.New(),
+		catalog: catalog.New(), changes: relay.NewLog(),
 	}
+	f.relay.Store(new(string))
 	f.keys.Store(&evidence.Keys{})
 	f.publish(time.Now())
 	return f
@@ -89,6 +94,9 @@
 // Keys returns the fleet's keys.
 func (f *Follower) Keys() evidence.Keys { return *f.keys.Load() }
 
+// Changes returns the log of what was read from the store.
+func (f *Follower) Changes() *relay.Log { return f.changes }
+
 // Ready reports whether the instance has a configuration and is not leaving.
 func (f *Follower) Ready() bool {
 	select {
@@ -199,6 +207,7 @@
 	snap.Serving = directory.Serving()
 	f.members.Store(directory)
 	f.publishPeers(directory)
+	f.publishRelay(directory)
 	f.publishKeys()
 	f.snapshot.Store(snap)
 	if snap.Ready {
--- a/internal/instance/follower/follower_test.go
+++ b/internal/instance/follower/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http/httptest"
 	"slices"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"knapweedreel/internal/catalog"
+	"knapweedreel/internal/instance/relay"
 	"knapweedreel/platform"
 	"knapweedreel/platform/standin"
 )
@@ -37,13 +39,16 @@
 // run starts a follower of the store until the test ends.
 func run(t *testing.T, id string, source catalog.Source) *Follower {
 	t.Helper()
+	peer := freeAddress(t)
 	f := New(Config{
-		Self:    catalog.Member{ID: id, Address: "10.0.0.9:80", PeerAddress: "10.0.0.9:81", Region: "south", FailureDomain: "z1", Width: catalog.MinWidth},
+		Self:    catalog.Member{ID: id, Address: "10.0.0.9:80", PeerAddress: peer, Region: "south", FailureDomain: "z1", Width: catalog.MinWidth},
 		Regions: map[string]string{"z1": "south"}, Log: zap.NewNop(), Scope: tally.NoopScope, Jitter: func() float64 { return 0 },
 	}, source)
 	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{}, 3)
-	for _, loop := range []func(context.Context) error{f.Run, f.Watch, f.Member} {
+	passOn := &relay.Server{Address: peer, Log: f.Changes(), Keys: f.Keys, Logger: zap.NewNop(), Scope: tally.NoopScope}
+	loops := []func(context.Context) error{f.Run, f.Watch, f.Member, passOn.Run}
+	ended := make(chan struct{}, len(loops))
+	for _, loop := range loops {
 		go func() {
 			if err := loop(ctx); err != nil {
 				t.Error(err)
@@ -53,13 +58,24 @@
 	}
 	t.Cleanup(func() {
 		cancel()
-		for range 3 {
+		for range loops {
 			<-ended
 		}
 	})
 	return f
 }
 
+// freeAddress returns a TCP address that is free now.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
 func startStore(t *testing.T) (*standin.Store, *platform.Store) {
 	t.Helper()
 	s := standin.NewStore()
@@ -223,3 +239,86 @@
 		t.Error(errors.Wrap(err, "the second instance's key"))
 	}
 }
+
+// Guards against a fleet in which each instance waits at the store: its calls
+// are limited and paid for, and would grow with the number of instances.
+func TestOneInstanceOfAFailureDomainWaitsAtTheStore(t *testing.T) {
+	s, c := startStore(t)
+	put(s, "3")
+	var all []*Follower
+	for i := range 5 {
+		all = append(all, run(t, fmt.Sprint("i", i), c))
+	}
+	eventually(t, "one relay for all", func() bool {
+		subscribed := 0
+		for _, f := range all {
+			if f.relayed.Load() {
+				subscribed++
+			}
+		}
+		return subscribed == len(all)-1
+	})
+	before := s.Calls()["watch"]
+	for v := 4; v <= 8; v++ {
+		put(s, fmt.Sprint(v))
+		eventually(t, "the new version at all", func() bool {
+			return !slices.ContainsFunc(all, func(f *Follower) bool { return version(f) != uint64(v) })
+		})
+	}
+	// The relay asks once for each version and once each 1.2 s; five instances
+	// that ask themselves need five calls for each version.
+	if calls := s.Calls()["watch"] - before; calls > 15 {
+		t.Errorf("%d waits at the store for five versions", calls)
+	}
+}
+
+// Guards against instances that stay with an old configuration because their
+// relay has lost the store, or is frozen, while they reach it themselves.
+func TestInstancesLeaveARelayThatIsBehind(t *testing.T) {
+	s, c := startStore(t)
+	put(s, "3")
+	var all []*Follower
+	var cuts []*cuttable
+	for i := range 3 {
+		cut := &cuttable{Store: c}
+		cuts = append(cuts, cut)
+		all = append(all, run(t, fmt.Sprint("i", i), cut))
+	}
+	reader := -1
+	eventually(t, "one relay for all", func() bool {
+		subscribed := 0
+		for i, f := range all {
+			if f.relayed.Load() {
+				subscribed++
+			} else {
+				reader = i
+			}
+		}
+		return subscribed == len(all)-1
+	})
+	cuts[reader].cut.Store(true)
+	put(s, "4")
+	eventually(t, "the new version at the others", func() bool {
+		for i, f := range all {
+			if i != reader && version(f) != 4 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// cuttable is a store that does not answer any more once it is cut.
+type cuttable struct {
+	*platform.Store
+	cut atomic.Bool
+}
+
+func (c *cuttable) Changes(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Change, uint64, error) {
+	changes, index, err := c.Store.Changes(ctx, after, wait)
+	if c.cut.Load() {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return changes, index, err
+}
--- a/internal/instance/follower/peers.go
+++ b/internal/instance/follower/peers.go
@@ -32,6 +32,19 @@
 	f.peers.Store(&peers)
 }
 
+// publishRelay publishes which instance of the failure domain reads the store
+// for it.
+func (f *Follower) publishRelay(d *catalog.Directory) {
+	address := ""
+	if m, ok := d.Relay(f.cfg.Self.FailureDomain); ok && m.ID != f.cfg.Self.ID {
+		address = m.PeerAddress
+	}
+	if *f.relay.Load() != address {
+		f.log.Info("relay_chosen", zap.String("relay", address), zap.Uint64("configuration", f.version))
+		f.relay.Store(&address)
+	}
+}
+
 // publishKeys takes over a changed key. Datagrams sealed with the one before it
 // are still read.
 func (f *Follower) publishKeys() {
--- a/internal/instance/follower/watch.go
+++ b/internal/instance/follower/watch.go
@@ -8,30 +8,41 @@
 	"go.uber.org/zap"
 
 	"knapweedreel/internal/catalog"
+	"knapweedreel/internal/instance/relay"
 	"knapweedreel/internal/store"
 )
 
-// Times of the watch.
+// Times of the watch. A configuration has to be in force 2 s after the store has
+// confirmed it, the shortest bound of the users' deployments, also when the
+// relay is lost at that moment: maxAge and the time of a call have to stay below
+// that.
 const (
 	// minRetry and maxRetry bound the time between calls to a store that fails.
-	// The longest one leaves most of the time in which a configuration has to
-	// be in force, 2 s, for applying it.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 600 * time.Millisecond
 	// gatherTime is the least time between the ends of two waits for changes.
-	// Changes that come meanwhile are gathered, which saves calls: each one ends
-	// the waiting calls of all instances.
-	gatherTime = 1400 * time.Millisecond
-	// watchWait bounds each wait for changes. A store that has dropped its
-	// history does not tell a wait that was begun before, and the changes have
-	// to be noticed all the same within the 3 s after which the platform counts
-	// the store as sound again.
-	watchWait = 2800 * time.Millisecond
+	// Changes that come meanwhile are gathered, which saves calls.
+	gatherTime = 700 * time.Millisecond
+	// watchWait is the longest time between two answers of the store. It bounds
+	// the time until a store that has dropped its history, or cannot be reached
+	// any more, is noticed by an instance that waits for changes.
+	watchWait = 1200 * time.Millisecond
+	// maxAge is the age of what a relay knows from which on the store itself is
+	// asked. It leaves 300 ms for the calls and messages between two answers.
+	maxAge = watchWait + 300*time.Millisecond
+	// minWait is the shortest wait for changes.
+	minWait = 100 * time.Millisecond
+	// redialInterval is the time after which a relay that was given up is tried
+	// again, and helloLimit the time within which it has to answer then.
+	redialInterval = time.Second
+	helloLimit     = 300 * time.Millisecond
 )
 
-// Watch reads the store's content and then follows its changes.
+// Watch reads the store's content and then follows its changes, by way of the
+// failure domain's relay if that is up to date.
 func (f *Follower) Watch(ctx context.Context) error {
 	w := watch{f: f, stale: true}
+	defer w.unsubscribe()
 	for ctx.Err() == nil {
 		if err := w.step(ctx); err != nil {
 			w.failed(ctx, err)
@@ -43,40 +54,150 @@
 // watch is the state of the loop.
 type watch struct {
 	f       *Follower
-	loaded  bool   // index is valid
-	stale   bool   // the next load may be old
-	index   uint64 // of the last change that was read
+	loaded  bool      // index is valid
+	stale   bool      // the next load may be old
+	index   uint64    // of the last change that was read
+	asOf    time.Time // when nothing followed the index
 	backoff time.Duration
 	lost    time.Time // when the store was lost, zero while it can be reached
+
+	subscription *relay.Subscription // nil while the store is read
+	redial       time.Time           // when the relay may be tried again
 }
 
-// step makes one call and hands its result to the control goroutine.
+// step reads what is new and hands it to the control goroutine.
 func (w *watch) step(ctx context.Context) error {
-	e := event{whole: !w.loaded}
-	began := time.Now()
-	var err error
-	if w.loaded {
-		e.changes, w.index, err = w.f.source.Changes(ctx, w.index, watchWait)
-		w.f.count("watch", err)
-	} else {
-		e.changes, w.index, err = w.f.source.Load(ctx, w.stale)
-		w.f.count("load", err)
-		// The first load may be old: all instances may start at once. A store
-		// that has refused the last one is not asked for more than that.
-		w.stale = err != nil && errors.Is(err, store.ErrUnavailable)
+	if !w.loaded {
+		return w.load(ctx)
+	}
+	if w.relayed(ctx) {
+		return nil
 	}
+	return w.ask(ctx)
+}
+
+// load reads the whole content.
+func (w *watch) load(ctx context.Context) error {
+	changes, index, err := w.f.source.Load(ctx, w.stale)
+	w.f.count("load", err)
+	// The first load may be old: all instances may start at once. A store that
+	// has refused the last one is not asked for more than that.
+	w.stale = err != nil && errors.Is(err, store.ErrUnavailable)
 	if err != nil {
 		return err
 	}
-	w.loaded = true
+	w.loaded, w.index, w.asOf = true, index, time.Time{}
+	w.f.changes.Reset(index, w.asOf)
 	w.reached()
-	w.f.send(ctx, e)
-	if len(e.changes) > 0 && !e.whole {
+	w.f.send(ctx, event{whole: true, changes: changes})
+	return nil
+}
+
+// ask waits at the store for changes.
+func (w *watch) ask(ctx context.Context) error {
+	wait := max(minWait, watchWait-time.Since(w.asOf)) // short while asOf is not known
+	began := time.Now()
+	changes, index, err := w.f.source.Changes(ctx, w.index, wait)
+	w.f.count("watch", err)
+	if err != nil {
+		return err
+	}
+	w.reached()
+	raw := make([]relay.Change, 0, len(changes))
+	for i := range changes {
+		raw = append(raw, relay.Change{Revision: changes[i].Revision, Raw: changes[i].Raw})
+	}
+	asOf := time.Now()
+	w.f.changes.Extend(raw, index, asOf)
+	w.advance(ctx, changes, index, asOf)
+	if len(changes) > 0 {
 		pause(ctx, gatherTime-min(gatherTime, time.Since(began)))
 	}
 	return nil
 }
 
+// relayed takes in what the relay knows. It returns false when the store has to
+// be asked.
+func (w *watch) relayed(ctx context.Context) bool {
+	address := *w.f.relay.Load()
+	if w.subscription != nil && w.subscription.Address != address {
+		w.unsubscribe()
+		w.redial = time.Time{}
+	}
+	if address == "" || w.subscription == nil && time.Now().Before(w.redial) {
+		return false
+	}
+	until := w.asOf.Add(maxAge)
+	if w.subscription == nil {
+		s, err := relay.Subscribe(ctx, address, w.f.Keys, w.index)
+		if err != nil {
+			w.leaveRelay(ctx, address, err)
+			return false
+		}
+		w.subscription, until = s, time.Now().Add(helloLimit)
+		w.f.log.Info("relay_subscribed", zap.String("relay", address), zap.Uint64("revision", w.index))
+	}
+	b, err := w.subscription.Next(ctx, until)
+	switch {
+	case err != nil:
+	case b.Gap:
+		err = errGap
+	case time.Since(b.AsOf) > maxAge:
+		err = errOld
+	}
+	if err != nil {
+		w.leaveRelay(ctx, address, err)
+		return false
+	}
+	changes := make([]catalog.Change, 0, len(b.Changes))
+	for i := range b.Changes {
+		c, ok := w.f.source.Decode(b.Changes[i].Raw)
+		if !ok {
+			w.leaveRelay(ctx, address, errUnreadable)
+			return false
+		}
+		changes = append(changes, c)
+	}
+	// An instance that does not read the store itself keeps no changes for
+	// others.
+	w.f.changes.Reset(b.Index, b.AsOf)
+	w.f.relayed.Store(true)
+	w.advance(ctx, changes, b.Index, b.AsOf)
+	return true
+}
+
+// Reasons for which a relay is not used.
+var (
+	errGap        = errors.New("the relay does not know all changes since the last one read here")
+	errOld        = errors.New("the relay is not up to date with the store")
+	errUnreadable = errors.New("the relay sent a change that cannot be read")
+)
+
+// leaveRelay gives the relay up for a while.
+func (w *watch) leaveRelay(ctx context.Context, address string, cause error) {
+	w.unsubscribe()
+	if ctx.Err() != nil {
+		return
+	}
+	w.redial = time.Now().Add(redialInterval)
+	w.f.cfg.Scope.Counter("relay_left").Inc(1)
+	w.f.log.Info("relay_left", zap.String("relay", address), zap.Uint64("revision", w.index), zap.Error(cause))
+}
+
+func (w *watch) unsubscribe() {
+	if w.subscription != nil {
+		w.subscription.Close()
+		w.subscription = nil
+		w.f.relayed.Store(false)
+	}
+}
+
+// advance takes in the changes up to an index.
+func (w *watch) advance(ctx context.Context, changes []catalog.Change, index uint64, asOf time.Time) {
+	w.index, w.asOf = index, asOf
+	w.f.send(ctx, event{changes: changes})
+}
+
 func (w *watch) reached() {
 	w.backoff = 0
 	if !w.lost.IsZero() {
--- a/internal/instance/onplatform.go
+++ b/internal/instance/onplatform.go
@@ -20,6 +20,7 @@
 	"knapweedreel/internal/instance/entry/upstream"
 	"knapweedreel/internal/instance/evidence"
 	"knapweedreel/internal/instance/follower"
+	"knapweedreel/internal/instance/relay"
 	"knapweedreel/internal/placement"
 	"knapweedreel/internal/settings"
 	"knapweedreel/internal/supervisor"
@@ -88,6 +89,7 @@
 	follower *follower.Follower
 	entry    *entry.Server
 	evidence *evidence.Exchange
+	relay    *relay.Server
 	keep     atomic.Int64 // time.Duration for which callers keep an address answer
 }
 
@@ -106,6 +108,9 @@
 		Deliver: func(sender uint64, records []evidence.Record) { n.entry.Learn(sender, records) },
 		Log:     log, Scope: n.metrics.Scope,
 	})
+	n.relay = &relay.Server{
+		Address: s.PeerListenAddress, Log: n.follower.Changes(), Keys: n.follower.Keys, Logger: log, Scope: n.metrics.Scope,
+	}
 	limits := s.Limits
 	limits.CallerConnections = min(limits.CallerConnections, s.Platform.Descriptors/2)
 	n.entry = entry.New(entry.Config{
@@ -169,6 +174,7 @@
 		{Name: "member", Run: n.follower.Member},
 		{Name: "settings", Run: settingsFile.run},
 		{Name: "evidence", Run: n.evidence.Run},
+		{Name: "relay", Run: n.relay.Run},
 		{Name: "load", Run: n.watchLoad},
 		{Name: "readiness", Run: page{p.ReadyAddress, ready}.run},
 		{Name: "directory", Run: page{p.DirectoryAddress, resolve}.run},
--- /dev/null
+++ b/internal/instance/relay/relay_test.go
@@ -0,0 +1,244 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/cipher"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"knapweedreel/internal/instance/evidence"
+)
+
+// limit is generous: a test waits for events and not for this time.
+const limit = 20 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func newKeys(t *testing.T) evidence.Keys {
+	t.Helper()
+	aead, err := evidence.NewAEAD(evidence.NewKey())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return evidence.Keys{Seal: aead, Open: []cipher.AEAD{aead}}
+}
+
+func fixed(k evidence.Keys) func() evidence.Keys { return func() evidence.Keys { return k } }
+
+// serve runs a server of the log until the test ends and returns its address.
+func serve(t *testing.T, l *Log, keys evidence.Keys) string {
+	t.Helper()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := free.Addr().String()
+	_ = free.Close()
+	s := &Server{Address: address, Log: l, Keys: fixed(keys), Logger: zap.NewNop(), Scope: tally.NoopScope}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return address
+}
+
+// subscribe retries until the server listens.
+func subscribe(t *testing.T, address string, keys evidence.Keys, after uint64) *Subscription {
+	t.Helper()
+	deadline := time.Now().Add(limit)
+	for {
+		s, err := Subscribe(t.Context(), address, fixed(keys), after)
+		if err == nil {
+			t.Cleanup(s.Close)
+			return s
+		}
+		if time.Now().After(deadline) {
+			t.Fatal(err)
+		}
+	}
+}
+
+func next(t *testing.T, s *Subscription) Batch {
+	t.Helper()
+	b, err := s.Next(t.Context(), time.Now().Add(limit))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func change(revision uint64) Change { return Change{Revision: revision, Raw: []byte{byte(revision)}} }
+
+// Guards against changes that a subscriber misses, gets twice or out of order,
+// before and after it has subscribed.
+func TestSubscriberGetsWhatFollows(t *testing.T) {
+	keys, l := newKeys(t), NewLog()
+	l.Reset(10, time.Now())
+	l.Extend([]Change{change(11), change(12)}, 12, time.Now())
+	s := subscribe(t, serve(t, l, keys), keys, 11)
+	b := next(t, s)
+	if b.Gap || b.Index != 12 || len(b.Changes) != 1 || b.Changes[0].Revision != 12 || time.Since(b.AsOf) > limit {
+		t.Errorf("first batch %+v", b)
+	}
+	l.Extend([]Change{change(12), change(15), change(15)}, 20, time.Now())
+	if b = next(t, s); b.Gap || b.Index != 20 || len(b.Changes) != 2 || b.Changes[0].Revision != 15 {
+		t.Errorf("second batch %+v", b)
+	}
+	l.Extend(nil, 20, time.Now())
+	if b = next(t, s); b.Gap || b.Index != 20 || len(b.Changes) != 0 {
+		t.Errorf("batch without changes %+v", b)
+	}
+}
+
+// Guards against a subscriber that believes to be complete although the relay
+// has dropped, or never had, what it lacks.
+func TestSubscriberIsToldOfAGap(t *testing.T) {
+	keys, l := newKeys(t), NewLog()
+	l.Reset(10, time.Now())
+	address := serve(t, l, keys)
+	if b := next(t, subscribe(t, address, keys, 9)); !b.Gap {
+		t.Errorf("before the log begins: %+v", b)
+	}
+	s := subscribe(t, address, keys, 10)
+	if b := next(t, s); b.Gap {
+		t.Errorf("at the beginning: %+v", b)
+	}
+	l.Reset(30, time.Now())
+	if b := next(t, s); !b.Gap {
+		t.Errorf("after the log began anew: %+v", b)
+	}
+}
+
+// Guards against the age of what a relay knows being lost on the way: a relay
+// that cannot reach the store would keep its subscribers behind.
+func TestAgeIsPassedOn(t *testing.T) {
+	keys, l := newKeys(t), NewLog()
+	l.Reset(10, time.Now().Add(-time.Minute))
+	address := serve(t, l, keys)
+	if b := next(t, subscribe(t, address, keys, 10)); time.Since(b.AsOf) < time.Minute {
+		t.Errorf("age %v", time.Since(b.AsOf))
+	}
+	l.Reset(10, time.Time{})
+	if b := next(t, subscribe(t, address, keys, 10)); time.Since(b.AsOf) < time.Minute {
+		t.Errorf("age %v of what nobody has confirmed", time.Since(b.AsOf))
+	}
+}
+
+// Guards against changes from outside the fleet.
+func TestForeignKeysAreRefused(t *testing.T) {
+	l := NewLog()
+	l.Reset(10, time.Now())
+	ours := newKeys(t)
+	s := subscribe(t, serve(t, l, ours), newKeys(t), 10)
+	if b, err := s.Next(t.Context(), time.Now().Add(limit)); err == nil {
+		t.Errorf("a relay answers a foreign subscriber: %+v", b)
+	}
+	if _, err := Subscribe(t.Context(), serve(t, l, ours), func() evidence.Keys { return evidence.Keys{} }, 10); err == nil {
+		t.Error("an instance without a key subscribes")
+	}
+}
+
+// Guards against a recorded frame that is sent to another subscription.
+func TestRecordedFramesAreRefused(t *testing.T) {
+	keys := newKeys(t)
+	ours, theirs := net.Pipe()
+	defer func() { _ = theirs.Close() }()
+	s := &Subscription{conn: ours, reader: bufio.NewReader(ours), keys: fixed(keys), nonce: [16]byte{1}}
+	defer s.Close()
+	go func() { _ = writeFrame(theirs, keys.Seal, &update{Nonce: [16]byte{2}, Sequence: 1}) }()
+	if _, err := s.Next(t.Context(), time.Now().Add(limit)); !errors.Is(err, errForeign) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// Guards against a silent relay that holds its subscriber up for longer than it
+// allows.
+func TestSilentRelayIsLeftInTime(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	s := subscribe(t, listener.Addr().String(), newKeys(t), 1)
+	if _, err := s.Next(t.Context(), time.Now().Add(10*time.Millisecond)); !isTimeout(err) {
+		t.Errorf("error %v", err)
+	}
+}
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// Guards against a log that grows without bound, or that claims to be complete
+// after it has dropped changes.
+func TestLogIsBoundedAndTellsGaps(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		l := NewLog()
+		l.Reset(1, time.Now())
+		revision := uint64(1)
+		var all []Change
+		for range rapid.IntRange(1, 30).Draw(rt, "batches") {
+			var batch []Change
+			for range rapid.IntRange(0, 60).Draw(rt, "changes") {
+				revision += uint64(rapid.IntRange(0, 2).Draw(rt, "step"))
+				if revision == 1 {
+					revision++
+				}
+				batch = append(batch, Change{Revision: revision, Raw: make([]byte, rapid.SampledFrom([]int{10, logBytes / 100, logBytes / 2}).Draw(rt, "bytes"))})
+			}
+			// A revision is never divided between two answers of the store.
+			all = append(all, batch...)
+			l.Extend(batch, revision, time.Now())
+			revision++
+		}
+		if len(l.changes) > logChanges || l.bytes > logBytes {
+			rt.Fatalf("%d changes, %d bytes", len(l.changes), l.bytes)
+		}
+		after := rapid.Uint64Range(1, revision).Draw(rt, "after")
+		b, _ := l.after(after)
+		if b.Gap {
+			return
+		}
+		want := 0
+		for _, c := range all {
+			if c.Revision > after {
+				want++
+			}
+		}
+		if len(b.Changes) != want {
+			rt.Fatalf("%d changes after %d, want %d", len(b.Changes), after, want)
+		}
+	})
+}
+
+// Guards against panics on arbitrary frames, also on sealed ones.
+func FuzzReadFrame(f *testing.F) {
+	aead, err := evidence.NewAEAD(make([]byte, evidence.KeyBytes))
+	if err != nil {
+		f.Fatal(err)
+	}
+	keys := evidence.Keys{Seal: aead, Open: []cipher.AEAD{aead}}
+	f.Add([]byte{0, 0, 0, 3, 1, 2, 3})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var u update
+		if readFrame(bytes.NewReader(data), keys, maxFrame, &u) == nil {
+			t.Error("a frame that was not sealed is read")
+		}
+		_ = decMode.Unmarshal(data, &u)
+	})
+}
--- /dev/null
+++ b/internal/instance/relay/server.go
@@ -0,0 +1,108 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"knapweedreel/internal/instance/evidence"
+)
+
+// Limits of a server.
+const (
+	// maxSubscribers bounds the connections. A failure domain of the largest
+	// planned fleet has 156 instances.
+	maxSubscribers = 512
+	// helloLimit bounds the time until a subscriber says what it has.
+	helloLimit = time.Second
+	// helloBytes is the largest hello that is read.
+	helloBytes = 256
+	// writeLimit bounds the time for a frame. A subscriber that does not read
+	// goes to the store.
+	writeLimit = time.Second
+)
+
+// Server sends a log to subscribers. All fields are required.
+type Server struct {
+	Address string // TCP, IP:port
+	Log     *Log
+	Keys    func() evidence.Keys
+	Logger  *zap.Logger
+	Scope   tally.Scope
+}
+
+// Run serves until ctx is cancelled.
+func (s *Server) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", s.Address)
+	if err != nil {
+		return errors.Wrap(err, "listen for subscribers")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	places := make(chan struct{}, maxSubscribers)
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			cancel()
+			return errors.Wrap(err, "accept subscriber")
+		}
+		select {
+		case places <- struct{}{}:
+		default:
+			s.Scope.Counter("relay_subscribers_refused").Inc(1)
+			_ = conn.Close()
+			continue
+		}
+		wg.Go(func() {
+			defer func() { <-places }()
+			if err := s.serve(ctx, conn); err != nil && ctx.Err() == nil {
+				s.Logger.Debug("relay_subscriber_ended", zap.Stringer("remote", conn.RemoteAddr()), zap.Error(err))
+			}
+		})
+	}
+}
+
+// serve sends the log to one subscriber until it goes away, the log cannot
+// continue from what it has, or ctx is cancelled.
+func (s *Server) serve(ctx context.Context, conn net.Conn) error {
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetDeadline(time.Now().Add(helloLimit)); err != nil {
+		return errors.Wrap(err, "set deadline")
+	}
+	var h hello
+	if err := readFrame(conn, s.Keys(), helloBytes, &h); err != nil {
+		return err
+	}
+	s.Scope.Counter("relay_subscribers").Inc(1)
+	for sequence := uint64(1); ; sequence++ {
+		b, updated := s.Log.after(h.After)
+		if err := conn.SetDeadline(time.Now().Add(writeLimit)); err != nil {
+			return errors.Wrap(err, "set deadline")
+		}
+		if err := writeFrame(conn, s.Keys().Seal, &update{
+			Nonce: h.Nonce, Sequence: sequence, Gap: b.Gap, Index: b.Index, Changes: b.Changes,
+			AgeMS: uint64(time.Since(b.AsOf).Milliseconds()),
+		}); err != nil || b.Gap {
+			return err
+		}
+		h.After = b.Index
+		select {
+		case <-updated:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
