placement: bytes between failure domains have a cost

A request now bears a cost for each KiB that leaves the failure domain, an eighth of that between regions, as the users price them: about that of a failure in two hundred for a small request. Candidates say by themselves whether they are in another region.

TestChoosePrefersTheOwnFailureDomain failed before.

--- a/internal/instance/entry/placing.go
+++ b/internal/instance/entry/placing.go
@@ -21,6 +21,9 @@
 	// RemoteCost is the cost of a request in another region, as a probability
 	// of failure, and RemoteCostPerKB what each KiB of its body adds.
 	RemoteCost, RemoteCostPerKB float64
+	// DomainCostPerKB is the cost of each KiB that goes to another failure domain
+	// of the own region.
+	DomainCostPerKB float64
 }
 
 const (
@@ -114,7 +117,8 @@
 	for i := range svc.Upstreams {
 		u := &svc.Upstreams[i]
 		cands = append(cands, placement.Candidate{
-			ID: u.ID, Slots: u.Slots, Connections: u.MaxConnections, Cold: u.Cold, Transfer: p.transfer(snap, u, w),
+			ID: u.ID, Slots: u.Slots, Connections: u.MaxConnections, Cold: u.Cold,
+			Remote: u.Region != snap.Self.Region, Transfer: p.transfer(snap, u, w),
 		})
 	}
 	again := st.triedAll(svc, w)
@@ -129,14 +133,18 @@
 
 // transfer returns the cost of the way to an upstream.
 func (p *placing) transfer(snap *routing.Snapshot, u *routing.Upstream, w *want) float64 {
-	if u.Region == snap.Self.Region {
+	if u.FailureDomain == snap.Self.FailureDomain {
 		return 0
 	}
 	kb := float64(w.bytes) / 1024
 	if w.bytes < 0 {
 		kb = unknownKB
 	}
-	return p.cfg.RemoteCost + p.cfg.RemoteCostPerKB*(kb+answerKB)
+	kb += answerKB
+	if u.Region == snap.Self.Region {
+		return p.cfg.DomainCostPerKB * kb
+	}
+	return p.cfg.RemoteCost + p.cfg.RemoteCostPerKB*kb
 }
 
 // patience returns the time for which a request may wait for a slot, or an
--- a/internal/instance/onplatform.go
+++ b/internal/instance/onplatform.go
@@ -121,11 +121,13 @@
 	return n
 }
 
-// Costs of requests that go to another region, as probabilities of failure.
-// Regions are joined by slow, narrow links that are paid by volume.
+// Costs of requests that go to another region or failure domain, as
+// probabilities of failure. Regions are joined by slow, narrow links; both kinds
+// of links are paid by volume, those between regions eight times as much.
 const (
 	remoteCost      = 0.05
 	remoteCostPerKB = 0.02
+	domainCostPerKB = remoteCostPerKB / 8
 )
 
 // retryPart is the part of the fleet's share of retries that is used. Requests
@@ -137,7 +139,7 @@
 	return &entry.Placement{
 		Model:      placement.DefaultModel(),
 		RetryShare: retryPart * p.RetryShare, RetryReserve: float64(p.RetryReserve),
-		RemoteCost: remoteCost, RemoteCostPerKB: remoteCostPerKB,
+		RemoteCost: remoteCost, RemoteCostPerKB: remoteCostPerKB, DomainCostPerKB: domainCostPerKB,
 	}
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -10,6 +10,7 @@
 	ID          string
 	Slots       int     // requests that it runs at a time
 	Connections int     // requests of this instance that it accepts at a time
+	Remote      bool    // in another region
 	Transfer    float64 // cost of the way to it, as a probability of failure
 	Cold        bool    // has started lately and is slow
 }
@@ -120,7 +121,7 @@
 	found := false
 	for i := range cands {
 		c := &cands[i]
-		if (c.Transfer > 0) != remote {
+		if c.Remote != remote {
 			continue
 		}
 		if skip != nil && skip(c.ID) {
@@ -205,7 +206,7 @@
 	if c.Cold {
 		cost += coldCost
 	}
-	if c.Transfer == 0 && now.Sub(s.last) >= t.staleTime() {
+	if !c.Remote && now.Sub(s.last) >= t.staleTime() {
 		switch {
 		case fails <= t.unknown+staleMargin && t.sinceStale >= t.staleEach():
 			cost -= staleGain
@@ -214,7 +215,7 @@
 		}
 	}
 	joined := !t.first.IsZero() && s.known.Sub(t.first) >= settledAfter
-	if joined && !s.tried && c.Transfer == 0 && now.Sub(s.known) >= trialAfter {
+	if joined && !s.tried && !c.Remote && now.Sub(s.known) >= trialAfter {
 		cost -= trialGain
 	}
 	return cost
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -147,7 +147,7 @@
 func TestChooseLeavesTheRegionLast(t *testing.T) {
 	tr := NewTracker(DefaultModel())
 	c := candidates("near", "far")
-	c[1].Transfer = 0.1
+	c[1].Remote, c[1].Transfer = true, 0.1
 	now := serve(tr, "near", 3, 0, Good)
 	serve(tr, "far", 3, 0, Good)
 	if got, _ := tr.Choose(c, nil, at(now)); got.Index != 0 {
@@ -160,6 +160,24 @@
 	}
 }
 
+// Guards against bytes between failure domains that no request gains from, and
+// against requests that stay in their failure domain at a faulty upstream.
+func TestChoosePrefersTheOwnFailureDomain(t *testing.T) {
+	tr := NewTracker(DefaultModel())
+	c := candidates("across", "own")
+	c[0].Transfer = 0.02
+	now := serve(tr, "across", 3, 0, Good)
+	serve(tr, "own", 3, 0, Good)
+	if got, _ := tr.Choose(c, nil, at(now)); got.Index != 1 {
+		t.Error("the other failure domain is chosen first")
+	}
+	now = serve(tr, "own", 3, now, Bad)
+	serve(tr, "across", 3, now-1200, Good)
+	if got, _ := tr.Choose(c, nil, at(now)); got.Index != 0 {
+		t.Error("the other failure domain is not chosen while the own one fails")
+	}
+}
+
 // Guards against an upstream that joins and gets nothing while the others are
 // well, and against trials of all upstreams whenever an instance starts.
 func TestJoinedUpstreamIsTried(t *testing.T) {
