placement: wait for a better upstream before using one believed to be faulty

Cause: a request went at once to whichever upstream had room, also when the good ones were full for a moment.

A request now waits up to half of its usual time for a slot of an upstream that is not believed to be faulty, then goes to the best one there is. Choices that are made to find out about an upstream do not wait.

Ruled out by replays: waiting for longer (500 ms and 1 s at a median of 400 ms) and refusing afterwards, both of which leave more requests unserved near saturation.

TestReplayBurstWaitsForBetterUpstreams fails without the wait.

--- a/internal/instance/entry/placing.go
+++ b/internal/instance/entry/placing.go
@@ -124,7 +124,7 @@
 	again := st.triedAll(svc, w)
 	c, ok := p.tracker.Choose(cands, func(id string) bool {
 		return st.avoided(id, now) || !again && slices.Contains(w.tried, id) || st.unreached[id] && st.inFlight[id] > 0
-	}, now)
+	}, now.Before(w.started.Add(p.times(w).Hold())), now)
 	if !ok {
 		return choice{}, false
 	}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -78,6 +78,10 @@
 	// used again. A belief of a fault comes down to it within about 6 s; a
 	// smaller margin leaves upstreams whose spell is over unused for longer.
 	staleMargin = 0.14
+	// holdAbove is the probability of failure from which waiting for a slot of
+	// another upstream is better. A lower one makes requests wait for longer
+	// while most upstreams are in doubt.
+	holdAbove = 0.45
 	// excess is the number of requests beyond its slots that an upstream gets,
 	// as a share of its slots. Requests beyond it wait here, where they can
 	// still go to any upstream.
@@ -93,8 +97,9 @@
 }
 
 // Choose returns the best candidate, or false when none has room. skip excludes
-// candidates; it may be nil.
-func (t *Tracker) Choose(cands []Candidate, skip func(id string) bool, now time.Time) (Choice, bool) {
+// candidates; it may be nil. With hold it also returns false when the best one
+// is believed to be faulty, so that the request can wait for a better one.
+func (t *Tracker) Choose(cands []Candidate, skip func(id string) bool, hold bool, now time.Time) (Choice, bool) {
 	if now.Sub(t.judged) >= judgeInterval {
 		t.losing, t.judged = t.isLosing(now), now
 	}
@@ -104,6 +109,9 @@
 			best, found = other, true
 		}
 	}
+	if found && hold && best.Fails > holdAbove && best.Cost >= best.Fails { // not to find out about it
+		return Choice{}, false
+	}
 	t.sinceStale++
 	if found && now.Sub(t.state(cands[best.Index].ID, now).last) >= t.staleTime() {
 		t.sinceStale = 0
--- a/internal/placement/floor_test.go
+++ b/internal/placement/floor_test.go
@@ -79,10 +79,7 @@
 		var service result
 		for region := range uint64(regions) {
 			tr := NewTracker(DefaultModel())
-			r := l.replay(seed*regions+region, tr, func(c []Candidate, now time.Time) (int, bool) {
-				got, ok := tr.Choose(c, nil, now)
-				return got.Index, ok
-			})
+			r := l.replay(seed*regions+region, tr, l.placed(tr))
 			for _, s := range r.sends {
 				s.upstream += len(service.spells)
 				service.sends = append(service.sends, s)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -113,7 +113,7 @@
 	times := tr.Times("r", medianTime)
 	c := candidates("a")
 	for n := 0; ; n++ {
-		if _, ok := tr.Choose(c, nil, at(0)); !ok {
+		if _, ok := tr.Choose(c, nil, false, at(0)); !ok {
 			if n != 8 {
 				t.Errorf("%d requests at once, want 6 slots and 2", n)
 			}
@@ -123,21 +123,21 @@
 	}
 	tr = NewTracker(DefaultModel())
 	tr.Full("a", at(0))
-	if _, ok := tr.Choose(c, nil, at(100)); ok {
+	if _, ok := tr.Choose(c, nil, false, at(100)); ok {
 		t.Error("an upstream that has just refused is chosen")
 	}
-	if _, ok := tr.Choose(c, nil, at(200)); !ok {
+	if _, ok := tr.Choose(c, nil, false, at(200)); !ok {
 		t.Error("an upstream is not chosen again after a refusal")
 	}
 	c[0].Connections = 1
 	tr.Start("a", times, at(200))
-	if _, ok := tr.Choose(c, nil, at(200)); ok {
+	if _, ok := tr.Choose(c, nil, false, at(200)); ok {
 		t.Error("more requests than connections")
 	}
 	// What the upstream says counts too: others use it.
 	tr = NewTracker(DefaultModel())
 	tr.Load("a", 8, at(0))
-	if _, ok := tr.Choose(candidates("a"), nil, at(100)); ok {
+	if _, ok := tr.Choose(candidates("a"), nil, false, at(100)); ok {
 		t.Error("an upstream that says that it is full is chosen")
 	}
 }
@@ -150,12 +150,12 @@
 	c[1].Remote, c[1].Transfer = true, 0.1
 	now := serve(tr, "near", 3, 0, Good)
 	serve(tr, "far", 3, 0, Good)
-	if got, _ := tr.Choose(c, nil, at(now)); got.Index != 0 {
+	if got, _ := tr.Choose(c, nil, false, at(now)); got.Index != 0 {
 		t.Error("the other region is chosen first")
 	}
 	now = serve(tr, "near", 3, now, Bad)
 	serve(tr, "far", 3, now-1200, Good)
-	if got, _ := tr.Choose(c, nil, at(now)); got.Index != 1 {
+	if got, _ := tr.Choose(c, nil, false, at(now)); got.Index != 1 {
 		t.Error("the other region is not chosen while the own one fails")
 	}
 }
@@ -168,12 +168,12 @@
 	c[0].Transfer = 0.02
 	now := serve(tr, "across", 3, 0, Good)
 	serve(tr, "own", 3, 0, Good)
-	if got, _ := tr.Choose(c, nil, at(now)); got.Index != 1 {
+	if got, _ := tr.Choose(c, nil, false, at(now)); got.Index != 1 {
 		t.Error("the other failure domain is chosen first")
 	}
 	now = serve(tr, "own", 3, now, Bad)
 	serve(tr, "across", 3, now-1200, Good)
-	if got, _ := tr.Choose(c, nil, at(now)); got.Index != 0 {
+	if got, _ := tr.Choose(c, nil, false, at(now)); got.Index != 0 {
 		t.Error("the other failure domain is not chosen while the own one fails")
 	}
 }
@@ -186,7 +186,7 @@
 	now := 0
 	used := map[int]bool{}
 	for range 30 {
-		got, _ := tr.Choose(old, nil, at(now))
+		got, _ := tr.Choose(old, nil, false, at(now))
 		used[got.Index] = true
 		now = serve(tr, old[got.Index].ID, 1, now, Good)
 	}
@@ -194,8 +194,8 @@
 		t.Fatalf("used %v until %d ms", used, now)
 	}
 	joined := candidates("a", "b", "c", "d")
-	tr.Choose(joined, nil, at(now))
-	if got, _ := tr.Choose(joined, nil, at(now+1100)); joined[got.Index].ID != "d" {
+	tr.Choose(joined, nil, false, at(now))
+	if got, _ := tr.Choose(joined, nil, false, at(now+1100)); joined[got.Index].ID != "d" {
 		t.Errorf("%s is chosen after an upstream has joined", joined[got.Index].ID)
 	}
 }
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -20,6 +20,7 @@
 	hang      float64       // share of requests that hang in a spell
 	clump     int           // requests that come at once
 	deadline  time.Duration
+	impatient bool // requests do not wait for better upstreams
 }
 
 // result is what became of a replayed load.
@@ -77,6 +78,15 @@
 	return all
 }
 
+// placed returns a choice by the tracker for replay.
+func (l load) placed(tr *Tracker) func(c []Candidate, waited time.Duration, now time.Time) (int, bool) {
+	times := tr.Times("r", medianTime)
+	return func(c []Candidate, waited time.Duration, now time.Time) (int, bool) {
+		got, ok := tr.Choose(c, nil, !l.impatient && waited < times.Hold(), now)
+		return got.Index, ok
+	}
+}
+
 // faultyAt reports whether an upstream with the given spells is faulty.
 func faultyAt(spells []time.Duration, at time.Duration) bool {
 	faulty := false
@@ -94,7 +104,7 @@
 
 // replay plays a load. choose returns the upstream of a request, or false to
 // let it wait.
-func (l load) replay(seed uint64, tr *Tracker, choose func(c []Candidate, now time.Time) (int, bool)) result {
+func (l load) replay(seed uint64, tr *Tracker, choose func(c []Candidate, waited time.Duration, now time.Time) (int, bool)) result {
 	r := rand.New(rand.NewPCG(seed, 1))
 	spells := l.spells(r)
 	var cands []Candidate
@@ -125,7 +135,7 @@
 				waiting = waiting[1:]
 				continue
 			}
-			i, ok := choose(cands, t)
+			i, ok := choose(cands, t.Sub(waiting[0]), t)
 			if !ok {
 				break
 			}
@@ -159,14 +169,11 @@
 	t.Helper()
 	for seed := range uint64(6) {
 		r := rand.New(rand.NewPCG(seed, 2))
-		blind := l.replay(seed, NewTracker(DefaultModel()), func(c []Candidate, _ time.Time) (int, bool) {
+		blind := l.replay(seed, NewTracker(DefaultModel()), func(c []Candidate, _ time.Duration, _ time.Time) (int, bool) {
 			return r.IntN(len(c)), true
 		})
 		tr := NewTracker(DefaultModel())
-		seen := l.replay(seed, tr, func(c []Candidate, now time.Time) (int, bool) {
-			got, ok := tr.Choose(c, nil, now)
-			return got.Index, ok
-		})
+		seen := l.replay(seed, tr, l.placed(tr))
 		random = random.plus(blind)
 		placed = placed.plus(seen)
 	}
@@ -225,11 +232,36 @@
 		healthy: time.Hour, faulty: time.Second, hang: 0.75, clump: 1, deadline: 5 * time.Second,
 	}
 	tr := NewTracker(DefaultModel())
-	got := l.replay(1, tr, func(c []Candidate, now time.Time) (int, bool) {
-		choice, ok := tr.Choose(c, nil, now)
-		return choice.Index, ok
-	})
+	got := l.replay(1, tr, l.placed(tr))
 	if share := float64(got.refused) / float64(got.served+got.refused); share > 0.05 || got.lost > 0 {
 		t.Errorf("refused %.3f, lost %d", share, got.lost)
 	}
 }
+
+// Guards against requests that go to an upstream believed to be faulty although
+// a slot of a better one is free a moment later. The loads are those of a burst
+// on busy days: half to three quarters of the slots in use, requests that come
+// two at a time, and the usual spells.
+func TestReplayBurstWaitsForBetterUpstreams(t *testing.T) {
+	for _, l := range []load{
+		{name: "few slots", upstreams: 12, slots: 3, perSecond: 75, deadline: 2 * time.Second},
+		{name: "few upstreams", upstreams: 5, slots: 6, perSecond: 45, deadline: 5 * time.Second},
+		{name: "one region of a small service", upstreams: 4, slots: 3, perSecond: 15, deadline: 2 * time.Second},
+	} {
+		l.seconds, l.healthy, l.faulty, l.hang, l.clump = 60, 20*time.Second, 7*time.Second, 0.75, 2
+		unserved := func(impatient bool) float64 {
+			var sum result
+			l.impatient = impatient
+			for seed := range uint64(6) {
+				tr := NewTracker(DefaultModel())
+				sum = sum.plus(l.replay(seed, tr, l.placed(tr)))
+			}
+			return float64(sum.lost+sum.refused) / float64(sum.served+sum.lost+sum.refused)
+		}
+		waiting, at := unserved(false), unserved(true)
+		t.Logf("%s: unserved %.4f, %.4f without waiting", l.name, waiting, at)
+		if waiting >= at {
+			t.Errorf("%s: unserved %.4f, %.4f without waiting", l.name, waiting, at)
+		}
+	}
+}
--- a/internal/placement/times.go
+++ b/internal/placement/times.go
@@ -50,6 +50,11 @@
 // Mean returns the mean time of an answer.
 func (t *Times) Mean() time.Duration { return seconds(math.Exp(t.mean + t.variance/2)) }
 
+// Hold returns the time for which it pays to wait for a better upstream than one
+// that is believed to be faulty. After it, few slots become free that others do
+// not wait for as well.
+func (t *Times) Hold() time.Duration { return t.Median() / 2 }
+
 // Late returns the time that an answer of a healthy upstream exceeds by chance
 // with the given number of standard deviations.
 func (t *Times) Late(deviations float64) time.Duration {
