follower: let the relay continue where the store has turned the instance away

The relay is now tried each second in this state too; it says itself whether it knows everything since the last change that was read.

TestRelayServesInstancesThatTheStoreTurnsAway failed before.

--- a/internal/instance/follower/follower_test.go
+++ b/internal/instance/follower/follower_test.go
@@ -17,6 +17,7 @@
 
 	"knapweedreel/internal/catalog"
 	"knapweedreel/internal/instance/relay"
+	"knapweedreel/internal/store"
 	"knapweedreel/platform"
 	"knapweedreel/platform/standin"
 )
@@ -322,3 +323,66 @@
 	}
 	return changes, index, err
 }
+
+// Guards against an instance that the store turns away and that stays with an
+// old configuration, and calls the store all the time, although its relay is
+// served.
+func TestRelayServesInstancesThatTheStoreTurnsAway(t *testing.T) {
+	s, c := startStore(t)
+	put(s, "3")
+	var all []*Follower
+	var doors []*door
+	for i := range 3 {
+		d := &door{Store: c}
+		doors = append(doors, d)
+		all = append(all, run(t, fmt.Sprint("i", i), d))
+	}
+	reader := -1
+	eventually(t, "one relay for all", func() bool {
+		subscribed := 0
+		for i, f := range all {
+			if f.relayed.Load() {
+				subscribed++
+			} else {
+				reader = i
+			}
+		}
+		return subscribed == len(all)-1
+	})
+	away := (reader + 1) % len(all)
+	doors[away].shut.Store(true)
+	// The instance asks the store while it has no relay.
+	none := ""
+	address := all[away].relay.Swap(&none)
+	eventually(t, "calls that fail", func() bool { return doors[away].refused.Load() > 2 })
+	all[away].relay.Store(address)
+	put(s, "4")
+	eventually(t, "the new version at the instance that is turned away", func() bool { return version(all[away]) == 4 })
+}
+
+// door is a store that can turn its instance away.
+type door struct {
+	*platform.Store
+	shut    atomic.Bool
+	refused atomic.Int64
+}
+
+func (d *door) Changes(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Change, uint64, error) {
+	if d.shut.Load() {
+		d.refused.Add(1)
+		return nil, 0, store.ErrUnavailable
+	}
+	changes, index, err := d.Store.Changes(ctx, after, min(wait, 50*time.Millisecond))
+	if d.shut.Load() {
+		return nil, 0, store.ErrUnavailable
+	}
+	return changes, index, err
+}
+
+func (d *door) Load(ctx context.Context, stale bool) ([]catalog.Change, uint64, error) {
+	if d.shut.Load() {
+		d.refused.Add(1)
+		return nil, 0, store.ErrUnavailable
+	}
+	return d.Store.Load(ctx, stale)
+}
--- a/internal/instance/follower/watch.go
+++ b/internal/instance/follower/watch.go
@@ -54,7 +54,7 @@
 // watch is the state of the loop.
 type watch struct {
 	f       *Follower
-	loaded  bool      // index is valid
+	loaded  bool      // the store can be asked for changes after the index
 	stale   bool      // the next load may be old
 	index   uint64    // of the last change that was read
 	asOf    time.Time // when nothing followed the index
@@ -65,14 +65,17 @@
 	redial       time.Time           // when the relay may be tried again
 }
 
-// step reads what is new and hands it to the control goroutine.
+// step reads what is new and hands it to the control goroutine. The relay may
+// also continue where calls to the store have failed.
 func (w *watch) step(ctx context.Context) error {
+	if w.index > 0 && w.relayed(ctx) {
+		w.reached()
+		w.loaded = true
+		return nil
+	}
 	if !w.loaded {
 		return w.load(ctx)
 	}
-	if w.relayed(ctx) {
-		return nil
-	}
 	return w.ask(ctx)
 }
 
