follower: another relay takes over from one that the store turns away

Cause: an instance that had lost both its relay and the store heard of no new relay. A relay that was turned away had nobody to turn to at all.

The three first members of a failure domain by rank are tried in turn, with one call to the store between two of them. The first one reads the store itself and tries the others only while the store turns it away. Each instance counts itself in, so that a returning relay does not wait for its own entry to be passed on to it by another that follows it. What is passed on must have been read from the store, which ends cycles.

TestNextRelayTakesOver failed before the first relay could turn to others.

--- a/internal/catalog/locate.go
+++ b/internal/catalog/locate.go
@@ -58,15 +58,21 @@
 // Width returns among how many instances the callers of a region are spread.
 func (d *Directory) Width(region string) int { return widest(inRegion(d.registered, region)) }
 
-// Relay returns the member that reads the store for a failure domain, or false
-// when the domain has no member.
-func (d *Directory) Relay(domain string) (Member, bool) {
-	for _, m := range largest(ranked("relay", d.registered)) {
-		if m.FailureDomain == domain {
-			return m, true
+// maxRelays is the number of members that may read the store for a failure
+// domain, one of them at a time.
+const maxRelays = 3
+
+// Relays returns the members that read the store for the failure domain of self,
+// which need not be registered. The next one takes over from one that is behind.
+func (d *Directory) Relays(self Member) []Member {
+	members := slices.DeleteFunc(slices.Clone(d.registered), func(m Member) bool { return m.ID == self.ID })
+	var relays []Member
+	for _, m := range largest(ranked("relay", append(members, self))) {
+		if m.FailureDomain == self.FailureDomain && len(relays) < maxRelays {
+			relays = append(relays, m)
 		}
 	}
-	return Member{}, false
+	return relays
 }
 
 // Serving returns among how many instances the callers of all regions are
--- a/internal/instance/follower/follower.go
+++ b/internal/instance/follower/follower.go
@@ -43,7 +43,7 @@
 	members  atomic.Pointer[catalog.Directory]
 	peers    atomic.Pointer[[]netip.AddrPort]
 	keys     atomic.Pointer[evidence.Keys]
-	relay    atomic.Pointer[string] // address of the relay, "" to read the store
+	relays   atomic.Pointer[relays]
 	changes  *relay.Log
 	relayed  atomic.Bool // the relay is subscribed to and up to date
 	width    chan int
@@ -75,7 +75,7 @@
 		ready: make(chan struct{}), leaving: make(chan struct{}),
 		catalog: catalog.New(), changes: relay.NewLog(),
 	}
-	f.relay.Store(new(string))
+	f.relays.Store(new(relays))
 	f.keys.Store(&evidence.Keys{})
 	f.publish(time.Now())
 	return f
@@ -207,7 +207,7 @@
 	snap.Serving = directory.Serving()
 	f.members.Store(directory)
 	f.publishPeers(directory)
-	f.publishRelay(directory)
+	f.publishRelays(directory)
 	f.publishKeys()
 	f.snapshot.Store(snap)
 	if snap.Ready {
--- a/internal/instance/follower/follower_test.go
+++ b/internal/instance/follower/follower_test.go
@@ -352,10 +352,9 @@
 	away := (reader + 1) % len(all)
 	doors[away].shut.Store(true)
 	// The instance asks the store while it has no relay.
-	none := ""
-	address := all[away].relay.Swap(&none)
+	known := all[away].relays.Swap(new(relays))
 	eventually(t, "calls that fail", func() bool { return doors[away].refused.Load() > 2 })
-	all[away].relay.Store(address)
+	all[away].relays.Store(known)
 	put(s, "4")
 	eventually(t, "the new version at the instance that is turned away", func() bool { return version(all[away]) == 4 })
 }
@@ -386,3 +385,40 @@
 	}
 	return d.Store.Load(ctx, stale)
 }
+
+// Guards against an instance that the store turns away and that knows no other
+// relay than one that is turned away as well: it hears of no new member.
+func TestNextRelayTakesOver(t *testing.T) {
+	s, c := startStore(t)
+	put(s, "3")
+	var all []*Follower
+	var doors []*door
+	for i := range 4 {
+		d := &door{Store: c}
+		doors = append(doors, d)
+		all = append(all, run(t, fmt.Sprint("i", i), d))
+	}
+	reader := -1
+	eventually(t, "one relay for all", func() bool {
+		subscribed := 0
+		for i, f := range all {
+			if f.relayed.Load() {
+				subscribed++
+			} else {
+				reader = i
+			}
+		}
+		return subscribed == len(all)-1
+	})
+	// One of the two relays that may take over is turned away as well.
+	away := slices.IndexFunc(all, func(f *Follower) bool {
+		r := f.relays.Load()
+		return !r.first && len(r.others) == 2
+	})
+	doors[reader].shut.Store(true)
+	doors[away].shut.Store(true)
+	put(s, "4")
+	eventually(t, "the new version at all", func() bool {
+		return !slices.ContainsFunc(all, func(f *Follower) bool { return version(f) != 4 })
+	})
+}
--- a/internal/instance/follower/peers.go
+++ b/internal/instance/follower/peers.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"crypto/cipher"
 	"net/netip"
+	"slices"
 
 	"go.uber.org/zap"
 
@@ -32,16 +33,26 @@
 	f.peers.Store(&peers)
 }
 
-// publishRelay publishes which instance of the failure domain reads the store
+// relays are the instances of the failure domain that read the store for it.
+type relays struct {
+	first  bool     // this instance is the one that does so while it is served
+	others []string // addresses, in the order in which they are tried
+}
+
+// publishRelays publishes which instances of the failure domain read the store
 // for it.
-func (f *Follower) publishRelay(d *catalog.Directory) {
-	address := ""
-	if m, ok := d.Relay(f.cfg.Self.FailureDomain); ok && m.ID != f.cfg.Self.ID {
-		address = m.PeerAddress
+func (f *Follower) publishRelays(d *catalog.Directory) {
+	next := relays{}
+	for i, m := range d.Relays(f.cfg.Self) {
+		if m.ID == f.cfg.Self.ID {
+			next.first = i == 0
+			continue
+		}
+		next.others = append(next.others, m.PeerAddress)
 	}
-	if *f.relay.Load() != address {
-		f.log.Info("relay_chosen", zap.String("relay", address), zap.Uint64("configuration", f.version))
-		f.relay.Store(&address)
+	if old := f.relays.Load(); next.first != old.first || !slices.Equal(next.others, old.others) {
+		f.log.Info("relays_chosen", zap.Bool("own", next.first), zap.Strings("others", next.others), zap.Uint64("configuration", f.version))
+		f.relays.Store(&next)
 	}
 }
 
--- a/internal/instance/follower/watch.go
+++ b/internal/instance/follower/watch.go
@@ -32,8 +32,8 @@
 	maxAge = watchWait + 300*time.Millisecond
 	// minWait is the shortest wait for changes.
 	minWait = 100 * time.Millisecond
-	// redialInterval is the time after which a relay that was given up is tried
-	// again, and helloLimit the time within which it has to answer then.
+	// redialInterval is the time after which relays are tried again when all were
+	// given up, and helloLimit the time within which one has to answer then.
 	redialInterval = time.Second
 	helloLimit     = 300 * time.Millisecond
 )
@@ -61,12 +61,14 @@
 	backoff time.Duration
 	lost    time.Time // when the store was lost, zero while it can be reached
 
+	relays       *relays             // as of the last call of relayed
 	subscription *relay.Subscription // nil while the store is read
-	redial       time.Time           // when the relay may be tried again
+	turn         int                 // which relay is tried next
+	redial       time.Time           // when relays may be tried again
 }
 
-// step reads what is new and hands it to the control goroutine. The relay may
-// also continue where calls to the store have failed.
+// step reads what is new and hands it to the control goroutine. A relay may also
+// continue where calls to the store have failed.
 func (w *watch) step(ctx context.Context) error {
 	if w.index > 0 && w.relayed(ctx) {
 		w.reached()
@@ -106,6 +108,7 @@
 		return err
 	}
 	w.reached()
+	w.unsubscribe() // of a relay that stood in
 	raw := make([]relay.Change, 0, len(changes))
 	for i := range changes {
 		raw = append(raw, relay.Change{Revision: changes[i].Revision, Raw: changes[i].Raw})
@@ -119,19 +122,22 @@
 	return nil
 }
 
-// relayed takes in what the relay knows. It returns false when the store has to
-// be asked.
+// relayed takes in what a relay knows. It returns false when the store has to be
+// asked.
 func (w *watch) relayed(ctx context.Context) bool {
-	address := *w.f.relay.Load()
-	if w.subscription != nil && w.subscription.Address != address {
-		w.unsubscribe()
-		w.redial = time.Time{}
+	r := w.f.relays.Load()
+	if r != w.relays {
+		if w.subscription != nil && (len(r.others) == 0 || r.others[0] != w.subscription.Address) {
+			w.unsubscribe()
+		}
+		w.relays, w.turn, w.redial = r, 0, time.Time{}
 	}
-	if address == "" || w.subscription == nil && time.Now().Before(w.redial) {
+	if r.first && w.loaded || len(r.others) == 0 || w.subscription == nil && time.Now().Before(w.redial) {
 		return false
 	}
 	until := w.asOf.Add(maxAge)
 	if w.subscription == nil {
+		address := r.others[w.turn%len(r.others)]
 		s, err := relay.Subscribe(ctx, address, w.f.Keys, w.index)
 		if err != nil {
 			w.leaveRelay(ctx, address, err)
@@ -149,21 +155,20 @@
 		err = errOld
 	}
 	if err != nil {
-		w.leaveRelay(ctx, address, err)
+		w.leaveRelay(ctx, w.subscription.Address, err)
 		return false
 	}
 	changes := make([]catalog.Change, 0, len(b.Changes))
 	for i := range b.Changes {
 		c, ok := w.f.source.Decode(b.Changes[i].Raw)
 		if !ok {
-			w.leaveRelay(ctx, address, errUnreadable)
+			w.leaveRelay(ctx, w.subscription.Address, errUnreadable)
 			return false
 		}
 		changes = append(changes, c)
 	}
-	// An instance that does not read the store itself keeps no changes for
-	// others.
-	w.f.changes.Reset(b.Index, b.AsOf)
+	// An instance that does not read the store itself passes nothing on.
+	w.f.changes.Reset(b.Index, time.Time{})
 	w.f.relayed.Store(true)
 	w.advance(ctx, changes, b.Index, b.AsOf)
 	return true
@@ -176,13 +181,16 @@
 	errUnreadable = errors.New("the relay sent a change that cannot be read")
 )
 
-// leaveRelay gives the relay up for a while.
+// leaveRelay gives a relay up. The next one is tried after the store was asked
+// once, and each one again after a while.
 func (w *watch) leaveRelay(ctx context.Context, address string, cause error) {
 	w.unsubscribe()
 	if ctx.Err() != nil {
 		return
 	}
-	w.redial = time.Now().Add(redialInterval)
+	if w.turn++; w.turn%max(1, len(w.relays.others)) == 0 {
+		w.redial = time.Now().Add(redialInterval)
+	}
 	w.f.cfg.Scope.Counter("relay_left").Inc(1)
 	w.f.log.Info("relay_left", zap.String("relay", address), zap.Uint64("revision", w.index), zap.Error(cause))
 }
