upstream: pass on answers that end with their connection, where the protocol has them

Cause: an answer without a length or chunks was refused as malformed and thrown away, although the users' protocol allows it.

They are whole when the connection ends in order and cut when it is reset; the connection is not used again. The fleet's own protocol refuses them as before (TestChecksAnswers).

TestAnswersThatEndWithTheirConnection failed before.

--- a/internal/instance/entry/upstream/attempt.go
+++ b/internal/instance/entry/upstream/attempt.go
@@ -118,7 +118,7 @@
 	if err != nil {
 		return nil, x.roundTripError(err)
 	}
-	resp.Body = &body{ReadCloser: resp.Body, x: x}
+	resp.Body = &body{ReadCloser: resp.Body, x: x, last: !framed(x.attempt.Request, resp)}
 	ans := &Answer{Response: resp}
 	if err := x.check(ans); err != nil {
 		return nil, err
@@ -184,7 +184,7 @@
 	if ans.StatusCode < http.StatusOK {
 		return errkind.New(errkind.BadAnswer, "unexpected status %d", ans.StatusCode)
 	}
-	if !framed(x.attempt.Request, ans.Response) {
+	if !x.pool.protocol.Unframed && !framed(x.attempt.Request, ans.Response) {
 		return errkind.New(errkind.BadAnswer, "the answer has neither a length nor chunked framing")
 	}
 	refused := p.Refused(ans.Response)
--- a/internal/instance/entry/upstream/attempt_test.go
+++ b/internal/instance/entry/upstream/attempt_test.go
@@ -207,6 +207,44 @@
 	}
 }
 
+// Guards against an answer that is thrown away, where the protocol has answers
+// that end with their connection, against one that a reset cuts short and that
+// looks whole, and against a connection that is used again after one.
+func TestAnswersThatEndWithTheirConnection(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		u := newRaw(t, func(u *rawUpstream, _ int, c *net.TCPConn, br *bufio.Reader) {
+			u.request(br)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+HeaderRequestID+": id-1\r\n\r\nbody")
+			if reset {
+				_ = c.SetLinger(0)
+				return
+			}
+			_ = c.CloseWrite()
+			drain(br)
+		})
+		protocol := OwnProtocol()
+		protocol.Unframed = true
+		p := newPools(t, func(c *Config) { c.Protocol = protocol })
+		for range 2 {
+			ans, trace, err := p.Do(testContext(t), u.get("id-1"))
+			if err != nil {
+				if !reset || errkind.Of(err) != errkind.UpstreamReset && errkind.Of(err) != errkind.TruncatedAnswer {
+					t.Fatal(err)
+				}
+				continue // the reset overtook the answer
+			}
+			if !trace.Fresh {
+				t.Error("the connection is used again")
+			}
+			got, err := io.ReadAll(ans.Body)
+			if reset && errkind.Of(err) != errkind.TruncatedAnswer || !reset && (err != nil || string(got) != "body") {
+				t.Errorf("reset %t: got %q, error %v", reset, got, err)
+			}
+			_ = ans.Body.Close()
+		}
+	}
+}
+
 // Guards against a short answer that is taken for a whole one.
 func TestTruncatedBody(t *testing.T) {
 	for _, tc := range []string{
--- a/internal/instance/entry/upstream/body.go
+++ b/internal/instance/entry/upstream/body.go
@@ -6,13 +6,14 @@
 	"knapweedreel/internal/errkind"
 )
 
-// body is the body of an answer. When it was read to its end, Close gives the
-// connection back; otherwise Close closes the connection, by which the
+// body is the body of an answer. When it was read to its end and the connection
+// goes on, Close gives the connection back; otherwise Close closes the connection, by which the
 // upstream learns that the rest is not wanted.
 type body struct {
 	io.ReadCloser
 	x      *exchange
 	end    bool
+	last   bool // it ends with its connection
 	closed bool
 }
 
@@ -37,7 +38,7 @@
 		return nil
 	}
 	b.closed = true
-	if b.end {
+	if b.end && !b.last {
 		_ = b.ReadCloser.Close()
 		b.x.conn.counted.begin(nil)
 		b.x.pool.put(b.x.conn)
--- a/internal/instance/entry/upstream/protocol.go
+++ b/internal/instance/entry/upstream/protocol.go
@@ -24,6 +24,10 @@
 	Load      string // an upstream's load, read by ParseLoad
 	// Refused returns why the upstream has not run the request, or NotRefused.
 	Refused func(*http.Response) Refusal
+	// Unframed allows answers that have neither a length nor chunks and end with
+	// their connection. An upstream that ends early cannot be told from one that
+	// has finished then, unless the connection is reset.
+	Unframed bool
 	// ParseLoad reads the value of the Load header.
 	ParseLoad func(string) (Load, bool)
 }
--- a/internal/instance/entry/upstream/raw_test.go
+++ b/internal/instance/entry/upstream/raw_test.go
@@ -109,8 +109,12 @@
 	}
 }
 
-func newPools(t *testing.T) *Pools {
-	p := New(Config{ConnectTimeout: waitLimit, HeaderBytes: 8 << 10})
+func newPools(t *testing.T, change ...func(*Config)) *Pools {
+	cfg := Config{ConnectTimeout: waitLimit, HeaderBytes: 8 << 10}
+	for _, f := range change {
+		f(&cfg)
+	}
+	p := New(cfg)
 	t.Cleanup(p.Close)
 	return p
 }
