entry: give late answers up in time for another attempt, and send none in vain

Cause: while little is known of a route the estimate of its time is wide, and a late answer was given up 2.2 deviations beyond it.

The time until an answer is given up now leaves the other upstream the time that most answers take, if there is enough for both, and no attempt is sent with less time than hardly any answer takes (reason too-late in the log).

TestGiveUpLeavesTimeForAnotherAttempt and TestNoAttemptWithoutTime failed before.

--- a/internal/instance/entry/late.go
+++ b/internal/instance/entry/late.go
@@ -42,7 +42,7 @@
 	high, known := a.st.highLatency(routeName(a.e.route))
 	l.slowAfter = milliseconds(a.e.svc.Document.Unhealthy.SlowAfterMS)
 	if a.st.placing != nil {
-		l.silentAfter = a.st.hedgeAfter(a.choice)
+		l.silentAfter = a.st.giveUpAfter(a.choice, a.e.deadline)
 	} else if known {
 		l.silentAfter = max(silentFactor*high, minSilent, l.slowAfter)
 	}
--- a/internal/instance/entry/placing.go
+++ b/internal/instance/entry/placing.go
@@ -30,9 +30,6 @@
 	// placingRecheck is the time between looks at the queue while nothing is
 	// released. Beliefs change within fractions of a second.
 	placingRecheck = 25 * time.Millisecond
-	// hedgeDeviations is the number of standard deviations beyond the usual
-	// time after which an idempotent request is sent to another upstream.
-	hedgeDeviations = 2.2
 	// answerKB stands for the size of an answer, in KiB, in the cost of another
 	// region.
 	answerKB = 2
@@ -168,12 +165,22 @@
 	return left, nil
 }
 
-// hedgeAfter returns the time after which an answer is so late that the request
-// should be sent to another upstream, if that is allowed.
-func (st *service) hedgeAfter(c choice) time.Duration {
+// giveUpAfter returns the time after which an answer is so late that the
+// request should be sent to another upstream, if that is allowed.
+func (st *service) giveUpAfter(c choice, deadline time.Time) time.Duration {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return c.placed.times.Late(hedgeDeviations)
+	return c.placed.times.GiveUp(time.Until(deadline))
+}
+
+// inVain reports whether too little time is left for another attempt.
+func (st *service) inVain(w *want) bool {
+	if st.placing == nil {
+		return false
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return time.Until(w.deadline) < st.placing.times(w).Least()
 }
 
 // noteLoad takes in the load that an answer reports.
--- a/internal/instance/entry/placing_test.go
+++ b/internal/instance/entry/placing_test.go
@@ -269,3 +269,22 @@
 		t.Errorf("no configuration: %v", err)
 	}
 }
+
+// Guards against an attempt that is sent although hardly any answer comes in the
+// time that is left: it only loads the upstream.
+func TestNoAttemptWithoutTime(t *testing.T) {
+	var runs atomic.Int32
+	slowFailure := func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		timer := time.NewTimer(300 * time.Millisecond)
+		defer timer.Stop()
+		<-timer.C
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	_, url := placedServer(t, 2, nil, standin(t, "u1", slowFailure), standin(t, "u2", slowFailure))
+	r := request(t, http.MethodGet, url+"/read/x", nil)
+	r.Header.Set(upstream.HeaderDeadline, "400") // less than a quarter of the usual time is left then
+	if resp, _ := do(t, r); resp.StatusCode == http.StatusOK || runs.Load() != 1 {
+		t.Errorf("status %d after %d attempts", resp.StatusCode, runs.Load())
+	}
+}
--- a/internal/instance/entry/retry.go
+++ b/internal/instance/entry/retry.go
@@ -26,6 +26,7 @@
 const (
 	lastLimit      = "attempt-limit"
 	lastOver       = "request-over"
+	lastTooLate    = "too-late"
 	lastBody       = "body-not-kept"
 	lastMayHaveRun = "may-have-run"
 	lastBudget     = "retry-budget"
@@ -136,6 +137,8 @@
 		return lastLimit
 	case e.ctx.Err() != nil:
 		return lastOver
+	case e.st.inVain(e.want):
+		return lastTooLate
 	case e.body != nil && !e.body.replayable():
 		return lastBody
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -214,3 +214,23 @@
 		t.Errorf("shares %.2f and %.2f", e.slower(e.Median()), e.slower(3*time.Second))
 	}
 }
+
+// Guards against another attempt that has no time left: while an instance knows
+// little of a route, its estimate is so wide that late answers were given up
+// only shortly before the deadline.
+func TestGiveUpLeavesTimeForAnotherAttempt(t *testing.T) {
+	const left = 3 * time.Second
+	e := NewTimes(700 * time.Millisecond)
+	if after := e.GiveUp(left); left-after < e.Median() || after < e.Median() {
+		t.Errorf("given up after %v of %v, usually it takes %v", after, left, e.Median())
+	}
+	if after, late := e.GiveUp(time.Second), e.Late(giveUpDeviations); after != late {
+		t.Errorf("given up after %v although there is no time for two, want %v", after, late)
+	}
+	for range 200 {
+		e.Add(700 * time.Millisecond)
+	}
+	if after, late := e.GiveUp(left), e.Late(giveUpDeviations); after != late {
+		t.Errorf("given up after %v of a well-known route, want %v", after, late)
+	}
+}
--- a/internal/placement/times.go
+++ b/internal/placement/times.go
@@ -61,6 +61,26 @@
 	return seconds(math.Exp(t.mean + deviations*t.deviation()))
 }
 
+// giveUpDeviations is the number of standard deviations beyond the usual time
+// after which an answer is so late that the upstream is probably faulty.
+const giveUpDeviations = 2.2
+
+// GiveUp returns how long to wait for an answer before the request goes to
+// another upstream, if that is allowed and the given time is left in all. The
+// other upstream gets the time that most answers take, if there is enough for
+// both.
+func (t *Times) GiveUp(left time.Duration) time.Duration {
+	late := t.Late(giveUpDeviations)
+	if latest := left - t.Late(1); latest >= t.Median() {
+		return min(late, latest)
+	}
+	return late
+}
+
+// Least returns the time below which hardly any answer comes. With less than
+// that, another attempt is in vain.
+func (t *Times) Least() time.Duration { return t.Late(-2) }
+
 func (t *Times) deviation() float64 { return max(minDeviation, math.Sqrt(t.variance)) }
 
 // slower returns the share of healthy answers that take longer than d.
