--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -83,7 +83,7 @@
 		}
 	case 9:
 		return func(ctx context.Context, d time.Duration) {
-			w.note("%s breaks off its answers for %v", u.ID, d)
+			w.note("%s spoils its answers for %v", u.ID, d)
 			u.SetGarble(true)
 			wait(ctx, d)
 			u.SetGarble(false)
