follower: split the relay's steps; one function opens what the fleet has sealed

Reading the change: relayed did three things in one function, a relay that stands in counted as the store's return in the log, four tests waited for the same thing in copies, and the exchange of evidence and the relay each tried all keys in a loop of their own. The gauge relay_followed says which instances follow a relay.

--- a/internal/instance/entry/upstream/body.go
+++ b/internal/instance/entry/upstream/body.go
@@ -7,8 +7,8 @@
 )
 
 // body is the body of an answer. When it was read to its end and the connection
-// goes on, Close gives the connection back; otherwise Close closes the connection, by which the
-// upstream learns that the rest is not wanted.
+// goes on, Close gives the connection back; otherwise Close closes the
+// connection, by which the upstream learns that the rest is not wanted.
 type body struct {
 	io.ReadCloser
 	x      *exchange
--- a/internal/instance/evidence/seal.go
+++ b/internal/instance/evidence/seal.go
@@ -62,18 +62,26 @@
 	if len(datagram) < 1 || datagram[0] != version {
 		return nil, errForeign
 	}
+	plain, ok := Unseal(keys, datagram[1:], datagram[:1])
+	if !ok {
+		return nil, errForeign
+	}
+	var m message
+	if err := decMode.Unmarshal(plain, &m); err != nil {
+		return nil, errors.Wrap(err, "decode")
+	}
+	return &m, nil
+}
+
+// Unseal opens what was sealed with one of the keys for a purpose, or returns
+// false.
+func Unseal(keys []cipher.AEAD, sealed, purpose []byte) ([]byte, bool) {
 	for _, key := range keys {
-		plain, err := key.Open(nil, nil, datagram[1:], datagram[:1])
-		if err != nil {
-			continue
-		}
-		var m message
-		if err := decMode.Unmarshal(plain, &m); err != nil {
-			return nil, errors.Wrap(err, "decode")
+		if plain, err := key.Open(nil, nil, sealed, purpose); err == nil {
+			return plain, true
 		}
-		return &m, nil
 	}
-	return nil, errForeign
+	return nil, false
 }
 
 // decMode bounds what a message may hold.
--- a/internal/instance/follower/follower.go
+++ b/internal/instance/follower/follower.go
@@ -137,6 +137,11 @@
 // gauge publishes the age of what the instance believes.
 func (f *Follower) gauge(now time.Time) {
 	f.cfg.Scope.Gauge("store_silence_seconds").Update(now.Sub(f.heard).Seconds())
+	followed := 0.0
+	if f.relayed.Load() {
+		followed = 1
+	}
+	f.cfg.Scope.Gauge("relay_followed").Update(followed)
 	f.cfg.Scope.Gauge("configuration_version").Update(float64(f.version))
 	f.cfg.Scope.Gauge("configuration_age_seconds").Update(now.Sub(f.adopted).Seconds())
 }
--- a/internal/instance/follower/follower_test.go
+++ b/internal/instance/follower/follower_test.go
@@ -241,6 +241,24 @@
 	}
 }
 
+// relayOf waits until all but one follow a relay, and returns that one's index.
+func relayOf(t *testing.T, all []*Follower) int {
+	t.Helper()
+	reader := -1
+	eventually(t, "one relay for all", func() bool {
+		subscribed := 0
+		for i, f := range all {
+			if f.relayed.Load() {
+				subscribed++
+			} else {
+				reader = i
+			}
+		}
+		return subscribed == len(all)-1
+	})
+	return reader
+}
+
 // Guards against a fleet in which each instance waits at the store: its calls
 // are limited and paid for, and would grow with the number of instances.
 func TestOneInstanceOfAFailureDomainWaitsAtTheStore(t *testing.T) {
@@ -250,15 +268,7 @@
 	for i := range 5 {
 		all = append(all, run(t, fmt.Sprint("i", i), c))
 	}
-	eventually(t, "one relay for all", func() bool {
-		subscribed := 0
-		for _, f := range all {
-			if f.relayed.Load() {
-				subscribed++
-			}
-		}
-		return subscribed == len(all)-1
-	})
+	relayOf(t, all)
 	before := s.Calls()["watch"]
 	for v := 4; v <= 8; v++ {
 		put(s, fmt.Sprint(v))
@@ -285,18 +295,7 @@
 		cuts = append(cuts, cut)
 		all = append(all, run(t, fmt.Sprint("i", i), cut))
 	}
-	reader := -1
-	eventually(t, "one relay for all", func() bool {
-		subscribed := 0
-		for i, f := range all {
-			if f.relayed.Load() {
-				subscribed++
-			} else {
-				reader = i
-			}
-		}
-		return subscribed == len(all)-1
-	})
+	reader := relayOf(t, all)
 	cuts[reader].cut.Store(true)
 	put(s, "4")
 	eventually(t, "the new version at the others", func() bool {
@@ -337,18 +336,7 @@
 		doors = append(doors, d)
 		all = append(all, run(t, fmt.Sprint("i", i), d))
 	}
-	reader := -1
-	eventually(t, "one relay for all", func() bool {
-		subscribed := 0
-		for i, f := range all {
-			if f.relayed.Load() {
-				subscribed++
-			} else {
-				reader = i
-			}
-		}
-		return subscribed == len(all)-1
-	})
+	reader := relayOf(t, all)
 	away := (reader + 1) % len(all)
 	doors[away].shut.Store(true)
 	// The instance asks the store while it has no relay.
@@ -398,18 +386,7 @@
 		doors = append(doors, d)
 		all = append(all, run(t, fmt.Sprint("i", i), d))
 	}
-	reader := -1
-	eventually(t, "one relay for all", func() bool {
-		subscribed := 0
-		for i, f := range all {
-			if f.relayed.Load() {
-				subscribed++
-			} else {
-				reader = i
-			}
-		}
-		return subscribed == len(all)-1
-	})
+	reader := relayOf(t, all)
 	// One of the two relays that may take over is turned away as well.
 	away := slices.IndexFunc(all, func(f *Follower) bool {
 		r := f.relays.Load()
--- a/internal/instance/follower/watch.go
+++ b/internal/instance/follower/watch.go
@@ -71,7 +71,6 @@
 // continue where calls to the store have failed.
 func (w *watch) step(ctx context.Context) error {
 	if w.index > 0 && w.relayed(ctx) {
-		w.reached()
 		w.loaded = true
 		return nil
 	}
@@ -125,6 +124,26 @@
 // relayed takes in what a relay knows. It returns false when the store has to be
 // asked.
 func (w *watch) relayed(ctx context.Context) bool {
+	until, ok := w.subscribe(ctx)
+	if !ok {
+		return false
+	}
+	b, changes, err := w.receive(ctx, until)
+	if err != nil {
+		w.leaveRelay(ctx, w.subscription.Address, err)
+		return false
+	}
+	// An instance that does not read the store itself passes nothing on.
+	w.f.changes.Reset(b.Index, time.Time{})
+	w.f.relayed.Store(true)
+	w.advance(ctx, changes, b.Index, b.AsOf)
+	return true
+}
+
+// subscribe makes sure that there is a subscription, and returns the time until
+// which its relay has to be heard. It returns false when no relay is to be used
+// now.
+func (w *watch) subscribe(ctx context.Context) (until time.Time, ok bool) {
 	r := w.f.relays.Load()
 	if r != w.relays {
 		if w.subscription != nil && (len(r.others) == 0 || r.others[0] != w.subscription.Address) {
@@ -132,46 +151,46 @@
 		}
 		w.relays, w.turn, w.redial = r, 0, time.Time{}
 	}
-	if r.first && w.loaded || len(r.others) == 0 || w.subscription == nil && time.Now().Before(w.redial) {
-		return false
+	switch {
+	case r.first && w.loaded, len(r.others) == 0:
+		return time.Time{}, false
+	case w.subscription != nil:
+		return w.asOf.Add(maxAge), true
+	case time.Now().Before(w.redial):
+		return time.Time{}, false
 	}
-	until := w.asOf.Add(maxAge)
-	if w.subscription == nil {
-		address := r.others[w.turn%len(r.others)]
-		s, err := relay.Subscribe(ctx, address, w.f.Keys, w.index)
-		if err != nil {
-			w.leaveRelay(ctx, address, err)
-			return false
-		}
-		w.subscription, until = s, time.Now().Add(helloLimit)
-		w.f.log.Info("relay_subscribed", zap.String("relay", address), zap.Uint64("revision", w.index))
+	address := r.others[w.turn%len(r.others)]
+	s, err := relay.Subscribe(ctx, address, w.f.Keys, w.index)
+	if err != nil {
+		w.leaveRelay(ctx, address, err)
+		return time.Time{}, false
 	}
+	w.subscription = s
+	w.f.log.Info("relay_subscribed", zap.String("relay", address), zap.Uint64("revision", w.index))
+	return time.Now().Add(helloLimit), true
+}
+
+// receive returns the next batch of the subscription with its changes, or an
+// error when it cannot be relied on.
+func (w *watch) receive(ctx context.Context, until time.Time) (relay.Batch, []catalog.Change, error) {
 	b, err := w.subscription.Next(ctx, until)
 	switch {
 	case err != nil:
+		return b, nil, err
 	case b.Gap:
-		err = errGap
+		return b, nil, errGap
 	case time.Since(b.AsOf) > maxAge:
-		err = errOld
-	}
-	if err != nil {
-		w.leaveRelay(ctx, w.subscription.Address, err)
-		return false
+		return b, nil, errOld
 	}
 	changes := make([]catalog.Change, 0, len(b.Changes))
 	for i := range b.Changes {
 		c, ok := w.f.source.Decode(b.Changes[i].Raw)
 		if !ok {
-			w.leaveRelay(ctx, w.subscription.Address, errUnreadable)
-			return false
+			return b, nil, errUnreadable
 		}
 		changes = append(changes, c)
 	}
-	// An instance that does not read the store itself passes nothing on.
-	w.f.changes.Reset(b.Index, time.Time{})
-	w.f.relayed.Store(true)
-	w.advance(ctx, changes, b.Index, b.AsOf)
-	return true
+	return b, changes, nil
 }
 
 // Reasons for which a relay is not used.
--- a/internal/instance/relay/frame.go
+++ b/internal/instance/relay/frame.go
@@ -75,12 +75,11 @@
 	if _, err := io.ReadFull(r, sealed); err != nil {
 		return errors.Wrap(err, "read frame")
 	}
-	for _, key := range keys.Open {
-		if plain, err := key.Open(nil, nil, sealed, []byte(purpose)); err == nil {
-			return errors.Wrap(decMode.Unmarshal(plain, v), "decode frame")
-		}
+	plain, ok := evidence.Unseal(keys.Open, sealed, []byte(purpose))
+	if !ok {
+		return errForeign
 	}
-	return errForeign
+	return errors.Wrap(decMode.Unmarshal(plain, v), "decode frame")
 }
 
 // decMode bounds what a frame may hold.
