--- a/internal/instance/entry/metrics.go
+++ b/internal/instance/entry/metrics.go
@@ -24,6 +24,8 @@
 	total    tally.Histogram
 	queued   tally.Histogram
 	overhead tally.Histogram
+
+	waiting, inFlight, slots tally.Gauge
 }
 
 // noService is the service label of requests that belong to no service, such as
@@ -40,6 +42,9 @@
 		total:    sc.Histogram("request_seconds", latencyBuckets),
 		queued:   sc.Histogram("queued_seconds", latencyBuckets),
 		overhead: sc.Histogram("overhead_seconds", latencyBuckets),
+		waiting:  sc.Gauge("requests_waiting"),
+		inFlight: sc.Gauge("requests_in_flight"),
+		slots:    sc.Gauge("region_slots"),
 	}
 }
 
--- a/internal/instance/entry/run.go
+++ b/internal/instance/entry/run.go
@@ -144,5 +144,6 @@
 	s.mu.Unlock()
 	for _, st := range services {
 		st.forget(snap.Services[st.name], now)
+		st.measure(snap)
 	}
 }
--- a/internal/instance/entry/service.go
+++ b/internal/instance/entry/service.go
@@ -174,6 +174,27 @@
 	return st.latency(route).high()
 }
 
+// measure publishes how many requests wait, how many are at upstreams, and how
+// many slots the upstreams of the own region have.
+func (st *service) measure(snap *routing.Snapshot) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	inFlight, slots := 0, 0
+	for _, n := range st.inFlight {
+		inFlight += n
+	}
+	if svc := snap.Services[st.name]; svc != nil {
+		for i := range svc.Upstreams {
+			if svc.Upstreams[i].Region == snap.Self.Region {
+				slots += svc.Upstreams[i].Slots
+			}
+		}
+	}
+	st.metrics.waiting.Update(float64(st.queue.length))
+	st.metrics.inFlight.Update(float64(inFlight))
+	st.metrics.slots.Update(float64(slots))
+}
+
 // forget drops what is known of routes and upstreams that are no longer in the
 // document, and avoidances that are over. A removed service is nil.
 func (st *service) forget(svc *routing.Service, now time.Time) {
