--- a/internal/instance/follower/follower_test.go
+++ b/internal/instance/follower/follower_test.go
@@ -352,11 +352,14 @@
 	*platform.Store
 	shut    atomic.Bool
 	refused atomic.Int64
+	longest atomic.Int64 // wait of a refused call after the first one, in nanoseconds
 }
 
 func (d *door) Changes(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Change, uint64, error) {
 	if d.shut.Load() {
-		d.refused.Add(1)
+		if d.refused.Add(1) > 1 {
+			d.longest.Store(max(d.longest.Load(), int64(wait)))
+		}
 		return nil, 0, store.ErrUnavailable
 	}
 	changes, index, err := d.Store.Changes(ctx, after, min(wait, 50*time.Millisecond))
@@ -398,4 +401,11 @@
 	eventually(t, "the new version at all", func() bool {
 		return !slices.ContainsFunc(all, func(f *Follower) bool { return version(f) != 4 })
 	})
+	// A call that hangs must not keep an instance from noticing that it is served
+	// again: whether it is, is found out by short waits.
+	before := doors[reader].refused.Load()
+	eventually(t, "waits at the closed door", func() bool { return doors[reader].refused.Load() > before+3 })
+	if wait := time.Duration(doors[reader].longest.Load()); wait > minWait {
+		t.Errorf("the store was asked to wait for %v after it had turned the instance away", wait)
+	}
 }
--- a/internal/instance/follower/watch.go
+++ b/internal/instance/follower/watch.go
@@ -100,6 +100,9 @@
 // ask waits at the store for changes.
 func (w *watch) ask(ctx context.Context) error {
 	wait := max(minWait, watchWait-time.Since(w.asOf)) // short while asOf is not known
+	if !w.lost.IsZero() {
+		wait = minWait // a call that hangs must not hide that the store is back
+	}
 	began := time.Now()
 	changes, index, err := w.f.source.Changes(ctx, w.index, wait)
 	w.f.count("watch", err)
@@ -155,7 +158,8 @@
 	case r.first && w.loaded, len(r.others) == 0:
 		return time.Time{}, false
 	case w.subscription != nil:
-		return w.asOf.Add(maxAge), true
+		// What came while the store was asked is there at once.
+		return later(w.asOf.Add(maxAge), time.Now().Add(minWait)), true
 	case time.Now().Before(w.redial):
 		return time.Time{}, false
 	}
@@ -170,6 +174,13 @@
 	return time.Now().Add(helloLimit), true
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // receive returns the next batch of the subscription with its changes, or an
 // error when it cannot be relied on.
 func (w *watch) receive(ctx context.Context, until time.Time) (relay.Batch, []catalog.Change, error) {
