catalog: removals that a relay tells of are real, also at an instance that was cut off

Some hear by a relay that entries have vanished, but as they have lost the store themselves they take these for lapsed in an outage, use them on, and begin a grace of 2 s when they reach the store again, at 14.1 s: until 16.3 s.

What a relay tells without a gap shows that the store has served it all the while: a relay that has lost the store reads the whole content anew, which ends the continuity. So such removals count at once. A grace that began with the store's return goes on.

TestRelayTellsAnOutageFromACut: its first half failed before.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -138,6 +138,26 @@
 	wantUsed(t, "after the grace", c, at(13*time.Second), "b")
 }
 
+// Guards against an upstream that is used on because this instance alone was
+// cut off from the store, and against an end of the grace after an outage by the
+// first news from a relay.
+func TestRelayTellsAnOutageFromACut(t *testing.T) {
+	removed := Change{Kind: KindUpstream, ID: "a", Removed: true}
+	c := loaded(upstreamChange("a", nil), upstreamChange("b", nil))
+	c.Lost()
+	c.Continued()
+	c.Apply(&removed, at(10*time.Second))
+	wantUsed(t, "after a cut", c, at(10*time.Second), "b")
+
+	c = loaded(upstreamChange("a", nil), upstreamChange("b", nil))
+	c.Lost()
+	c.Reached(at(10 * time.Second))
+	c.Reset([]Change{configuration(1)}, at(10*time.Second))
+	c.Continued()
+	c.Tick(at(10*time.Second + ReturnGrace - time.Millisecond))
+	wantUsed(t, "within the grace after an outage", c, at(11*time.Second), "a", "b")
+}
+
 // Guards against an unreadable entry that is used on.
 func TestUnreadableEntryNamesNoUpstream(t *testing.T) {
 	c := loaded(upstreamChange("a", nil), upstreamChange("b", nil))
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -65,6 +65,16 @@
 	c.lost = false
 }
 
+// Continued notes that all changes since the last one are known, from a relay
+// that the store has served all the while. Entries that vanished meanwhile are
+// gone: only this instance was away. A grace that has begun with the store's
+// return goes on.
+func (c *Catalog) Continued() {
+	if c.lost {
+		c.lost, c.returned = false, time.Time{}
+	}
+}
+
 // Reset takes in the whole content of the store.
 func (c *Catalog) Reset(all []Change, now time.Time) []Event {
 	seen := make(map[Kind]map[string]bool)
--- a/internal/instance/follower/follower.go
+++ b/internal/instance/follower/follower.go
@@ -64,6 +64,7 @@
 type event struct {
 	changes []catalog.Change
 	whole   bool  // changes are the whole content of the store
+	relayed bool  // changes come from a relay, without a gap
 	err     error // the store could not be read
 }
 
@@ -171,7 +172,11 @@
 		return
 	}
 	f.heard = now
-	f.catalog.Reached(now)
+	if e.relayed {
+		f.catalog.Continued()
+	} else {
+		f.catalog.Reached(now)
+	}
 	var events []catalog.Event
 	if e.whole {
 		events = f.catalog.Reset(e.changes, now)
--- a/internal/instance/follower/watch.go
+++ b/internal/instance/follower/watch.go
@@ -117,7 +117,7 @@
 	}
 	asOf := time.Now()
 	w.f.changes.Extend(raw, index, asOf)
-	w.advance(ctx, changes, index, asOf)
+	w.advance(ctx, event{changes: changes}, index, asOf)
 	if len(changes) > 0 {
 		pause(ctx, gatherTime-min(gatherTime, time.Since(began)))
 	}
@@ -139,7 +139,7 @@
 	// An instance that does not read the store itself passes nothing on.
 	w.f.changes.Reset(b.Index, time.Time{})
 	w.f.relayed.Store(true)
-	w.advance(ctx, changes, b.Index, b.AsOf)
+	w.advance(ctx, event{changes: changes, relayed: true}, b.Index, b.AsOf)
 	return true
 }
 
@@ -234,9 +234,9 @@
 }
 
 // advance takes in the changes up to an index.
-func (w *watch) advance(ctx context.Context, changes []catalog.Change, index uint64, asOf time.Time) {
+func (w *watch) advance(ctx context.Context, e event, index uint64, asOf time.Time) {
 	w.index, w.asOf = index, asOf
-	w.f.send(ctx, event{changes: changes})
+	w.f.send(ctx, e)
 }
 
 func (w *watch) reached() {
