follower: notice the return of a store that was cut off within half a second

A call that had begun before the cut's end hung for up to 1 s, and the pause of up to 0.6 s followed it, so that the grace ended up to 3.9 s after the cut, 0.9 s after the instance counts as well again. Ruled out: a shorter grace (upstreams that are back 2 s after an outage would be dropped), telling an own cut from an outage by a relay (all instances of a failure domain may be cut off together). A store that was lost is now read by calls that overlap, one each 300 ms, and the time for which a call has hung counts as part of the pause.

--- a/internal/instance/follower/watch.go
+++ b/internal/instance/follower/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +33,13 @@
 	maxAge = watchWait + 300*time.Millisecond
 	// minWait is the shortest wait for changes.
 	minWait = 100 * time.Millisecond
+	// rereadInterval is the time between the calls of one attempt to read the
+	// content of a store that was lost, and rereadCalls their number. With the
+	// attempt at a relay that follows, a return is noticed within 500 ms, so that
+	// the grace for entries that lapsed ends less than 3 s after it, the time
+	// after which an instance counts as well again on the users' platform.
+	rereadInterval = 300 * time.Millisecond
+	rereadCalls    = 4
 	// redialInterval is the time after which relays are tried again when all were
 	// given up, and helloLimit the time within which one has to answer then.
 	redialInterval = time.Second
@@ -58,6 +66,7 @@
 	stale   bool      // the next load may be old
 	index   uint64    // of the last change that was read
 	asOf    time.Time // when nothing followed the index
+	began   time.Time // of the current step
 	backoff time.Duration
 	lost    time.Time // when the store was lost, zero while it can be reached
 
@@ -70,6 +79,7 @@
 // step reads what is new and hands it to the control goroutine. A relay may also
 // continue where calls to the store have failed.
 func (w *watch) step(ctx context.Context) error {
+	w.began = time.Now()
 	if w.index > 0 && w.relayed(ctx) {
 		w.loaded = true
 		return nil
@@ -82,8 +92,7 @@
 
 // load reads the whole content.
 func (w *watch) load(ctx context.Context) error {
-	changes, index, err := w.f.source.Load(ctx, w.stale)
-	w.f.count("load", err)
+	changes, index, err := w.read(ctx)
 	// The first load may be old: all instances may start at once. A store that
 	// has refused the last one is not asked for more than that.
 	w.stale = err != nil && errors.Is(err, store.ErrUnavailable)
@@ -97,6 +106,56 @@
 	return nil
 }
 
+// read returns the whole content. Several calls may be under way to a store that
+// was lost: one that hangs since before the store came back must not hide that
+// it is back.
+func (w *watch) read(ctx context.Context) ([]catalog.Change, uint64, error) {
+	type answer struct {
+		call    int
+		changes []catalog.Change
+		index   uint64
+		err     error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	answers := make(chan answer, rereadCalls)
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	defer cancel()
+	newest := 0
+	call := func() {
+		newest++
+		n, stale := newest, w.stale
+		calls.Go(func() {
+			a := answer{call: n}
+			a.changes, a.index, a.err = w.f.source.Load(ctx, stale)
+			w.f.count("load", a.err)
+			answers <- a
+		})
+	}
+	call()
+	ticks := time.NewTicker(rereadInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case a := <-answers:
+			if a.err == nil || a.call == newest {
+				return a.changes, a.index, a.err
+			}
+		case <-ticks.C:
+			switch {
+			case w.lost.IsZero():
+			case newest == rereadCalls:
+				return nil, 0, errSilent
+			default:
+				call()
+			}
+		}
+	}
+}
+
+// errSilent is marked like a call that had no effect.
+var errSilent = errors.Mark(errors.New("the store does not answer"), store.ErrUnavailable)
+
 // ask waits at the store for changes.
 func (w *watch) ask(ctx context.Context) error {
 	wait := max(minWait, watchWait-time.Since(w.asOf)) // short while asOf is not known
@@ -266,7 +325,8 @@
 	}
 	w.f.send(ctx, event{err: err})
 	w.backoff = min(max(minRetry, 2*w.backoff), maxRetry)
-	pause(ctx, time.Duration((0.5+0.5*w.f.cfg.Jitter())*float64(w.backoff)))
+	// A call that has hung has been waited for already.
+	pause(ctx, time.Duration((0.5+0.5*w.f.cfg.Jitter())*float64(w.backoff))-time.Since(w.began))
 }
 
 func (f *Follower) send(ctx context.Context, e event) {
