entry: a late lookup goes on beside its second attempt

These lookups take long wherever they run, and were begun anew with what was left of their time. Ruled out: the state of the second upstream (fails below 0.08, load 3 to 5 of 6 slots, as at those that answered). The first attempt now goes on; the first good answer counts and the other attempt is ended. A request with a body is still given up at the first upstream. Test: TestLateLookupGoesOnBesideAnotherAttempt, both cases failed before (status 504 and 500).

--- a/internal/instance/entry/attempt.go
+++ b/internal/instance/entry/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"slices"
 	"strconv"
 	"time"
 
@@ -29,8 +28,9 @@
 	e      *exchange
 	st     *service
 	choice choice
-	cause  string // why it was made, empty for the first one
-	number int    // from 0
+	cause  string   // why it was made, empty for the first one
+	number int      // from 0
+	before *attempt // beside which it runs, nil for none
 
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
@@ -48,11 +48,17 @@
 	ended   bool
 }
 
+// newAttempt returns an attempt with the slot of a choice.
+func (e *exchange) newAttempt(st *service, c choice, cause string, number int) *attempt {
+	a := &attempt{s: e.s, e: e, st: st, choice: c, cause: cause, number: number}
+	a.ctx, a.cancel = context.WithCancelCause(e.ctx)
+	return a
+}
+
 // run makes the attempt. Afterwards either err is set, or answer is ready to be
 // passed on. Unless the answer is to be streamed, the attempt has ended.
-func (a *attempt) run(ctx context.Context) {
+func (a *attempt) run() {
 	a.started = time.Now()
-	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	a.st.metrics.attempts.Inc(1)
 	a.answer, a.trace, a.err = a.s.pools.Do(a.ctx, a.request())
 	if a.late.stop() { // even if the answer has come in the meantime
@@ -84,7 +90,7 @@
 		},
 		Request:    req,
 		Idempotent: e.route.Idempotent,
-		FreshOnly:  slices.Contains(e.deadPooled, u.ID),
+		FreshOnly:  e.freshOnly(u.ID),
 	}
 	a.late.arm(a, &up)
 	return up
@@ -161,6 +167,11 @@
 	default:
 		r.Result = strconv.Itoa(a.answer.StatusCode)
 	}
+	if a.notNeeded() {
+		r.Result = resultNotNeeded
+	}
+	a.e.mu.Lock()
+	defer a.e.mu.Unlock()
 	a.e.explanation.Attempts = append(a.e.explanation.Attempts, r)
 	a.e.upstreamTime += r.Took
 	if a.err != nil && a.trace.Sent && a.refused == upstream.NotRefused && a.e.unknown == nil {
@@ -168,6 +179,14 @@
 	}
 }
 
+// resultNotNeeded stands for the result of an attempt that was ended because
+// another one has answered the request.
+const resultNotNeeded = "not-needed"
+
+// final reports whether there is an answer that is passed on whatever other
+// attempts bring.
+func (a *attempt) final() bool { return a.err == nil && !(a.unhealthy() && a.whole) }
+
 // unhealthy reports whether the answer has a status that the document counts
 // as a failure.
 func (a *attempt) unhealthy() bool {
--- a/internal/instance/entry/exchange.go
+++ b/internal/instance/entry/exchange.go
@@ -4,7 +4,9 @@
 	"context"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,22 +27,25 @@
 // exchange is one request with what is known of it so far. It belongs to the
 // goroutine that serves the request.
 type exchange struct {
-	s            *Server
-	w            http.ResponseWriter
-	rc           *http.ResponseController
-	r            *http.Request
-	conn         *callerConn     // nil in a test without listener
-	ctx          context.Context // ends with the deadline or the caller
-	id           string
-	caller       string
-	started      time.Time
-	deadline     time.Time
-	svc          *routing.Service
-	st           *service
-	want         *want
-	route        *document.Route
-	body         *requestBody // nil without a body
-	aborted      bool
+	s        *Server
+	w        http.ResponseWriter
+	rc       *http.ResponseController
+	r        *http.Request
+	conn     *callerConn     // nil in a test without listener
+	ctx      context.Context // ends with the deadline or the caller
+	id       string
+	caller   string
+	started  time.Time
+	deadline time.Time
+	svc      *routing.Service
+	st       *service
+	want     *want
+	route    *document.Route
+	body     *requestBody // nil without a body
+	aborted  bool
+
+	// Guards what follows, and want, while attempts run side by side.
+	mu           sync.Mutex
 	unsent       int      // attempts that were not sent and do not count as attempts
 	deadPooled   []string // upstreams whose pooled connection was dead
 	unknown      error    // first failure after which the request may have been run
@@ -115,6 +120,13 @@
 	return errkind.Wrap(kind, err, "service %s", e.svc.Name)
 }
 
+// freshOnly reports whether kept connections to an upstream are not to be used.
+func (e *exchange) freshOnly(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Contains(e.deadPooled, id)
+}
+
 // outgoing returns the request as it is sent to an upstream.
 func (e *exchange) outgoing(u *routing.Upstream) *http.Request {
 	p := e.s.protocol()
--- a/internal/instance/entry/late.go
+++ b/internal/instance/entry/late.go
@@ -32,6 +32,8 @@
 	done   bool // the answer header is there, or the attempt has failed
 	timer  *time.Timer
 	next   *choice // slot taken for the attempt after a cut; read after stop
+	hedge  *hedge  // runs beside the attempt, nil for none; read after stop
+	beaten bool    // the hedge has answered first
 	// refused tells why the request was not sent to another upstream when its
 	// answer was late; read after stop
 	refused string
@@ -70,8 +72,9 @@
 	}
 }
 
-// reportSilent reports a silent upstream, and ends the attempt if another one
-// is allowed and has a slot. Otherwise the request waits on.
+// reportSilent reports a silent upstream, and begins another attempt if that is
+// allowed and has a slot. The late one goes on beside it, unless both would need
+// the request's body.
 func (l *lateness) reportSilent(a *attempt) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -80,7 +83,13 @@
 	}
 	l.silent = true
 	a.s.control.ReportOutcome(a.outcome(health.Failed, string(errkind.UpstreamSilent), l.silentAfter))
-	if l.next = a.takeSuccessor(); l.next != nil {
+	c := a.takeSuccessor()
+	switch {
+	case c == nil:
+	case a.e.body == nil:
+		l.hedge = a.startHedge(*c)
+	default:
+		l.next = c
 		a.cancel(errLate)
 	}
 }
@@ -89,6 +98,8 @@
 // request, if that is allowed. The goroutine that serves the request waits for
 // the upstream meanwhile.
 func (a *attempt) takeSuccessor() *choice {
+	a.e.mu.Lock()
+	defer a.e.mu.Unlock()
 	if a.late.refused = a.e.noRetry(a); !a.e.route.Idempotent || a.late.refused != "" {
 		return nil
 	}
@@ -111,6 +122,17 @@
 	return nil
 }
 
+// beat ends the attempt, unless its answer has begun, because a hedge has
+// answered.
+func (l *lateness) beat(a *attempt) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.done {
+		l.beaten = true
+		a.cancel(errLate)
+	}
+}
+
 // stop ends the watch and tells whether the attempt was cut off.
 func (l *lateness) stop() bool {
 	l.mu.Lock()
@@ -119,7 +141,7 @@
 	if l.timer != nil {
 		l.timer.Stop()
 	}
-	return l.next != nil
+	return l.next != nil || l.beaten
 }
 
 // reported tells whether an outcome of the given class adds nothing to what was
--- a/internal/instance/entry/outcome.go
+++ b/internal/instance/entry/outcome.go
@@ -102,6 +102,8 @@
 	}
 	kind := a.e.kindOf(a.err)
 	switch {
+	case a.notNeeded():
+		return health.Neutral, resultNotNeeded
 	case a.refused != upstream.NotRefused, a.trace.Unproven, a.trace.Local, kind == errkind.Internal, kind == errkind.CallerGone,
 		kind == errkind.CallerBodyFailed, kind == errkind.BodyLimitExceeded:
 		return health.Neutral, string(kind)
--- a/internal/instance/entry/placing_test.go
+++ b/internal/instance/entry/placing_test.go
@@ -139,6 +139,54 @@
 	}
 }
 
+// Guards against a lookup that is begun anew because it takes long wherever it
+// runs, so that it never ends in time: the first attempt goes on beside the
+// second one, whatever becomes of that. The load is that of rare long lookups.
+func TestLateLookupGoesOnBesideAnotherAttempt(t *testing.T) {
+	for name, second := range map[string]http.HandlerFunc{
+		"the other one hangs": func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+		"the other one fails": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var long atomic.Bool
+			begun, ended := make(chan struct{}), make(chan struct{})
+			near := standin(t, "near", func(w http.ResponseWriter, r *http.Request) {
+				if long.Load() {
+					select {
+					case <-begun:
+					case <-r.Context().Done():
+						return
+					}
+					// The other attempt is well under way, or over.
+					pause := time.NewTimer(50 * time.Millisecond)
+					defer pause.Stop()
+					<-pause.C
+				}
+				signed(w, r)
+			})
+			far := standin(t, "far", func(w http.ResponseWriter, r *http.Request) {
+				defer close(ended)
+				close(begun)
+				second(w, r)
+			})
+			far.Region = "elsewhere"
+			s, url := placedServer(t, 1, nil, near, far)
+			for range 30 {
+				do(t, request(t, http.MethodGet, url+"/read/x", nil))
+			}
+			long.Store(true)
+			resp, _ := do(t, request(t, http.MethodGet, url+"/read/x", nil))
+			if resp.StatusCode != http.StatusOK {
+				t.Errorf("status %d", resp.StatusCode)
+			}
+			<-ended // the attempt that is not needed is not left running
+			if n := s.InFlight(); len(n) != 0 {
+				t.Errorf("in flight %v", n)
+			}
+		})
+	}
+}
+
 // Guards against a request that waits although its answer cannot come in time,
 // and against a claim that it may have run. The load is a burst at a service of
 // one slot.
--- a/internal/instance/entry/retry.go
+++ b/internal/instance/entry/retry.go
@@ -48,26 +48,34 @@
 		return e.verdict(err)
 	}
 	st.admitted()
-	var a, held *attempt       // held is a whole answer with an unhealthy status
-	defer func() { a.end() }() // gives the slot back, also after a panic
-	cause := ""
-	for n := 0; ; n++ {
-		a = &attempt{s: s, e: e, st: st, choice: c, cause: cause, number: n}
-		a.run(e.ctx)
-		if a.err == nil && !(a.unhealthy() && a.whole) {
-			held.drop()
-			return s.answer(e, a)
-		}
+	var held *attempt // a whole answer with an unhealthy status
+	a := e.newAttempt(st, c, "", 0)
+	defer func() { // gives the slots back, also after a panic
+		a.end()
+		a.collectHedges()
+	}()
+	for a.run(); !a.final(); {
 		if a.err == nil {
 			held.drop()
 			held = a
 		}
-		var ok bool
-		if c, cause, ok = e.another(a); !ok {
+		if h := a.late.hedge; h != nil {
+			e.tried(a)
+			a = h.attempt
+			<-h.done
+			continue
+		}
+		c, cause, ok := e.another(a)
+		if !ok {
 			return s.giveUp(e, a, held)
 		}
 		st.metrics.retries.Inc(1)
+		a = e.newAttempt(st, c, cause, a.number+1)
+		a.run()
 	}
+	a.dismissHedge()
+	held.drop()
+	return s.answer(e, a)
 }
 
 // giveUp answers with the last whole answer of an upstream, if there is one,
@@ -172,6 +180,8 @@
 
 // tried keeps the next attempt away from the upstream of a.
 func (e *exchange) tried(a *attempt) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	id, w := a.choice.upstream.ID, e.want
 	w.retry = true
 	if a.err != nil && !a.trace.Sent && e.unsent < maxUnsent {
