follower: fewer calls to the store for registrations and at the start

A lease of 3 s is renewed each 1.5 s, and each 0.75 s after a renewal that has failed; the key is offered within 3 s, beside the registration; the first changes are gathered for 1.2 s, below the age up to which they count as new. Ruled out: a longer lease for instances that serve no callers (the dead ones would be named when a whole region is lost). Test: TestRegistrationOutlivesFailedRenewals, failed before (59 renewals in 60 s).

--- a/internal/instance/follower/membership.go
+++ b/internal/instance/follower/membership.go
@@ -17,8 +17,11 @@
 	// memberTTL is the time after which the entry of an instance that has died
 	// ends. Callers keep addresses for seconds anyway.
 	memberTTL = 3 * time.Second
-	// renewInterval lets two renewals in a row fail.
-	renewInterval = time.Second
+	// renewInterval is the time between renewals, and renewRetry the time to the
+	// next one after one that has failed. Two in a row may fail, or one of them
+	// hang for the whole time of a call.
+	renewInterval = 1500 * time.Millisecond
+	renewRetry    = renewInterval / 2
 	// withdrawLimit bounds the time for removing the entry at a planned stop.
 	withdrawLimit = time.Second
 )
@@ -32,10 +35,11 @@
 		return nil
 	}
 	m := membership{f: f, self: f.cfg.Self}
-	m.offerKey(ctx)
-	ticks := time.NewTicker(renewInterval)
-	defer ticks.Stop()
 	m.keep(ctx)
+	next := time.NewTimer(m.pause)
+	defer next.Stop()
+	offer := time.NewTimer(time.Duration(f.cfg.Jitter() * float64(keyDelay)))
+	defer offer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -46,8 +50,12 @@
 			return nil
 		case m.self.Width = <-f.width:
 			m.update(ctx)
-		case <-ticks.C:
+		case <-offer.C:
+			m.offerKey(ctx)
+		case <-next.C:
+			began := time.Now()
 			m.keep(ctx)
+			next.Reset(m.pause - time.Since(began))
 		}
 	}
 }
@@ -67,15 +75,16 @@
 	f            *Follower
 	self         catalog.Member
 	registration *catalog.Registration // nil while not registered
+	pause        time.Duration         // from the beginning of the last call of keep to the next one
 }
 
 // keyDelay is the longest time before an instance that finds no key offers one.
-// Instances that start together wait for different times, so that few do.
-const keyDelay = 500 * time.Millisecond
+// Instances that start together wait for different times, so that few do: the
+// others learn of it with the first changes that they gather.
+const keyDelay = 3 * time.Second
 
 // offerKey makes sure that the fleet has a key for messages between instances.
 func (m *membership) offerKey(ctx context.Context) {
-	pause(ctx, time.Duration(m.f.cfg.Jitter()*float64(keyDelay)))
 	if m.f.Keys().Seal != nil {
 		return
 	}
@@ -90,10 +99,14 @@
 func (m *membership) keep(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, renewInterval)
 	defer cancel()
+	m.pause = renewRetry
 	if m.registration != nil {
 		err := m.f.source.Renew(ctx, *m.registration)
 		m.f.count("renew", err)
 		if !errors.Is(err, catalog.ErrExpired) {
+			if err == nil {
+				m.pause = renewInterval
+			}
 			m.logFailure("member_not_renewed", err)
 			return
 		}
@@ -106,7 +119,7 @@
 		m.logFailure("member_not_registered", err)
 		return
 	}
-	m.registration = &r
+	m.registration, m.pause = &r, renewInterval
 	m.f.log.Info("member_registered", zap.Uint64("lease", r.Lease), zap.Duration("ttl", r.TTL), zap.Int("width", m.self.Width))
 }
 
--- /dev/null
+++ b/internal/instance/follower/renew_test.go
@@ -0,0 +1,102 @@
+package follower
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"knapweedreel/internal/catalog"
+	"knapweedreel/internal/routing"
+	"knapweedreel/internal/store"
+)
+
+// leaseSource is a store that grants leases and fails some renewals.
+type leaseSource struct {
+	catalog.Source // only the calls below are made
+
+	fail func(renewal int) (hangs time.Duration, fails bool)
+
+	mu         sync.Mutex
+	renewals   int
+	registered int
+	ends       time.Time
+}
+
+func (s *leaseSource) Load(context.Context, bool) ([]catalog.Change, uint64, error) {
+	c := catalog.Change{Kind: catalog.KindConfiguration, Configuration: &catalog.Configuration{
+		Version: 1, Services: map[string]catalog.Service{"s": {}},
+		Routes: []catalog.Route{{Name: "r", Host: "a.example", Parts: []routing.Part{{Service: "s", Weight: 1}}}},
+	}}
+	return []catalog.Change{c}, 1, nil
+}
+
+func (s *leaseSource) Changes(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Change, uint64, error) {
+	pause(ctx, wait)
+	return nil, after, nil
+}
+
+func (s *leaseSource) Register(_ context.Context, _ catalog.Member, ttl time.Duration) (catalog.Registration, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.registered++
+	s.ends = time.Now().Add(ttl)
+	return catalog.Registration{Lease: 1, TTL: ttl}, nil
+}
+
+func (s *leaseSource) Renew(ctx context.Context, r catalog.Registration) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.renewals++
+	if time.Now().After(s.ends) {
+		return catalog.ErrExpired
+	}
+	if hangs, fails := s.fail(s.renewals); fails {
+		pause(ctx, hangs)
+		return errors.Mark(errors.New("refused"), store.ErrUnavailable)
+	}
+	s.ends = time.Now().Add(r.TTL)
+	return nil
+}
+
+func (s *leaseSource) OfferKey(context.Context, []byte) error { return nil }
+
+// Guards against members that callers are no longer told of because two
+// renewals in a row were refused, or one was not answered, and against renewals
+// that come more often than the lease needs: at 2,800 instances they are most of
+// the calls.
+func TestRegistrationOutlivesFailedRenewals(t *testing.T) {
+	const seconds, perMinute = 60, 60 * 2 / 3
+	for name, fail := range map[string]func(n int) (time.Duration, bool){
+		"none fails":           func(int) (time.Duration, bool) { return 0, false },
+		"two in three refused": func(n int) (time.Duration, bool) { return 0, n%3 != 0 },
+		"every second hangs":   func(n int) (time.Duration, bool) { return time.Second, n%2 == 0 },
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &leaseSource{fail: fail}
+			f := New(Config{
+				Self: catalog.Member{ID: "i1", Region: "south", FailureDomain: "z1"}, Regions: map[string]string{"z1": "south"},
+				Log: zap.NewNop(), Scope: tally.NoopScope, Jitter: func() float64 { return 1 },
+			}, s)
+			ctx, cancel := context.WithCancel(t.Context())
+			var loops sync.WaitGroup
+			for _, loop := range []func(context.Context) error{f.Run, f.Watch, f.Member} {
+				loops.Go(func() { _ = loop(ctx) })
+			}
+			time.Sleep(seconds * time.Second)
+			cancel()
+			loops.Wait()
+			if s.registered != 1 {
+				t.Errorf("%s: registered %d times", name, s.registered)
+			}
+			if _, fails := fail(2); !fails && s.renewals > perMinute {
+				t.Errorf("%s: %d renewals in %d s, want at most %d", name, s.renewals, seconds, perMinute)
+			}
+		})
+	}
+}
--- a/internal/instance/follower/watch.go
+++ b/internal/instance/follower/watch.go
@@ -24,6 +24,9 @@
 	// gatherTime is the least time between the ends of two waits for changes.
 	// Changes that come meanwhile are gathered, which saves calls.
 	gatherTime = 700 * time.Millisecond
+	// startTime is the same at the start, when all instances of a fleet may
+	// register and have yet to learn the key and which of them are relays.
+	startTime = 1200 * time.Millisecond
 	// watchWait is the longest time between two answers of the store. It bounds
 	// the time until a store that has dropped its history, or cannot be reached
 	// any more, is noticed by an instance that waits for changes.
@@ -62,6 +65,7 @@
 // watch is the state of the loop.
 type watch struct {
 	f       *Follower
+	started bool      // changes were gathered once
 	loaded  bool      // the store can be asked for changes after the index
 	stale   bool      // the next load may be old
 	index   uint64    // of the last change that was read
@@ -178,7 +182,11 @@
 	w.f.changes.Extend(raw, index, asOf)
 	w.advance(ctx, event{changes: changes}, index, asOf)
 	if len(changes) > 0 {
-		pause(ctx, gatherTime-min(gatherTime, time.Since(began)))
+		gather := gatherTime
+		if !w.started {
+			gather, w.started = startTime, true
+		}
+		pause(ctx, gather-time.Since(began))
 	}
 	return nil
 }
