--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -52,11 +52,11 @@
 func serveOnPlatform(ctx context.Context, s *session, file string, cfg settings.Settings) error {
 	metrics := telemetry.NewMetrics(func(err error) { fmt.Fprintln(s.stderr, "metric not registered:", err) })
 	sampled := metrics.Scope.Counter("log_lines_sampled_out")
-	log, flush, err := telemetry.NewServiceLogger(s.stdout, cfg.LogLevel, func() { sampled.Inc(1) })
+	log, end, err := telemetry.NewServiceLogger(s.stdout, cfg.LogLevel, func() { sampled.Inc(1) })
 	if err != nil {
 		return err
 	}
-	defer flush()
+	defer end()
 	source := platform.NewStore(cfg.StoreAddress)
 	return instance.RunOnPlatform(ctx, cfg, instance.Platform{
 		Source: source, Protocol: platform.Protocol(),
--- a/internal/telemetry/async.go
+++ b/internal/telemetry/async.go
@@ -18,6 +18,7 @@
 	w       io.Writer
 	wake    chan struct{} // capacity 1
 	idle    chan struct{} // capacity 1, signalled when nothing is left to write
+	closed  chan struct{}
 	dropped atomic.Int64
 
 	mu      sync.Mutex
@@ -25,9 +26,9 @@
 	writing bool
 }
 
-// NewAsyncWriter returns a writer to w. Its goroutine ends with the process.
+// NewAsyncWriter returns a writer to w. Close ends its goroutine.
 func NewAsyncWriter(w io.Writer) *AsyncWriter {
-	a := &AsyncWriter{w: w, wake: make(chan struct{}, 1), idle: make(chan struct{}, 1)}
+	a := &AsyncWriter{w: w, wake: make(chan struct{}, 1), idle: make(chan struct{}, 1), closed: make(chan struct{})}
 	go a.run()
 	return a
 }
@@ -51,7 +52,12 @@
 
 func (a *AsyncWriter) run() {
 	var spare []byte
-	for range a.wake {
+	for {
+		select {
+		case <-a.wake:
+		case <-a.closed:
+			return
+		}
 		for {
 			a.mu.Lock()
 			batch := a.pending
@@ -88,6 +94,13 @@
 	}
 }
 
+// Close waits until all lines are written, at most for the given time, and ends
+// the writer. Later lines are not written. It is called once.
+func (a *AsyncWriter) Close(limit time.Duration) {
+	a.Flush(limit)
+	close(a.closed)
+}
+
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/internal/telemetry/async_test.go
+++ b/internal/telemetry/async_test.go
@@ -66,7 +66,7 @@
 // that are hidden by the successes before them.
 func TestSampledLoggerKeepsFailures(t *testing.T) {
 	var b buffer
-	log, flush, err := NewServiceLogger(&b, "info", func() {})
+	log, end, err := NewServiceLogger(&b, "info", func() {})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -74,7 +74,7 @@
 		log.Info("request")
 	}
 	log.Warn("request_failed", zap.String("request_id", "one"))
-	flush()
+	end()
 	requests := strings.Count(b.String(), "event=request ") + strings.Count(b.String(), "event=request\n")
 	// The second in which the sampler counts may change once.
 	if limit := 2 * (sampleFirst + 20*sampleFirst/sampleThereafter); requests < sampleFirst || requests > limit {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -46,11 +46,12 @@
 // NewServiceLogger returns a logger for a process whose log is collected from w.
 // Its volume is bounded and it never blocks. dropped is called for each line
 // that sampling leaves out; lines that find no room are reported by the lines
-// after them. flush writes what is left.
-func NewServiceLogger(w io.Writer, level string, dropped func()) (log *zap.Logger, flush func(), err error) {
+// after them. end writes what is left; nothing is written after it.
+func NewServiceLogger(w io.Writer, level string, dropped func()) (log *zap.Logger, end func(), err error) {
 	out := NewAsyncWriter(w)
 	log, err = NewLogger(out, level)
 	if err != nil {
+		out.Close(0)
 		return nil, nil, err
 	}
 	hook := zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
@@ -61,7 +62,7 @@
 	log = log.WithOptions(zap.WrapCore(func(c zapcore.Core) zapcore.Core {
 		return zapcore.NewSamplerWithOptions(&lossReporter{Core: c, out: out}, time.Second, sampleFirst, sampleThereafter, hook)
 	}))
-	return log, func() { out.Flush(flushLimit) }, nil
+	return log, func() { out.Close(flushLimit) }, nil
 }
 
 // lossReporter adds to the next line the number of lines that found no room
