catalog, follower: what depends on members or time is worked out when these change

The end of an upstream's slow start is an event now (upstream_warm), and the directory, peers and relays are made anew when members or the table change. Tests: TestUpstreamBecomesWarmOnce and TestDirectoryFollowsItsMembersOnly; the set-up of the relay tests has one copy.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -168,6 +168,20 @@
 	wantUsed(t, "unreadable", c, epoch, "b")
 }
 
+// Guards against snapshots that are made again and again while an upstream is
+// slow after its start, and against one that stays slow.
+func TestUpstreamBecomesWarmOnce(t *testing.T) {
+	c := loaded(upstreamChange("a", func(u *Upstream) { u.ColdFor = time.Second }), upstreamChange("b", nil))
+	for _, step := range []struct {
+		now  time.Duration
+		want int
+	}{{0, 0}, {900 * time.Millisecond, 0}, {time.Second, 1}, {2 * time.Second, 0}} {
+		if got := c.Tick(at(step.now)); len(got) != step.want || step.want == 1 && (got[0].Name != "upstream_warm" || got[0].ID != "a") {
+			t.Errorf("after %v: %+v", step.now, got)
+		}
+	}
+}
+
 // Guards against an upstream of an unknown service or one that starts slowly
 // being treated as any other.
 func TestSnapshotTellsColdUpstreams(t *testing.T) {
@@ -246,3 +260,30 @@
 		t.Errorf("%+v", got)
 	}
 }
+
+// Guards against work for all members at each change of an upstream, and against
+// a directory that does not follow its members.
+func TestDirectoryFollowsItsMembersOnly(t *testing.T) {
+	c := fleet("south")
+	d := c.Directory()
+	up := upstreamChange("u", nil)
+	c.Apply(&up, epoch)
+	c.Tick(at(time.Minute))
+	if c.Directory() != d {
+		t.Error("made anew although no member has changed")
+	}
+	gone := removed(KindMember, "south-0")
+	c.Apply(&gone, at(time.Minute))
+	if c.Directory() == d || len(c.Directory().registered) != 5 {
+		t.Error("a member that left is still registered")
+	}
+	m := memberChange(7, "south", MinWidth)
+	c.Apply(&m, at(time.Minute))
+	if len(c.Directory().registered) != 6 {
+		t.Error("a member that joined is not registered")
+	}
+	c.Tick(at(time.Minute + memberGrace + time.Second))
+	if len(c.Directory().vanished) != 0 {
+		t.Error("a member that left long ago is still kept")
+	}
+}
--- a/internal/catalog/locate.go
+++ b/internal/catalog/locate.go
@@ -21,8 +21,12 @@
 	vanished   []Member // entries that ended lately
 }
 
-// Directory returns the members as they are now.
+// Directory returns the members as they are now. It is the same one until they
+// change.
 func (c *Catalog) Directory() *Directory {
+	if c.directory != nil {
+		return c.directory
+	}
 	d := new(Directory)
 	for _, m := range c.members {
 		if m.vanished.IsZero() {
@@ -31,6 +35,7 @@
 			d.vanished = append(d.vanished, m.Member)
 		}
 	}
+	c.directory = d
 	return d
 }
 
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -23,6 +23,7 @@
 	configuration *Configuration
 	upstreams     map[string]*upstreamEntry
 	members       map[string]*memberEntry
+	directory     *Directory // of the members, nil after a change
 	key           []byte
 	loaded        bool
 	lost          bool      // the store cannot be reached
@@ -31,7 +32,7 @@
 
 type upstreamEntry struct {
 	Upstream
-	coldUntil time.Time
+	coldUntil time.Time // until when it is slow after its start, zero if it is not
 	missing   time.Time // its entry vanished while the store was away, zero if it is there
 }
 
@@ -153,7 +154,10 @@
 		// It cannot take its leave back.
 		u.Leaving = true
 	}
-	next := &upstreamEntry{Upstream: *u, coldUntil: now.Add(u.ColdFor)}
+	next := &upstreamEntry{Upstream: *u}
+	if u.ColdFor > 0 {
+		next.coldUntil = now.Add(u.ColdFor)
+	}
 	c.upstreams[u.ID] = next
 	switch {
 	case old == nil || old.Incarnation != u.Incarnation:
@@ -189,6 +193,7 @@
 	m := ch.Member
 	old := c.members[m.ID]
 	c.members[m.ID] = &memberEntry{Member: *m}
+	c.directory = nil
 	if old != nil && old.vanished.IsZero() && old.Incarnation == m.Incarnation {
 		return nil
 	}
@@ -201,6 +206,7 @@
 		return nil
 	}
 	m.vanished = now
+	c.directory = nil
 	return []Event{{Name: "member_left", ID: m.ID, Detail: m.Address, Revision: ch.Revision}}
 }
 
@@ -217,37 +223,32 @@
 // Key returns the fleet's key, nil for none.
 func (c *Catalog) Key() []byte { return c.key }
 
-// Tick removes what has had its grace, and returns what the instance believes
-// anew.
+// Tick takes in what changes with time alone: upstreams that are no longer slow
+// after their start, and what has had its grace. It returns what the instance
+// believes anew.
 func (c *Catalog) Tick(now time.Time) []Event {
 	var events []Event
-	if !c.inGrace(now) {
-		for _, id := range slices.Sorted(maps.Keys(c.upstreams)) {
-			if u := c.upstreams[id]; !u.missing.IsZero() {
-				delete(c.upstreams, id)
-				events = append(events, Event{Name: "upstream_gone", ID: id, Detail: u.Service + " " + u.Address})
-			}
+	grace := c.inGrace(now)
+	for id, u := range c.upstreams {
+		switch {
+		case !u.missing.IsZero() && !grace:
+			delete(c.upstreams, id)
+			events = append(events, Event{Name: "upstream_gone", ID: id, Detail: u.Service + " " + u.Address})
+		case !u.coldUntil.IsZero() && !now.Before(u.coldUntil):
+			u.coldUntil = time.Time{}
+			events = append(events, Event{Name: "upstream_warm", ID: id, Detail: u.Service + " " + u.Address})
 		}
 	}
+	slices.SortFunc(events, func(a, b Event) int { return cmp.Compare(a.ID, b.ID) })
 	for id, m := range c.members {
 		if !m.vanished.IsZero() && now.Sub(m.vanished) > memberGrace {
 			delete(c.members, id)
+			c.directory = nil
 		}
 	}
 	return events
 }
 
-// Cold reports whether any upstream is still slow after its start, so that the
-// snapshot changes with time.
-func (c *Catalog) Cold(now time.Time) bool {
-	for _, u := range c.upstreams {
-		if now.Before(u.coldUntil) {
-			return true
-		}
-	}
-	return false
-}
-
 // Ready reports whether the store's content was read and holds a
 // configuration.
 func (c *Catalog) Ready() bool { return c.loaded && c.configuration != nil }
--- a/internal/instance/follower/follower.go
+++ b/internal/instance/follower/follower.go
@@ -53,6 +53,7 @@
 	// Of the control goroutine.
 	catalog  *catalog.Catalog
 	table    *routing.Table
+	serving  int // instances among which the callers of all regions are spread
 	version  uint64
 	key      []byte
 	sequence uint64
@@ -127,8 +128,7 @@
 			f.apply(e, time.Now())
 		case now := <-ticks.C:
 			f.gauge(now)
-			cold := f.catalog.Cold(now.Add(-tickInterval))
-			if f.note(f.catalog.Tick(now)) || cold {
+			if f.note(f.catalog.Tick(now)) {
 				f.publish(now)
 			}
 		}
@@ -201,6 +201,7 @@
 
 // publish builds a snapshot aside and swaps it in.
 func (f *Follower) publish(now time.Time) {
+	table := f.table
 	if c := f.catalog.Configuration(); c != nil {
 		if c.Version != f.version {
 			f.version, f.table, f.adopted = c.Version, c.Table(), now
@@ -213,11 +214,13 @@
 	snap := f.catalog.Snapshot(catalog.View{Self: self, Regions: f.cfg.Regions}, f.table, now)
 	f.sequence++
 	snap.Sequence = f.sequence
-	directory := f.catalog.Directory()
-	snap.Serving = directory.Serving()
-	f.members.Store(directory)
-	f.publishPeers(directory)
-	f.publishRelays(directory)
+	if d := f.catalog.Directory(); d != f.members.Load() || f.table != table {
+		f.members.Store(d)
+		f.serving = d.Serving()
+		f.publishPeers(d)
+		f.publishRelays(d)
+	}
+	snap.Serving = f.serving
 	f.publishKeys()
 	f.snapshot.Store(snap)
 	if snap.Ready {
--- a/internal/instance/follower/follower_test.go
+++ b/internal/instance/follower/follower_test.go
@@ -259,16 +259,23 @@
 	return reader
 }
 
-// Guards against a fleet in which each instance waits at the store: its calls
-// are limited and paid for, and would grow with the number of instances.
-func TestOneInstanceOfAFailureDomainWaitsAtTheStore(t *testing.T) {
+// runFleet runs n instances of a failure domain, each with a source of its own,
+// until they have a relay, and returns its index as well.
+func runFleet[S catalog.Source](t *testing.T, n int, source func(c *platform.Store) S) (s *standin.Store, all []*Follower, sources []S, reader int) {
+	t.Helper()
 	s, c := startStore(t)
 	put(s, "3")
-	var all []*Follower
-	for i := range 5 {
-		all = append(all, run(t, fmt.Sprint("i", i), c))
+	for i := range n {
+		sources = append(sources, source(c))
+		all = append(all, run(t, fmt.Sprint("i", i), sources[i]))
 	}
-	relayOf(t, all)
+	return s, all, sources, relayOf(t, all)
+}
+
+// Guards against a fleet in which each instance waits at the store: its calls
+// are limited and paid for, and would grow with the number of instances.
+func TestOneInstanceOfAFailureDomainWaitsAtTheStore(t *testing.T) {
+	s, all, _, _ := runFleet(t, 5, func(c *platform.Store) *platform.Store { return c })
 	before := s.Calls()["watch"]
 	for v := 4; v <= 8; v++ {
 		put(s, fmt.Sprint(v))
@@ -286,16 +293,7 @@
 // Guards against instances that stay with an old configuration because their
 // relay has lost the store, or is frozen, while they reach it themselves.
 func TestInstancesLeaveARelayThatIsBehind(t *testing.T) {
-	s, c := startStore(t)
-	put(s, "3")
-	var all []*Follower
-	var cuts []*cuttable
-	for i := range 3 {
-		cut := &cuttable{Store: c}
-		cuts = append(cuts, cut)
-		all = append(all, run(t, fmt.Sprint("i", i), cut))
-	}
-	reader := relayOf(t, all)
+	s, all, cuts, reader := runFleet(t, 3, func(c *platform.Store) *cuttable { return &cuttable{Store: c} })
 	cuts[reader].cut.Store(true)
 	put(s, "4")
 	eventually(t, "the new version at the others", func() bool {
@@ -327,16 +325,7 @@
 // old configuration, and calls the store all the time, although its relay is
 // served.
 func TestRelayServesInstancesThatTheStoreTurnsAway(t *testing.T) {
-	s, c := startStore(t)
-	put(s, "3")
-	var all []*Follower
-	var doors []*door
-	for i := range 3 {
-		d := &door{Store: c}
-		doors = append(doors, d)
-		all = append(all, run(t, fmt.Sprint("i", i), d))
-	}
-	reader := relayOf(t, all)
+	s, all, doors, reader := runFleet(t, 3, func(c *platform.Store) *door { return &door{Store: c} })
 	away := (reader + 1) % len(all)
 	doors[away].shut.Store(true)
 	// The instance asks the store while it has no relay.
@@ -380,16 +369,7 @@
 // Guards against an instance that the store turns away and that knows no other
 // relay than one that is turned away as well: it hears of no new member.
 func TestNextRelayTakesOver(t *testing.T) {
-	s, c := startStore(t)
-	put(s, "3")
-	var all []*Follower
-	var doors []*door
-	for i := range 4 {
-		d := &door{Store: c}
-		doors = append(doors, d)
-		all = append(all, run(t, fmt.Sprint("i", i), d))
-	}
-	reader := relayOf(t, all)
+	s, all, doors, reader := runFleet(t, 4, func(c *platform.Store) *door { return &door{Store: c} })
 	// One of the two relays that may take over is turned away as well.
 	away := slices.IndexFunc(all, func(f *Follower) bool {
 		r := f.relays.Load()
--- a/internal/instance/follower/watch.go
+++ b/internal/instance/follower/watch.go
@@ -285,7 +285,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if w.turn++; w.turn%max(1, len(w.relays.others)) == 0 {
+	if w.turn++; w.turn%len(w.relays.others) == 0 {
 		w.redial = time.Now().Add(redialInterval)
 	}
 	w.f.cfg.Scope.Counter("relay_left").Inc(1)
--- a/internal/instance/relay/log.go
+++ b/internal/instance/relay/log.go
@@ -42,8 +42,9 @@
 // NewLog returns a log that knows nothing.
 func NewLog() *Log { return &Log{updated: make(chan struct{})} }
 
-// Reset begins anew at an index, after the whole content was read. asOf is the
-// time at which nothing followed the index, zero if that is not known.
+// Reset begins anew at an index, after the whole content was read or by an
+// instance that follows a relay and passes nothing on itself. asOf is the time at
+// which nothing followed the index, zero if that is not known.
 func (l *Log) Reset(index uint64, asOf time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
