cli: explain log tells a failed request's cause from the instances' logs

On the platform nobody can ask an instance, so that explain request had nothing in its place but grep. explain log reads the lines of all instances: the attempts of the request as its record had them (the format of the field is read back by the package that writes it), how other attempts at the same upstreams ended within 5 s, here and at other instances, and what the instance learned before.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -61,15 +61,19 @@
 }
 
 func printRequest(w io.Writer, e admin.RequestExplanation) {
-	fmt.Fprintf(w, "request=%s instance=%s time=%s service=%s revision=%d route=%q caller=%s\n",
-		e.RequestID, e.Instance, e.Time.Format(time.RFC3339Nano), e.Service, e.Revision, e.Route, e.Caller)
-	fmt.Fprintf(w, "  status=%d kind=%s run=%s queued=%v total=%v\n", e.Status, e.Kind, e.Run, e.Queued, e.Total)
+	printAnswer(w, e)
 	for i, a := range e.Attempts {
 		fmt.Fprintf(w, "  attempt=%d upstream=%s home_slot=%t fresh_connection=%t bytes_sent=%t took=%v result=%s retry_cause=%s\n",
 			i+1, a.Upstream, a.Home, a.Fresh, a.BytesSent, a.Took, a.Result, a.RetryCause)
 	}
 }
 
+func printAnswer(w io.Writer, e admin.RequestExplanation) {
+	fmt.Fprintf(w, "request=%s instance=%s time=%s service=%s revision=%d route=%q caller=%s\n",
+		e.RequestID, e.Instance, e.Time.Format(time.RFC3339Nano), e.Service, e.Revision, e.Route, e.Caller)
+	fmt.Fprintf(w, "  status=%d kind=%s run=%s queued=%v total=%v\n", e.Status, e.Kind, e.Run, e.Queued, e.Total)
+}
+
 func explainUpstreamCommand() *command {
 	var t target
 	var service, upstream string
--- a/internal/cli/table.go
+++ b/internal/cli/table.go
@@ -41,6 +41,7 @@
 		locateCommand(),
 		explainUpstreamCommand(),
 		explainRequestCommand(),
+		explainLogCommand(),
 		auditCommand(),
 		keysAuthorityCommand(),
 		keysInstanceCommand(),
--- a/internal/instance/entry/explain.go
+++ b/internal/instance/entry/explain.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"fmt"
-	"strings"
 	"sync"
 
 	"knapweedreel/internal/instance/admin"
@@ -44,27 +42,3 @@
 
 // ExplainRequest returns the explanation of one of the latest requests.
 func (s *Server) ExplainRequest(id string) (admin.RequestExplanation, bool) { return s.ring.get(id) }
-
-// tries describes the attempts of a request in one field of its log line: for
-// each one the upstream, the expected probability of failure, its load, whether the
-// connection was fresh, the result, the time taken and the cause of the retry.
-func tries(attempts []admin.Attempt) string {
-	var b strings.Builder
-	for i, a := range attempts {
-		if i > 0 {
-			b.WriteByte(' ')
-		}
-		conn := "kept"
-		if a.Fresh {
-			conn = "fresh"
-		}
-		fmt.Fprintf(&b, "%s,fails=%.2f,load=%d,%s,%s,%dms", a.Upstream, a.Fails, a.Load, conn, a.Result, a.Took.Milliseconds())
-		if a.RetryCause != "" {
-			b.WriteString("," + a.RetryCause)
-		}
-		if a.Last != "" {
-			b.WriteString(",last:" + a.Last)
-		}
-	}
-	return b.String()
-}
--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/instance/admin"
 )
 
 // ServeHTTP serves one request.
@@ -209,5 +210,5 @@
 	s.log.Log(level, event, zap.String("request_id", x.RequestID), zap.String("service", x.Service), zap.Uint64("revision", x.Revision),
 		zap.String("route", x.Route), zap.String("caller", x.Caller), zap.Int("status", x.Status),
 		zap.String("kind", x.Kind), zap.String("run", x.Run), zap.Int("attempts", len(x.Attempts)),
-		zap.String("tries", tries(x.Attempts)), zap.Duration("queued", x.Queued), zap.Duration("total", x.Total))
+		zap.String("tries", admin.FormatAttempts(x.Attempts)), zap.Duration("queued", x.Queued), zap.Duration("total", x.Total))
 }
