--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -190,6 +190,7 @@
 		now  time.Duration
 		cold bool
 	}{{0, true}, {2 * time.Second, false}} {
+		c.Tick(at(step.now)) // as the control goroutine does all the time
 		s := c.Snapshot(View{Regions: map[string]string{"z1": "south"}}, c.Configuration().Table(), at(step.now))
 		u := s.Services["s"].Upstreams
 		if len(u) != 1 || u[0].Cold != step.cold || u[0].Region != "south" || u[0].MaxConnections != 10 {
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -1,7 +1,9 @@
 package catalog
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"knapweedreel/internal/document"
@@ -32,7 +34,10 @@
 }
 
 // Snapshot returns what traffic needs. The table must be that of the
-// configuration in force, nil before there is one.
+// configuration in force, nil before there is one, and the regions always the same.
+// Services of which no upstream has changed share their upstreams with the
+// snapshot before: at the size of two years one service in hundreds changes at a
+// time.
 func (c *Catalog) Snapshot(v View, table *routing.Table, now time.Time) *routing.Snapshot {
 	s := &routing.Snapshot{
 		Built: now, Self: v.Self, Ready: c.Ready(), Shards: 1, Table: table,
@@ -43,26 +48,47 @@
 		return s
 	}
 	s.CallerIdle = c.configuration.Limits.IdleTimeout
+	c.refresh(v)
 	for name := range c.configuration.Services {
 		s.Services[name] = &routing.Service{
-			Name: name, Revision: c.configuration.Version, Served: true, Document: documentOf(name),
+			Name: name, Revision: c.configuration.Version, Served: true, Document: documentOf(name), Upstreams: c.services[name],
 		}
 	}
-	for _, u := range c.sortedUpstreams() {
-		svc := s.Services[u.Service]
-		if svc == nil || u.Leaving {
-			continue
+	return s
+}
+
+// refresh works out the upstreams of the services that have changed.
+func (c *Catalog) refresh(v View) {
+	changed := make(map[string][]routing.Upstream)
+	for name := range c.configuration.Services {
+		if _, ok := c.services[name]; !ok {
+			changed[name] = nil
 		}
-		svc.Upstreams = append(svc.Upstreams, routing.Upstream{
-			Upstream: document.Upstream{
-				ID: u.ID, Address: u.Address, Slots: u.Slots, Connections: c.configuration.Services[u.Service].Connections,
-				Region: v.Regions[u.FailureDomain], FailureDomain: u.FailureDomain, State: document.UpstreamActive,
-			},
-			State: health.InService, Weight: 1, Cold: now.Before(u.coldUntil),
-			MaxConnections: connections(c.configuration.Services[u.Service].Connections),
-		})
 	}
-	return s
+	if len(changed) == 0 {
+		return
+	}
+	for _, u := range c.upstreams {
+		if all, ok := changed[u.Service]; ok && !u.Leaving {
+			changed[u.Service] = append(all, c.routed(u, v))
+		}
+	}
+	for name, all := range changed {
+		slices.SortFunc(all, func(a, b routing.Upstream) int { return cmp.Compare(a.ID, b.ID) })
+		c.services[name] = all
+	}
+}
+
+// routed returns an upstream as traffic sees it.
+func (c *Catalog) routed(u *upstreamEntry, v View) routing.Upstream {
+	limit := c.configuration.Services[u.Service].Connections
+	return routing.Upstream{
+		Upstream: document.Upstream{
+			ID: u.ID, Address: u.Address, Slots: u.Slots, Connections: limit,
+			Region: v.Regions[u.FailureDomain], FailureDomain: u.FailureDomain, State: document.UpstreamActive,
+		},
+		State: health.InService, Weight: 1, Cold: !u.coldUntil.IsZero(), MaxConnections: connections(limit),
+	}
 }
 
 // connectionShare is the share of an upstream's connections that one instance
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -6,6 +6,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"knapweedreel/internal/routing"
 )
 
 // ReturnGrace is the time after the store's return for which an upstream whose
@@ -24,10 +26,13 @@
 	upstreams     map[string]*upstreamEntry
 	members       map[string]*memberEntry
 	directory     *Directory // of the members, nil after a change
-	key           []byte
-	loaded        bool
-	lost          bool      // the store cannot be reached
-	returned      time.Time // when it was reached again, zero if it was never lost
+	// services are the upstreams of each service as of the latest snapshot, in
+	// the order of their IDs, but for those that have changed since.
+	services map[string][]routing.Upstream
+	key      []byte
+	loaded   bool
+	lost     bool      // the store cannot be reached
+	returned time.Time // when it was reached again, zero if it was never lost
 }
 
 type upstreamEntry struct {
@@ -43,7 +48,10 @@
 
 // New returns an empty catalog.
 func New() *Catalog {
-	return &Catalog{upstreams: make(map[string]*upstreamEntry), members: make(map[string]*memberEntry)}
+	return &Catalog{
+		upstreams: make(map[string]*upstreamEntry), members: make(map[string]*memberEntry),
+		services: make(map[string][]routing.Upstream),
+	}
 }
 
 // Event is a change of what the instance believes, for the log.
@@ -144,6 +152,7 @@
 		old = c.configuration.Version
 	}
 	c.configuration = next
+	clear(c.services)
 	return []Event{{Name: "configuration_in_force", Detail: versions(old, next.Version), Revision: ch.Revision}}
 }
 
@@ -159,6 +168,10 @@
 		next.coldUntil = now.Add(u.ColdFor)
 	}
 	c.upstreams[u.ID] = next
+	delete(c.services, u.Service)
+	if old != nil {
+		delete(c.services, old.Service)
+	}
 	switch {
 	case old == nil || old.Incarnation != u.Incarnation:
 		return []Event{{Name: "upstream_added", ID: u.ID, Detail: u.Service + " " + u.Address, Revision: ch.Revision}}
@@ -182,6 +195,7 @@
 		return []Event{{Name: "upstream_lapsed", ID: u.ID, Detail: u.Service + " " + u.Address, Revision: ch.Revision}}
 	}
 	delete(c.upstreams, ch.ID)
+	delete(c.services, u.Service)
 	return []Event{{Name: "upstream_gone", ID: u.ID, Detail: u.Service + " " + u.Address, Revision: ch.Revision}}
 }
 
@@ -233,9 +247,11 @@
 		switch {
 		case !u.missing.IsZero() && !grace:
 			delete(c.upstreams, id)
+			delete(c.services, u.Service)
 			events = append(events, Event{Name: "upstream_gone", ID: id, Detail: u.Service + " " + u.Address})
 		case !u.coldUntil.IsZero() && !now.Before(u.coldUntil):
 			u.coldUntil = time.Time{}
+			delete(c.services, u.Service)
 			events = append(events, Event{Name: "upstream_warm", ID: id, Detail: u.Service + " " + u.Address})
 		}
 	}
@@ -255,8 +271,3 @@
 
 // Configuration returns the configuration in force, nil for none.
 func (c *Catalog) Configuration() *Configuration { return c.configuration }
-
-// sortedUpstreams returns the upstreams in the order of their IDs.
-func (c *Catalog) sortedUpstreams() []*upstreamEntry {
-	return slices.SortedFunc(maps.Values(c.upstreams), func(a, b *upstreamEntry) int { return cmp.Compare(a.ID, b.ID) })
-}
