entry: a late lookup goes to each upstream once

Cause: with three attempts allowed, the second one, late as well, chose the upstream of the first one, which still had the request, since only attempts that have ended counted as tried. Test: TestLateLookupGoesToEachUpstreamOnce, failed before (status 504; sent 2, 1 and 0 times).

--- a/internal/instance/entry/late.go
+++ b/internal/instance/entry/late.go
@@ -105,7 +105,10 @@
 	}
 	w := *a.e.want
 	w.retry = true
-	w.tried = append(slices.Clone(w.tried), a.choice.upstream.ID)
+	w.tried = slices.Clone(w.tried)
+	for b := a; b != nil; b = b.before { // the earlier ones may still go on
+		w.tried = append(w.tried, b.choice.upstream.ID)
+	}
 	c, ok := a.st.tryAcquire(&w)
 	switch {
 	case !ok:
--- a/internal/instance/entry/placing_test.go
+++ b/internal/instance/entry/placing_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -187,6 +188,35 @@
 	}
 }
 
+// Guards against a third attempt that goes to the upstream of the first one,
+// which is late and still has the request.
+func TestLateLookupGoesToEachUpstreamOnce(t *testing.T) {
+	var hang atomic.Bool
+	var sent [3]atomic.Int64
+	var ups []routing.Upstream
+	for i := range sent {
+		ups = append(ups, standin(t, fmt.Sprint("u", i), func(w http.ResponseWriter, r *http.Request) {
+			if hang.Load() {
+				if sent[i].Add(1); sent[0].Load() == 0 || sent[1].Load() == 0 || sent[2].Load() == 0 {
+					<-r.Context().Done()
+					return
+				}
+			}
+			signed(w, r)
+		}))
+	}
+	ups[2].Region = "elsewhere" // the first one is nearer
+	_, url := placedServer(t, 2, nil, ups...)
+	for range 60 {
+		do(t, request(t, http.MethodGet, url+"/read/x", nil))
+	}
+	hang.Store(true)
+	resp, _ := do(t, request(t, http.MethodGet, url+"/read/x", nil))
+	if resp.StatusCode != http.StatusOK || sent[0].Load() != 1 || sent[1].Load() != 1 || sent[2].Load() != 1 {
+		t.Errorf("status %d, sent %d, %d and %d times", resp.StatusCode, sent[0].Load(), sent[1].Load(), sent[2].Load())
+	}
+}
+
 // Guards against a request that waits although its answer cannot come in time,
 // and against a claim that it may have run. The load is a burst at a service of
 // one slot.
