soak: give each port to one instance only

Cause (its log, kept): its entry address had the port of front-3's address for peers; the harness takes a port that is free at the moment, which that of an instance that has not started yet is. Ruled out: a fault of the product (the instance reported the address in use and stopped); ports of outgoing connections (the range is outside of theirs). Test: TestPortsAreGivenOnce, failed before.

--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -204,19 +204,37 @@
 	lastPort  = 32_000
 )
 
-// freePorts returns loopback addresses that are free now.
+// givenPorts are the ports that were given away. An instance that has not
+// started yet does not keep its ports from being free.
+var givenPorts struct {
+	sync.Mutex
+	ports map[int]bool
+}
+
+// freePorts returns loopback addresses that are free now and given to nobody
+// else.
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
+	givenPorts.Lock()
+	defer givenPorts.Unlock()
+	if givenPorts.ports == nil {
+		givenPorts.ports = make(map[int]bool)
+	}
 	var out []string
 	for tries := 0; len(out) < n; tries++ {
 		if tries > 1000 {
 			t.Fatal("no free ports")
 		}
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if givenPorts.ports[port] {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue // in use
 		}
 		defer func() { _ = l.Close() }()
+		givenPorts.ports[port] = true
 		out = append(out, l.Addr().String())
 	}
 	return out
@@ -300,3 +318,17 @@
 	defer i.mu.Unlock()
 	return i.end
 }
+
+// Guards against two instances that are given the same port, of which the second
+// one cannot start: seed 1796398989781745171 failed so.
+func TestPortsAreGivenOnce(t *testing.T) {
+	given := make(map[string]bool)
+	for range 500 {
+		for _, address := range freePorts(t, 4) {
+			if given[address] {
+				t.Fatalf("%s is given twice", address)
+			}
+			given[address] = true
+		}
+	}
+}
