Read the changes as a newcomer: names, order of steps, a panic of a hedge

The pause after a failed call counts from the call, not from the wait for a relay before it; a hedge that panics does not start another one.

--- a/internal/cli/explain_log.go
+++ b/internal/cli/explain_log.go
@@ -19,8 +19,8 @@
 )
 
 // logWindow is the time around a request within which other attempts at its
-// upstreams, and what the instance learned, are looked at. It covers the longest
-// usual spell of a faulty upstream.
+// upstreams, and what the instance learned, are looked at. It is as long as usual
+// deadlines, so that attempts that hung then have ended.
 const logWindow = 5 * time.Second
 
 func explainLogCommand() *command {
@@ -210,7 +210,7 @@
 
 // aboutInstance reports whether an event concerns all requests of an instance.
 func aboutInstance(event string) bool {
-	return !strings.HasPrefix(event, "upstream_") && !strings.HasPrefix(event, "member_joined") && !strings.HasPrefix(event, "member_left")
+	return !strings.HasPrefix(event, "upstream_") && event != "member_joined" && event != "member_left"
 }
 
 func (l *logLine) describe(end time.Time) string {
--- a/internal/instance/entry/hedge.go
+++ b/internal/instance/entry/hedge.go
@@ -35,6 +35,7 @@
 	defer func() {
 		if p := recover(); p != nil {
 			a.s.log.Error("panic", zap.String("request_id", a.e.id), zap.Any("value", p), zap.StackSkip("stack", 1))
+			a.late.stop()
 			a.err = errkind.New(errkind.Internal, "the instance failed to handle the attempt")
 			a.end()
 		}
@@ -47,7 +48,7 @@
 	}
 }
 
-// dismissHedge ends the attempt that runs beside a.
+// dismissHedge ends the attempt that runs beside a, and does not wait for it.
 func (a *attempt) dismissHedge() {
 	if h := a.late.hedge; h != nil {
 		h.attempt.cancel(errNotNeeded)
@@ -56,6 +57,7 @@
 
 // collectHedges waits until no attempt runs beside a any more.
 func (a *attempt) collectHedges() {
+	a.late.stop() // for the case that a has panicked
 	for h := a.late.hedge; h != nil; h = h.attempt.late.hedge {
 		h.attempt.cancel(errNotNeeded)
 		<-h.done
--- a/internal/instance/entry/late.go
+++ b/internal/instance/entry/late.go
@@ -125,8 +125,8 @@
 	return nil
 }
 
-// beat ends the attempt, unless its answer has begun, because a hedge has
-// answered.
+// beat ends the attempt because a hedge has answered, unless its own answer has
+// begun.
 func (l *lateness) beat(a *attempt) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/instance/entry/retry.go
+++ b/internal/instance/entry/retry.go
@@ -54,15 +54,16 @@
 		a.end()
 		a.collectHedges()
 	}()
-	for a.run(); !a.final(); {
+	a.run()
+	for !a.final() {
 		if a.err == nil {
 			held.drop()
 			held = a
 		}
 		if h := a.late.hedge; h != nil {
 			e.tried(a)
-			a = h.attempt
 			<-h.done
+			a = h.attempt
 			continue
 		}
 		c, cause, ok := e.another(a)
--- a/internal/instance/follower/follower.go
+++ b/internal/instance/follower/follower.go
@@ -201,7 +201,7 @@
 
 // publish builds a snapshot aside and swaps it in.
 func (f *Follower) publish(now time.Time) {
-	table := f.table
+	old := f.table
 	if c := f.catalog.Configuration(); c != nil {
 		if c.Version != f.version {
 			f.version, f.table, f.adopted = c.Version, c.Table(), now
@@ -214,7 +214,7 @@
 	snap := f.catalog.Snapshot(catalog.View{Self: self, Regions: f.cfg.Regions}, f.table, now)
 	f.sequence++
 	snap.Sequence = f.sequence
-	if d := f.catalog.Directory(); d != f.members.Load() || f.table != table {
+	if d := f.catalog.Directory(); d != f.members.Load() || f.table != old {
 		f.members.Store(d)
 		f.serving = d.Serving()
 		f.publishPeers(d)
--- a/internal/instance/follower/membership.go
+++ b/internal/instance/follower/membership.go
@@ -36,7 +36,7 @@
 	}
 	m := membership{f: f, self: f.cfg.Self}
 	m.keep(ctx)
-	next := time.NewTimer(m.pause)
+	next := time.NewTimer(m.interval)
 	defer next.Stop()
 	offer := time.NewTimer(time.Duration(f.cfg.Jitter() * float64(keyDelay)))
 	defer offer.Stop()
@@ -55,7 +55,7 @@
 		case <-next.C:
 			began := time.Now()
 			m.keep(ctx)
-			next.Reset(m.pause - time.Since(began))
+			next.Reset(m.interval - time.Since(began))
 		}
 	}
 }
@@ -75,7 +75,7 @@
 	f            *Follower
 	self         catalog.Member
 	registration *catalog.Registration // nil while not registered
-	pause        time.Duration         // from the beginning of the last call of keep to the next one
+	interval     time.Duration         // from the latest call of keep to the next one
 }
 
 // keyDelay is the longest time before an instance that finds no key offers one.
@@ -99,13 +99,13 @@
 func (m *membership) keep(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, renewInterval)
 	defer cancel()
-	m.pause = renewRetry
+	m.interval = renewRetry
 	if m.registration != nil {
 		err := m.f.source.Renew(ctx, *m.registration)
 		m.f.count("renew", err)
 		if !errors.Is(err, catalog.ErrExpired) {
 			if err == nil {
-				m.pause = renewInterval
+				m.interval = renewInterval
 			}
 			m.logFailure("member_not_renewed", err)
 			return
@@ -119,7 +119,7 @@
 		m.logFailure("member_not_registered", err)
 		return
 	}
-	m.registration, m.pause = &r, renewInterval
+	m.registration, m.interval = &r, renewInterval
 	m.f.log.Info("member_registered", zap.Uint64("lease", r.Lease), zap.Duration("ttl", r.TTL), zap.Int("width", m.self.Width))
 }
 
--- a/internal/instance/follower/watch.go
+++ b/internal/instance/follower/watch.go
@@ -70,7 +70,7 @@
 	stale   bool      // the next load may be old
 	index   uint64    // of the last change that was read
 	asOf    time.Time // when nothing followed the index
-	began   time.Time // of the current step
+	began   time.Time // of the latest call to the store
 	backoff time.Duration
 	lost    time.Time // when the store was lost, zero while it can be reached
 
@@ -83,11 +83,11 @@
 // step reads what is new and hands it to the control goroutine. A relay may also
 // continue where calls to the store have failed.
 func (w *watch) step(ctx context.Context) error {
-	w.began = time.Now()
 	if w.index > 0 && w.relayed(ctx) {
 		w.loaded = true
 		return nil
 	}
+	w.began = time.Now()
 	if !w.loaded {
 		return w.load(ctx)
 	}
@@ -166,7 +166,6 @@
 	if !w.lost.IsZero() {
 		wait = minWait // a call that hangs must not hide that the store is back
 	}
-	began := time.Now()
 	changes, index, err := w.f.source.Changes(ctx, w.index, wait)
 	w.f.count("watch", err)
 	if err != nil {
@@ -186,7 +185,7 @@
 		if !w.started {
 			gather, w.started = startTime, true
 		}
-		pause(ctx, gather-time.Since(began))
+		pause(ctx, gather-time.Since(w.began))
 	}
 	return nil
 }
