follower: keep a lease until its entry is taken

An instance registers with two writes; when the second one was refused, it took out a new lease with the next attempt, so that up to half of the writes were leases that nothing was entered with. The lease is kept, renewed (a read) and completed now. Test: TestLeaseIsKeptUntilTheEntryIsTaken, failed before (2 leases after one refused entry).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -126,7 +126,8 @@
 	// Decode returns the change in another instance's Change.Raw, or false for
 	// one that cannot be read or is not the fleet's concern.
 	Decode(raw []byte) (Change, bool)
-	// Register enters a member for the given time.
+	// Register enters a member for the given time. When only its entry was not
+	// taken, it returns the lease with the error, and Update completes it.
 	Register(ctx context.Context, m Member, ttl time.Duration) (Registration, error)
 	// Renew extends a registration, or returns ErrExpired.
 	Renew(ctx context.Context, r Registration) error
--- a/internal/instance/follower/membership.go
+++ b/internal/instance/follower/membership.go
@@ -75,6 +75,7 @@
 	f            *Follower
 	self         catalog.Member
 	registration *catalog.Registration // nil while not registered
+	granted      *catalog.Registration // has a lease but no entry yet, nil for none
 	interval     time.Duration         // from the latest call of keep to the next one
 }
 
@@ -113,8 +114,7 @@
 		m.f.log.Warn("member_expired", zap.Uint64("lease", m.registration.Lease))
 		m.registration = nil
 	}
-	r, err := m.f.source.Register(ctx, m.self, memberTTL)
-	m.f.count("register", err)
+	r, err := m.enter(ctx)
 	if err != nil {
 		m.logFailure("member_not_registered", err)
 		return
@@ -123,6 +123,33 @@
 	m.f.log.Info("member_registered", zap.Uint64("lease", r.Lease), zap.Duration("ttl", r.TTL), zap.Int("width", m.self.Width))
 }
 
+// enter registers the member. A lease whose entry the store has not taken is used
+// again: when all instances start at once, the store's rate for writes is the
+// limit.
+func (m *membership) enter(ctx context.Context) (catalog.Registration, error) {
+	if m.granted != nil {
+		r := *m.granted
+		err := m.f.source.Renew(ctx, r)
+		m.f.count("renew", err)
+		if err == nil {
+			err = m.f.source.Update(ctx, r, m.self)
+			m.f.count("register", err)
+		}
+		if err == nil || errors.Is(err, catalog.ErrExpired) {
+			m.granted = nil
+		}
+		if !errors.Is(err, catalog.ErrExpired) {
+			return r, err
+		}
+	}
+	r, err := m.f.source.Register(ctx, m.self, memberTTL)
+	m.f.count("register", err)
+	if err != nil && r.Lease != 0 {
+		m.granted = &r
+	}
+	return r, err
+}
+
 func (m *membership) update(ctx context.Context) {
 	if m.registration == nil {
 		return
--- a/internal/instance/follower/renew_test.go
+++ b/internal/instance/follower/renew_test.go
@@ -22,9 +22,12 @@
 
 	fail func(renewal int) (hangs time.Duration, fails bool)
 
+	refuseEntries int // so many entries are refused
+
 	mu         sync.Mutex
 	renewals   int
 	registered int
+	entered    bool
 	ends       time.Time
 }
 
@@ -46,7 +49,26 @@
 	defer s.mu.Unlock()
 	s.registered++
 	s.ends = time.Now().Add(ttl)
-	return catalog.Registration{Lease: 1, TTL: ttl}, nil
+	return catalog.Registration{Lease: 1, TTL: ttl}, s.put()
+}
+
+// put takes an entry or refuses it.
+func (s *leaseSource) put() error {
+	if s.refuseEntries > 0 {
+		s.refuseEntries--
+		return errors.Mark(errors.New("refused"), store.ErrUnavailable)
+	}
+	s.entered = true
+	return nil
+}
+
+func (s *leaseSource) Update(context.Context, catalog.Registration, catalog.Member) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Now().After(s.ends) {
+		return catalog.ErrExpired
+	}
+	return s.put()
 }
 
 func (s *leaseSource) Renew(ctx context.Context, r catalog.Registration) error {
@@ -66,6 +88,37 @@
 
 func (s *leaseSource) OfferKey(context.Context, []byte) error { return nil }
 
+// follow runs an instance of the store for some time.
+func follow(t *testing.T, s catalog.Source, d time.Duration) {
+	f := New(Config{
+		Self: catalog.Member{ID: "i1", Region: "south", FailureDomain: "z1"}, Regions: map[string]string{"z1": "south"},
+		Log: zap.NewNop(), Scope: tally.NoopScope, Jitter: func() float64 { return 1 },
+	}, s)
+	ctx, cancel := context.WithCancel(t.Context())
+	var loops sync.WaitGroup
+	for _, loop := range []func(context.Context) error{f.Run, f.Watch, f.Member} {
+		loops.Go(func() { _ = loop(ctx) })
+	}
+	time.Sleep(d)
+	cancel()
+	loops.Wait()
+}
+
+// Guards against leases that are taken out again and again while the store has
+// no room for the entries: after the start of a whole fleet they would use up
+// half of the writes.
+func TestLeaseIsKeptUntilTheEntryIsTaken(t *testing.T) {
+	for _, refused := range []int{0, 1, 3, 6} { // a lease that is not renewed lasts for four attempts
+		synctest.Test(t, func(t *testing.T) {
+			s := &leaseSource{refuseEntries: refused, fail: func(int) (time.Duration, bool) { return 0, false }}
+			follow(t, s, 10*time.Second)
+			if !s.entered || s.registered != 1 {
+				t.Errorf("%d entries refused: entered %t with %d leases, want 1", refused, s.entered, s.registered)
+			}
+		})
+	}
+}
+
 // Guards against members that callers are no longer told of because two
 // renewals in a row were refused, or one was not answered, and against renewals
 // that come more often than the lease needs: at 2,800 instances they are most of
@@ -79,18 +132,7 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			s := &leaseSource{fail: fail}
-			f := New(Config{
-				Self: catalog.Member{ID: "i1", Region: "south", FailureDomain: "z1"}, Regions: map[string]string{"z1": "south"},
-				Log: zap.NewNop(), Scope: tally.NoopScope, Jitter: func() float64 { return 1 },
-			}, s)
-			ctx, cancel := context.WithCancel(t.Context())
-			var loops sync.WaitGroup
-			for _, loop := range []func(context.Context) error{f.Run, f.Watch, f.Member} {
-				loops.Go(func() { _ = loop(ctx) })
-			}
-			time.Sleep(seconds * time.Second)
-			cancel()
-			loops.Wait()
+			follow(t, s, seconds*time.Second)
 			if s.registered != 1 {
 				t.Errorf("%s: registered %d times", name, s.registered)
 			}
