follower: a long read of a store that was lost is not given up

Cause, found in the reading of the changes: the reads that overlap were given up together 1.2 s after the first one, also while they were answered page by page. With 29,000 upstreams, 59 pages, an instance that had lost the store would never have read it again. They are given up only when one of them has failed. A store that hangs fails the first one within that time, so that a return is noticed as soon as before. Test: TestLongReadsEndAfterACut, failed before (no upstream 10 s after the cut); TestInstanceDropsWhatLeftDuringItsCut still passes.

--- a/internal/instance/follower/cut_test.go
+++ b/internal/instance/follower/cut_test.go
@@ -21,11 +21,26 @@
 type cutSource struct {
 	catalog.Source // only the calls below are made
 
+	loadTime time.Duration // that a whole read takes
+
 	mu      sync.Mutex
 	cut     bool
 	entries []catalog.Change
 }
 
+func theConfiguration() catalog.Change {
+	return catalog.Change{Kind: catalog.KindConfiguration, Configuration: &catalog.Configuration{
+		Version: 1, Services: map[string]catalog.Service{"s": {}},
+		Routes: []catalog.Route{{Name: "r", Host: "a.example", Parts: []routing.Part{{Service: "s", Weight: 1}}}},
+	}}
+}
+
+func theUpstream() catalog.Change {
+	return catalog.Change{Kind: catalog.KindUpstream, ID: "a", Upstream: &catalog.Upstream{
+		ID: "a", Service: "s", Address: "10.0.0.1:80", FailureDomain: "z1", Slots: 6,
+	}}
+}
+
 // hangTime is the time after which a call that hangs is given up.
 const hangTime = time.Second
 
@@ -51,6 +66,9 @@
 	if hangs {
 		return nil, 0, s.hang(ctx)
 	}
+	if pause(ctx, s.loadTime); ctx.Err() != nil {
+		return nil, 0, ctx.Err()
+	}
 	return entries, 1, nil
 }
 
@@ -62,6 +80,35 @@
 	return nil, after, nil
 }
 
+// Guards against an instance that never comes back after a cut because its reads
+// take longer than it waits for the beginning of an answer: 29,000 upstreams are
+// read in 59 pages.
+func TestLongReadsEndAfterACut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &cutSource{loadTime: 3 * time.Second}
+		f := New(Config{
+			Self: catalog.Member{ID: "i1", Region: "south", FailureDomain: "z1"}, Regions: map[string]string{"z1": "south"},
+			Log: zap.NewNop(), Scope: tally.NoopScope, Jitter: func() float64 { return 1 },
+		}, s)
+		s.set(false, theConfiguration())
+		ctx, cancel := context.WithCancel(t.Context())
+		var loops sync.WaitGroup
+		for _, loop := range []func(context.Context) error{f.Run, f.Watch} {
+			loops.Go(func() { _ = loop(ctx) })
+		}
+		time.Sleep(4 * time.Second)
+		s.set(true)
+		time.Sleep(5 * time.Second)
+		s.set(false, theConfiguration(), theUpstream())
+		time.Sleep(10 * time.Second)
+		if n := upstreams(f); n != 1 {
+			t.Errorf("%d upstreams 10 s after the cut", n)
+		}
+		cancel()
+		loops.Wait()
+	})
+}
+
 // Guards against an instance that uses upstreams that left during its cut for
 // longer than the time after which it counts as well again, for each moment of a
 // call that hangs at which the cut may end.
@@ -70,17 +117,10 @@
 		inTouch = 3 * time.Second // shortest of the users' deployments
 		step    = 50 * time.Millisecond
 	)
-	configuration := catalog.Change{Kind: catalog.KindConfiguration, Configuration: &catalog.Configuration{
-		Version: 1, Services: map[string]catalog.Service{"s": {}},
-		Routes: []catalog.Route{{Name: "r", Host: "a.example", Parts: []routing.Part{{Service: "s", Weight: 1}}}},
-	}}
-	upstream := catalog.Change{Kind: catalog.KindUpstream, ID: "a", Upstream: &catalog.Upstream{
-		ID: "a", Service: "s", Address: "10.0.0.1:80", FailureDomain: "z1", Slots: 6,
-	}}
 	for cut := 4 * time.Second; cut < 8*time.Second; cut += step {
 		synctest.Test(t, func(t *testing.T) {
 			s := &cutSource{}
-			s.set(false, configuration, upstream)
+			s.set(false, theConfiguration(), theUpstream())
 			f := New(Config{
 				Self: catalog.Member{ID: "i1", Region: "south", FailureDomain: "z1"}, Regions: map[string]string{"z1": "south"},
 				Log: zap.NewNop(), Scope: tally.NoopScope, Jitter: func() float64 { return 1 },
@@ -99,7 +139,7 @@
 			if upstreams(f) != 1 {
 				t.Error("the upstream is dropped during the cut")
 			}
-			s.set(false, configuration)
+			s.set(false, theConfiguration())
 			time.Sleep(inTouch)
 			if n := upstreams(f); n != 0 {
 				t.Errorf("cut of %v: %d upstreams %v after its end", cut, n, inTouch)
--- a/internal/instance/follower/renew_test.go
+++ b/internal/instance/follower/renew_test.go
@@ -12,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"knapweedreel/internal/catalog"
-	"knapweedreel/internal/routing"
 	"knapweedreel/internal/store"
 )
 
@@ -32,11 +31,7 @@
 }
 
 func (s *leaseSource) Load(context.Context, bool) ([]catalog.Change, uint64, error) {
-	c := catalog.Change{Kind: catalog.KindConfiguration, Configuration: &catalog.Configuration{
-		Version: 1, Services: map[string]catalog.Service{"s": {}},
-		Routes: []catalog.Route{{Name: "r", Host: "a.example", Parts: []routing.Part{{Service: "s", Weight: 1}}}},
-	}}
-	return []catalog.Change{c}, 1, nil
+	return []catalog.Change{theConfiguration()}, 1, nil
 }
 
 func (s *leaseSource) Changes(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Change, uint64, error) {
--- a/internal/instance/follower/watch.go
+++ b/internal/instance/follower/watch.go
@@ -112,7 +112,7 @@
 
 // read returns the whole content. Several calls may be under way to a store that
 // was lost: one that hangs since before the store came back must not hide that
-// it is back.
+// it is back, and one that is answered page by page may take as long as it needs.
 func (w *watch) read(ctx context.Context) ([]catalog.Change, uint64, error) {
 	type answer struct {
 		call    int
@@ -125,7 +125,7 @@
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	defer cancel()
-	newest := 0
+	newest, failed := 0, 0
 	call := func() {
 		newest++
 		n, stale := newest, w.stale
@@ -145,13 +145,14 @@
 			if a.err == nil || a.call == newest {
 				return a.changes, a.index, a.err
 			}
+			failed++
 		case <-ticks.C:
 			switch {
 			case w.lost.IsZero():
-			case newest == rereadCalls:
-				return nil, 0, errSilent
-			default:
+			case newest < rereadCalls:
 				call()
+			case failed > 0: // begin anew rather than wait for the others
+				return nil, 0, errSilent
 			}
 		}
 	}
