--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -62,6 +62,11 @@
 	Revision uint64 // of the store
 }
 
+// event tells of an upstream. The revision is 0 for what the store has not told.
+func (u *Upstream) event(name string, revision uint64) Event {
+	return Event{Name: name, ID: u.ID, Detail: u.Service + " " + u.Address, Revision: revision}
+}
+
 // Lost notes that the store cannot be reached.
 func (c *Catalog) Lost() { c.lost = true }
 
@@ -174,11 +179,11 @@
 	}
 	switch {
 	case old == nil || old.Incarnation != u.Incarnation:
-		return []Event{{Name: "upstream_added", ID: u.ID, Detail: u.Service + " " + u.Address, Revision: ch.Revision}}
+		return []Event{u.event("upstream_added", ch.Revision)}
 	case u.Leaving && !old.Leaving:
-		return []Event{{Name: "upstream_leaving", ID: u.ID, Detail: u.Service + " " + u.Address, Revision: ch.Revision}}
+		return []Event{u.event("upstream_leaving", ch.Revision)}
 	case !old.missing.IsZero():
-		return []Event{{Name: "upstream_back", ID: u.ID, Detail: u.Service + " " + u.Address, Revision: ch.Revision}}
+		return []Event{u.event("upstream_back", ch.Revision)}
 	}
 	return nil
 }
@@ -192,11 +197,11 @@
 	}
 	if !u.Leaving && c.inGrace(now) {
 		u.missing = now
-		return []Event{{Name: "upstream_lapsed", ID: u.ID, Detail: u.Service + " " + u.Address, Revision: ch.Revision}}
+		return []Event{u.event("upstream_lapsed", ch.Revision)}
 	}
 	delete(c.upstreams, ch.ID)
 	delete(c.services, u.Service)
-	return []Event{{Name: "upstream_gone", ID: u.ID, Detail: u.Service + " " + u.Address, Revision: ch.Revision}}
+	return []Event{u.event("upstream_gone", ch.Revision)}
 }
 
 func (c *Catalog) inGrace(now time.Time) bool {
@@ -248,11 +253,11 @@
 		case !u.missing.IsZero() && !grace:
 			delete(c.upstreams, id)
 			delete(c.services, u.Service)
-			events = append(events, Event{Name: "upstream_gone", ID: id, Detail: u.Service + " " + u.Address})
+			events = append(events, u.event("upstream_gone", 0))
 		case !u.coldUntil.IsZero() && !now.Before(u.coldUntil):
 			u.coldUntil = time.Time{}
 			delete(c.services, u.Service)
-			events = append(events, Event{Name: "upstream_warm", ID: id, Detail: u.Service + " " + u.Address})
+			events = append(events, u.event("upstream_warm", 0))
 		}
 	}
 	slices.SortFunc(events, func(a, b Event) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/cli/document_file.go
+++ b/internal/cli/document_file.go
@@ -44,14 +44,18 @@
 // readLimited reads at most one byte more than a document may have, so that a
 // wrong file name cannot fill the memory.
 func readLimited(file string) ([]byte, error) {
-	input := os.Stdin
-	if file != "-" {
-		f, err := os.Open(file)
-		if err != nil {
-			return nil, err
-		}
-		defer f.Close()
-		input = f
+	input, err := openInput(file)
+	if err != nil {
+		return nil, err
 	}
+	defer input.Close()
 	return io.ReadAll(io.LimitReader(input, document.MaxTextBytes+1))
 }
+
+// openInput opens a file, or the standard input for "-".
+func openInput(file string) (*os.File, error) {
+	if file == "-" {
+		return os.Stdin, nil
+	}
+	return os.Open(file)
+}
--- a/internal/cli/explain_log.go
+++ b/internal/cli/explain_log.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -35,15 +34,11 @@
 			sc.String(&file, "", "file", "File with the log lines of all instances, - for the standard input")
 		},
 		run: func(_ context.Context, s *session) error {
-			input := os.Stdin
-			if file != "-" {
-				f, err := os.Open(file)
-				if err != nil {
-					return exitWith(ExitUsage, "read log: %v", err)
-				}
-				defer f.Close()
-				input = f
+			input, err := openInput(file)
+			if err != nil {
+				return exitWith(ExitUsage, "read log: %v", err)
 			}
+			defer input.Close()
 			lines, err := readLog(input)
 			if err != nil {
 				return exitWith(ExitUsage, "read log: %v", err)
--- a/internal/instance/entry/drain.go
+++ b/internal/instance/entry/drain.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"knapweedreel/internal/supervisor"
 )
 
 // quietTime is the time for which no caller may have been active before a
@@ -37,8 +39,8 @@
 // Run returns only when its own context ends.
 func (s *Server) Drain(ctx context.Context) error {
 	s.drain.started.Store(true)
-	if err := pause(ctx, milliseconds(s.cfg.Times.DrainMS)); err != nil {
-		return err
+	if !supervisor.Sleep(ctx, milliseconds(s.cfg.Times.DrainMS)) {
+		return ctx.Err()
 	}
 	limit, cancel := context.WithTimeout(ctx, milliseconds(s.cfg.Times.StopLimitMS))
 	defer cancel()
@@ -63,17 +65,6 @@
 	return errors.Mark(errors.Wrap(err, "planned stop"), errDrainLimit)
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // callerTable knows which callers' connections have a request in flight.
 type callerTable struct {
 	mu     sync.Mutex
--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -53,14 +53,19 @@
 	if p == http.ErrAbortHandler {
 		panic(p)
 	}
-	s.log.Error("panic", zap.String("request_id", e.id), zap.Any("value", p), zap.StackSkip("stack", 1))
-	err := errkind.New(errkind.Internal, "the instance failed to handle the request")
+	err := s.panicked(e, p)
 	if e.explanation.Status != 0 {
 		e.abort(err)
 	}
 	e.fail(err)
 }
 
+// panicked logs a panic and returns the error that stands for it.
+func (s *Server) panicked(e *exchange, p any) error {
+	s.log.Error("panic", zap.String("request_id", e.id), zap.Any("value", p), zap.StackSkip("stack", 2))
+	return errkind.New(errkind.Internal, "the instance failed to handle the request")
+}
+
 // callerOf returns the caller account of a request, else its remote IP.
 func callerOf(r *http.Request) string {
 	if c := r.Header.Get(headerCaller); c != "" {
--- a/internal/instance/entry/hedge.go
+++ b/internal/instance/entry/hedge.go
@@ -4,9 +4,6 @@
 	"context"
 
 	"github.com/cockroachdb/errors"
-	"go.uber.org/zap"
-
-	"knapweedreel/internal/errkind"
 )
 
 // errNotNeeded ends an attempt whose request was answered by another one.
@@ -34,9 +31,8 @@
 	defer close(h.done)
 	defer func() {
 		if p := recover(); p != nil {
-			a.s.log.Error("panic", zap.String("request_id", a.e.id), zap.Any("value", p), zap.StackSkip("stack", 1))
 			a.late.stop()
-			a.err = errkind.New(errkind.Internal, "the instance failed to handle the attempt")
+			a.err = a.s.panicked(a.e, p)
 			a.end()
 		}
 	}()
--- a/internal/instance/entry/placing.go
+++ b/internal/instance/entry/placing.go
@@ -48,6 +48,8 @@
 	tracker *placement.Tracker
 	share   func(evidence.Record)       // nil for none
 	remote  map[remoteKey]remoteAttempt // attempts of other instances that go on
+
+	candidates []placement.Candidate // of the latest choice; kept for its memory
 }
 
 // placed is a choice as the tracker knows it.
@@ -110,7 +112,7 @@
 // place chooses the upstream with the best prospects. The caller holds st.mu.
 func (st *service) place(snap *routing.Snapshot, svc *routing.Service, w *want, now time.Time) (choice, bool) {
 	p := st.placing
-	cands := make([]placement.Candidate, 0, len(svc.Upstreams))
+	cands := p.candidates[:0]
 	for i := range svc.Upstreams {
 		u := &svc.Upstreams[i]
 		cands = append(cands, placement.Candidate{
@@ -118,6 +120,7 @@
 			Remote: u.Region != snap.Self.Region, Transfer: p.transfer(snap, u, w),
 		})
 	}
+	p.candidates = cands
 	again := st.triedAll(svc, w)
 	c, ok := p.tracker.Choose(cands, func(id string) bool {
 		return st.avoided(id, now) || !again && slices.Contains(w.tried, id) || st.unreached[id] && st.inFlight[id] > 0
--- a/internal/instance/follower/watch.go
+++ b/internal/instance/follower/watch.go
@@ -11,6 +11,7 @@
 	"knapweedreel/internal/catalog"
 	"knapweedreel/internal/instance/relay"
 	"knapweedreel/internal/store"
+	"knapweedreel/internal/supervisor"
 )
 
 // Times of the watch. A configuration has to be in force 2 s after the store has
@@ -186,7 +187,7 @@
 		if !w.started {
 			gather, w.started = startTime, true
 		}
-		pause(ctx, gather-time.Since(w.began))
+		supervisor.Sleep(ctx, gather-time.Since(w.began))
 	}
 	return nil
 }
@@ -334,7 +335,7 @@
 	w.f.send(ctx, event{err: err})
 	w.backoff = min(max(minRetry, 2*w.backoff), maxRetry)
 	// A call that has hung has been waited for already.
-	pause(ctx, time.Duration((0.5+0.5*w.f.cfg.Jitter())*float64(w.backoff))-time.Since(w.began))
+	supervisor.Sleep(ctx, time.Duration((0.5+0.5*w.f.cfg.Jitter())*float64(w.backoff))-time.Since(w.began))
 }
 
 func (f *Follower) send(ctx context.Context, e event) {
@@ -343,12 +344,3 @@
 	case <-ctx.Done():
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/instance/platform/lease.go
+++ b/internal/instance/platform/lease.go
@@ -11,6 +11,7 @@
 
 	"knapweedreel/internal/audit"
 	"knapweedreel/internal/store"
+	"knapweedreel/internal/supervisor"
 	"knapweedreel/internal/wire"
 )
 
@@ -102,7 +103,7 @@
 		if left <= 0 {
 			return ctx.Err() == nil
 		}
-		if !pause(ctx, min(left, c.random.around(leasePoll))) {
+		if !supervisor.Sleep(ctx, min(left, c.random.around(leasePoll))) {
 			return false
 		}
 	}
@@ -168,7 +169,7 @@
 	wait := h.lease.TTL / 3
 	for {
 		left := time.Until(h.end())
-		if !pause(ctx, min(c.random.around(wait), left)) {
+		if !supervisor.Sleep(ctx, min(c.random.around(wait), left)) {
 			return endStopped
 		}
 		if c.held() == nil {
--- a/internal/instance/platform/list.go
+++ b/internal/instance/platform/list.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"knapweedreel/internal/store"
+	"knapweedreel/internal/supervisor"
 )
 
 const (
@@ -34,7 +35,7 @@
 // usual interval: if all instances polled each second during an outage, the
 // recovering list would get more calls than it can answer.
 func (c *Child) runList(ctx context.Context) error {
-	if !pause(ctx, c.random.upTo(holderPoll/4)) {
+	if !supervisor.Sleep(ctx, c.random.upTo(holderPoll/4)) {
 		return nil
 	}
 	var due time.Time
--- a/internal/instance/platform/put.go
+++ b/internal/instance/platform/put.go
@@ -13,6 +13,7 @@
 	"knapweedreel/internal/document"
 	"knapweedreel/internal/errkind"
 	"knapweedreel/internal/store"
+	"knapweedreel/internal/supervisor"
 )
 
 const (
@@ -216,17 +217,5 @@
 
 // sleep waits for around(mean). It returns false when ctx ended first.
 func (j *jitter) sleep(ctx context.Context, mean time.Duration) bool {
-	return pause(ctx, j.around(mean))
-}
-
-// pause waits for d. It returns false when ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
+	return supervisor.Sleep(ctx, j.around(mean))
 }
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -150,7 +150,7 @@
 		if now.Sub(started) > FailureWindow {
 			backoff = MinBackoff
 		}
-		if !sleep(ctx, backoff) {
+		if !Sleep(ctx, backoff) {
 			return nil
 		}
 		backoff = min(2*backoff, MaxBackoff)
@@ -174,12 +174,13 @@
 	return failures
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
+// Sleep waits for d. It returns false when ctx ended first.
+func Sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
-		return true
+		return ctx.Err() == nil
 	case <-ctx.Done():
 		return false
 	}
