Give the ports of both harnesses with real processes from one place

Ruled out: load (the lines name the port and its holder). The harness of the soak had the twin of this fault and a rule against it; freeport now gives both harnesses ports below those that the kernel gives, free for TCP and UDP, and each once.

--- a/test/proofs/process_test.go
+++ b/test/proofs/process_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -12,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"knapweedreel/internal/standin/freeport"
 )
 
 // eventLimit bounds the wait for an event that must come. It is generous, so
@@ -100,26 +101,14 @@
 	return strings.Join(all, "\n")
 }
 
-// freeAddress returns a loopback address that was free a moment ago, for TCP
-// and UDP.
+// freeAddress returns a loopback address that is free, for TCP and UDP.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	for range 100 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		address := l.Addr().String()
-		u, err := net.ListenPacket("udp", address)
-		l.Close()
-		if err != nil {
-			continue
-		}
-		u.Close()
-		return address
+	address, err := freeport.Loopback()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port")
-	return ""
+	return address
 }
 
 // eventually waits until condition holds. The reason that it returns last is
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -15,6 +14,7 @@
 	"time"
 
 	"knapweedreel/internal/standin/faultproxy"
+	"knapweedreel/internal/standin/freeport"
 	"knapweedreel/platform/standin"
 )
 
@@ -197,45 +197,17 @@
 	return out
 }
 
-// Ports of instances are below those that the kernel gives to outgoing
-// connections, which could take one while an instance is restarted.
-const (
-	firstPort = 10_000
-	lastPort  = 32_000
-)
-
-// givenPorts are the ports that were given away. An instance that has not
-// started yet does not keep its ports from being free.
-var givenPorts struct {
-	sync.Mutex
-	ports map[int]bool
-}
-
 // freePorts returns loopback addresses that are free now and given to nobody
 // else.
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
-	givenPorts.Lock()
-	defer givenPorts.Unlock()
-	if givenPorts.ports == nil {
-		givenPorts.ports = make(map[int]bool)
-	}
 	var out []string
-	for tries := 0; len(out) < n; tries++ {
-		if tries > 1000 {
-			t.Fatal("no free ports")
-		}
-		port := firstPort + rand.IntN(lastPort-firstPort)
-		if givenPorts.ports[port] {
-			continue
-		}
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+	for range n {
+		address, err := freeport.Loopback()
 		if err != nil {
-			continue // in use
+			t.Fatal(err)
 		}
-		defer func() { _ = l.Close() }()
-		givenPorts.ports[port] = true
-		out = append(out, l.Addr().String())
+		out = append(out, address)
 	}
 	return out
 }
