--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -169,6 +170,29 @@
 	wantUsed(t, "unreadable", c, epoch, "b")
 }
 
+// Guards against a log line for an odd entry each time that the content is read,
+// against a line as long as the entry, and against one that hides a later version.
+func TestUnreadableEntryIsReportedOncePerVersion(t *testing.T) {
+	c := loaded(upstreamChange("a", nil))
+	odd := func(revision uint64) Change {
+		return Change{Kind: KindUpstream, ID: "odd", Revision: revision, Unreadable: fmt.Errorf("broken %s", strings.Repeat("9", 10_000))}
+	}
+	for i, step := range []struct {
+		revision uint64
+		want     int
+	}{{5, 1}, {5, 0}, {5, 0}, {6, 1}, {6, 0}} {
+		events := c.Reset([]Change{configuration(1), upstreamChange("a", nil), odd(step.revision)}, epoch)
+		if len(events) != step.want || step.want == 1 && len(events[0].Detail) > 400 {
+			t.Errorf("read %d: %d events", i, len(events))
+		}
+	}
+	removed := Change{Kind: KindUpstream, ID: "odd", Removed: true}
+	c.Apply(&removed, epoch)
+	if len(c.unreadable) != 0 {
+		t.Errorf("kept after the removal: %v", c.unreadable)
+	}
+}
+
 // Guards against events, and thereby new snapshots, at every tick while an
 // upstream is cold, and against an upstream that stays cold.
 func TestUpstreamWarmsUpOnce(t *testing.T) {
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -26,7 +26,8 @@
 	configuration *Configuration
 	upstreams     map[string]*upstreamEntry
 	members       map[string]*memberEntry
-	directory     *Directory // of the members, nil after a change
+	unreadable    map[entryKey]uint64 // revision of each entry that could not be decoded
+	directory     *Directory          // of the members, nil after a change
 	// services caches the upstreams of each service, sorted by ID. Services that
 	// have changed since the latest snapshot are missing.
 	services      map[string][]routing.Upstream
@@ -36,6 +37,12 @@
 	reconnectedAt time.Time // end of the latest outage of the store, zero for none
 }
 
+// entryKey identifies an entry of the store.
+type entryKey struct {
+	kind Kind
+	id   string
+}
+
 type upstreamEntry struct {
 	Upstream
 	coldUntil    time.Time // end of the time for which it is slow after its start, zero if it is over
@@ -51,7 +58,7 @@
 func New() *Catalog {
 	return &Catalog{
 		upstreams: make(map[string]*upstreamEntry), members: make(map[string]*memberEntry),
-		services: make(map[string][]routing.Upstream),
+		unreadable: make(map[entryKey]uint64), services: make(map[string][]routing.Upstream),
 	}
 }
 
@@ -114,20 +121,18 @@
 			events = append(events, c.Apply(&Change{Kind: KindMember, ID: id, Removed: true}, now)...)
 		}
 	}
+	maps.DeleteFunc(c.unreadable, func(k entryKey, _ uint64) bool { return !seen[k.kind][k.id] })
 	c.loaded = true
 	return events
 }
 
 // Apply applies one change and returns the resulting events.
 func (c *Catalog) Apply(ch *Change, now time.Time) []Event {
+	if ch.Unreadable != nil {
+		return c.applyUnreadable(ch, now)
+	}
+	delete(c.unreadable, entryKey{ch.Kind, ch.ID})
 	switch {
-	case ch.Unreadable != nil:
-		events := []Event{{Name: "entry_unreadable", ID: ch.ID, Detail: string(ch.Kind) + ": " + ch.Unreadable.Error(), Revision: ch.Revision}}
-		if ch.Kind == KindUpstream {
-			// An unreadable entry is no evidence that the upstream exists.
-			events = append(events, c.removeUpstream(ch, now)...)
-		}
-		return events
 	case ch.Kind == KindConfiguration:
 		return c.applyConfiguration(ch)
 	case ch.Kind == KindUpstream && ch.Removed:
@@ -144,6 +149,29 @@
 	return nil
 }
 
+// maxReasonBytes bounds the reason for which an entry is unreadable: it may quote
+// the entry.
+const maxReasonBytes = 300
+
+// applyUnreadable reports each version of an unreadable entry once.
+func (c *Catalog) applyUnreadable(ch *Change, now time.Time) []Event {
+	var events []Event
+	key := entryKey{ch.Kind, ch.ID}
+	if revision, ok := c.unreadable[key]; !ok || revision != ch.Revision {
+		c.unreadable[key] = ch.Revision
+		reason := ch.Unreadable.Error()
+		if len(reason) > maxReasonBytes {
+			reason = reason[:maxReasonBytes]
+		}
+		events = append(events, Event{Name: "entry_unreadable", ID: ch.ID, Detail: string(ch.Kind) + ": " + reason, Revision: ch.Revision})
+	}
+	if ch.Kind == KindUpstream {
+		// An unreadable entry is no evidence that the upstream exists.
+		events = append(events, c.removeUpstream(ch, now)...)
+	}
+	return events
+}
+
 func (c *Catalog) applyConfiguration(ch *Change) []Event {
 	next := ch.Configuration
 	if next == nil {
