entry: an upstream that announces its leaving gets no further request

Cause: the header that says so in a response was not read. An upstream that leaves was used until its entry in the store changed, which an instance that is disconnected from the store does not learn, and which some upstreams never write. Ruled out: the draining refusal of the product's own protocol, which the platform does not have.

The departure is kept with the upstream's incarnation, so that a stale entry does not end it and a restart does, and is shared with the instances that serve the same callers as an outcome value of its own: instances of the previous build take it for a failed attempt, and still read the datagram.

--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -90,6 +90,7 @@
 			Region: in.Regions[u.FailureDomain], FailureDomain: u.FailureDomain, State: document.UpstreamActive,
 		},
 		State: health.InService, Weight: 1, Cold: !u.coldUntil.IsZero(), MaxConnections: maxConnections(limit),
+		Incarnation: u.Incarnation,
 	}
 }
 
--- a/internal/instance/entry/attempt.go
+++ b/internal/instance/entry/attempt.go
@@ -64,6 +64,7 @@
 	if a.late.stop() { // even if the response has arrived in the meantime
 		a.err = errkind.Wrap(errkind.UpstreamSilent, errLateResponse, "upstream %s", a.choice.upstream.ID)
 	}
+	a.recordLeaving()
 	if a.err == nil {
 		a.st.recordLoad(a)
 		a.readPrefix()
--- a/internal/instance/entry/pick.go
+++ b/internal/instance/entry/pick.go
@@ -118,7 +118,7 @@
 	tryFailing := req.idempotent && !req.retry && st.rand.Float64() < failingProbeShare
 	for _, i := range st.rand.Perm(len(svc.Upstreams)) {
 		u := &svc.Upstreams[i]
-		if u.State != health.InService || st.avoided(u.ID, now) || !allTried && slices.Contains(req.tried, u.ID) {
+		if u.State != health.InService || st.avoided(u.ID, now) || st.hasAnnouncedLeaving(u) || !allTried && slices.Contains(req.tried, u.ID) {
 			continue
 		}
 		c, ok := st.candidate(u, min(1, u.Weight/top), req, now)
@@ -187,7 +187,7 @@
 	first := st.rand.IntN(n)
 	for k := range n {
 		u := &svc.Upstreams[(first+k)%n]
-		if u.State == health.Probation && st.inFlight[u.ID] == 0 && !st.avoided(u.ID, now) {
+		if u.State == health.Probation && st.inFlight[u.ID] == 0 && !st.avoided(u.ID, now) && !st.hasAnnouncedLeaving(u) {
 			st.probeBudget.spend()
 			return choice{upstream: *u, probe: true}, true
 		}
@@ -200,7 +200,7 @@
 func (st *serviceState) triedAll(svc *routing.Service, req *slotRequest) bool {
 	for i := range svc.Upstreams {
 		u := &svc.Upstreams[i]
-		if u.State == health.InService && !slices.Contains(req.tried, u.ID) {
+		if u.State == health.InService && !st.hasAnnouncedLeaving(u) && !slices.Contains(req.tried, u.ID) {
 			return false
 		}
 	}
@@ -212,7 +212,7 @@
 func (st *serviceState) usable(svc *routing.Service, req *slotRequest) bool {
 	for i := range svc.Upstreams {
 		u := &svc.Upstreams[i]
-		if u.State == health.InService && (st.placer != nil || req.borrowed < maxBorrows || u.HomeSlots > 0) {
+		if u.State == health.InService && !st.hasAnnouncedLeaving(u) && (st.placer != nil || req.borrowed < maxBorrows || u.HomeSlots > 0) {
 			return true
 		}
 	}
--- a/internal/instance/entry/placer.go
+++ b/internal/instance/entry/placer.go
@@ -123,7 +123,7 @@
 	for i := range svc.Upstreams {
 		u := &svc.Upstreams[i]
 		cands = append(cands, placement.Candidate{
-			ID: u.ID, Slots: u.Slots, Connections: u.MaxConnections, Cold: u.Cold,
+			ID: u.ID, Excluded: st.hasAnnouncedLeaving(u), Slots: u.Slots, Connections: u.MaxConnections, Cold: u.Cold,
 			Remote: u.Region != snap.Self.Region, TransferCost: p.transferCost(snap, u, req),
 		})
 	}
--- a/internal/instance/entry/placer_test.go
+++ b/internal/instance/entry/placer_test.go
@@ -23,7 +23,7 @@
 // testProtocol returns a protocol whose successful responses carry a signature.
 func testProtocol() upstream.Protocol {
 	p := upstream.DefaultProtocol()
-	p.Expect, p.Signature, p.Load = "Test-Expect", "Test-Signature", "Test-Load"
+	p.Expect, p.Signature, p.Load, p.Leaving = "Test-Expect", "Test-Signature", "Test-Load", "Test-Leaving"
 	p.ParseLoad = func(v string) (upstream.Load, bool) { return upstream.Load{Running: len(v)}, v != "" }
 	return p
 }
--- a/internal/instance/entry/service.go
+++ b/internal/instance/entry/service.go
@@ -25,6 +25,7 @@
 	inFlight      map[string]int           // by upstream
 	avoidUntil    map[string]time.Time     // by upstream; no requests before that time
 	unreachable   map[string]bool          // by upstream; last connection failed, one request at a time
+	departures    map[string]departure     // by upstream; announced in a response
 	failures      map[string]failureStreak // by upstream
 	borrow        borrowPause
 	queue         fairQueue
@@ -50,6 +51,7 @@
 			inFlight:      make(map[string]int),
 			avoidUntil:    make(map[string]time.Time),
 			unreachable:   make(map[string]bool),
+			departures:    make(map[string]departure),
 			failures:      make(map[string]failureStreak),
 			retryBudget:   newTokenBucket(retryShare, retryReserve, 2*retryReserve),
 			refusalBudget: newTokenBucket(refusalShare, refusalReserve, 2*refusalReserve),
@@ -207,6 +209,7 @@
 			delete(st.avoidUntil, id)
 		}
 	}
+	st.pruneDepartures(svc, now)
 	if st.placer != nil {
 		st.placer.prune(svc, now)
 	}
--- a/internal/instance/entry/sharing.go
+++ b/internal/instance/entry/sharing.go
@@ -66,6 +66,10 @@
 			continue
 		}
 		st := s.service(r.Service)
+		if r.Outcome == placement.Leaving {
+			s.applyPeerDeparture(st, r, now)
+			continue
+		}
 		st.mu.Lock()
 		if st.placer != nil {
 			st.placer.applyPeerRecord(incarnation, r, now)
--- a/internal/instance/entry/upstream/attempt.go
+++ b/internal/instance/entry/upstream/attempt.go
@@ -50,6 +50,7 @@
 	Received          bool // bytes of a response were received
 	UnverifiedRefusal bool // refused, but without proof that the request was not run
 	OutOfResources    bool // failed because this machine lacked a resource
+	Leaving           bool // the upstream has announced in its response that it is leaving
 	// Latency is the time from the end of writing the request to the end of the
 	// response header, or 0 if the response came first. It excludes the time
 	// that the caller takes to send its body.
@@ -120,6 +121,8 @@
 	if err := x.checkResponse(resp); err != nil {
 		return nil, err
 	}
+	// A response with which an address was refused is another upstream's.
+	x.trace.Leaving = resp.Refused != Replaced && x.pool.protocol.isLeaving(httpResp)
 	return resp, nil
 }
 
--- a/internal/instance/entry/upstream/protocol.go
+++ b/internal/instance/entry/upstream/protocol.go
@@ -22,6 +22,7 @@
 	Expect    string // ID of the upstream that should run the request
 	Signature string // present in every successful response that an upstream itself created
 	Load      string // load of the upstream, parsed by ParseLoad
+	Leaving   string // "1" in the responses of an upstream that is leaving
 	// ParseRefusal returns why the upstream did not run the request, or NotRefused.
 	ParseRefusal func(*http.Response) Refusal
 	// Unframed allows responses that have neither a length nor chunked encoding
@@ -51,6 +52,14 @@
 	return refused
 }
 
+// isLeaving reports whether the response says that its upstream is leaving.
+func (p *Protocol) isLeaving(resp *http.Response) bool {
+	return p.Leaving != "" && resp.Header.Get(p.Leaving) == leavingValue
+}
+
+// leavingValue is the value of the Leaving header.
+const leavingValue = "1"
+
 // LoadOf returns the load reported in a response.
 func (p *Protocol) LoadOf(resp *http.Response) (Load, bool) {
 	if p.Load == "" {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -13,6 +13,7 @@
 	Remote       bool    // in another region
 	TransferCost float64 // cost of the transfer to it, as a failure probability
 	Cold         bool    // started recently and is still slow
+	Excluded     bool    // must get no request
 }
 
 // Costs and gains of a choice, in units of failure probability.
@@ -132,7 +133,7 @@
 	found := false
 	for i := range cands {
 		c := &cands[i]
-		if c.Remote != remote {
+		if c.Remote != remote || c.Excluded {
 			continue
 		}
 		if skip != nil && skip(c.ID) {
--- a/internal/placement/filter.go
+++ b/internal/placement/filter.go
@@ -123,6 +123,7 @@
 	Succeeded         // a complete response whose status is not a failure
 	Failed            // a failure of the upstream
 	Neutral           // no evidence about the upstream
+	Leaving           // not the outcome of an attempt: the upstream has announced that it is leaving
 )
 
 // Attempt is a request sent to an upstream. It is evidence about the upstream's
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -54,4 +54,5 @@
 	MaxConnections int     // this instance's share of the connections
 	Cold           bool    // started recently and is still slow
 	PeerInFlight   int     // requests in flight from peers, as their heartbeats report
+	Incarnation    int64   // higher after a restart under the same ID, 0 if unknown
 }
