entry: upstreams get no requests for as long as they ask for none

Cause: the Retry-After of a 503 was not read, so that an upstream that turned requests away got the next one after 0.15 s, and a request waited for upstreams that would not take it. Also, the slot of a refused attempt was given to a queued request before the refusal was recorded, which sent that request to the same upstream at once. Ruled out: the default backoff, which is for refusals that name no time and stays.

The time holds for the instance that was asked only: the upstream answers each instance for itself, and sharing it would take away capacity that the upstream offers to others. A restart of the upstream ends it. While all upstreams of a service ask for none beyond the time that a request can wait, new and queued requests are refused at once as not run.

--- a/internal/instance/entry/admission.go
+++ b/internal/instance/entry/admission.go
@@ -36,7 +36,6 @@
 			return c, nil
 		}
 	}
-	w := &waiter{req: req, grant: make(chan choice, 1)}
 	timeout := queueTimeout(svc.Document)
 	if st.placer != nil {
 		var err error
@@ -45,6 +44,7 @@
 			return choice{}, err
 		}
 	}
+	w := &waiter{req: req, grant: make(chan choice, 1), until: time.Now().Add(timeout)}
 	if req.retry {
 		st.queue.pushFront(w)
 	} else if st.queue.admits(req.caller, queueLength(svc.Document)) {
@@ -124,10 +124,19 @@
 	}
 	now := time.Now()
 	noFreeSlot := map[bool]bool{} // for first attempts, by idempotence
+	earliest := now
+	if svc := st.control.Snapshot().Services[st.name]; st.placer != nil && svc != nil {
+		earliest = st.earliest(svc, now)
+	}
 	st.queue.sortTurns()
 	for i := 0; i < len(st.queue.turns); {
 		caller := st.queue.turns[i]
 		w := st.queue.byCaller[caller][0]
+		if err := st.turnedAwayUntil(earliest, w.until, now); err != nil {
+			st.queue.remove(w)
+			w.grant <- choice{err: err}
+			continue
+		}
 		first := !w.req.retry
 		if first && noFreeSlot[w.req.idempotent] {
 			i++
--- a/internal/instance/entry/attempt.go
+++ b/internal/instance/entry/attempt.go
@@ -141,8 +141,8 @@
 		a.prefix = nil
 	}
 	class, _ := a.class()
+	a.avoid() // before a queued request gets the slot
 	a.st.releaseChoice(a.choice, class)
-	a.avoid()
 	a.st.recordBorrow(a)
 	a.report()
 	a.recordExplanation()
--- a/internal/instance/entry/leaving_test.go
+++ b/internal/instance/entry/leaving_test.go
@@ -30,7 +30,7 @@
 		var near atomic.Int64
 		records := make(chan evidence.Record, 100)
 		first, second := standin(t, "near", announcing(&near)), standin(t, "far", succeedSigned)
-		first.Incarnation, second.Region = 7, "elsewhere" // chosen only if the other one is not
+		first.Incarnation, first.Region, second.Region = 7, "south", "elsewhere" // chosen only if the other one is not
 		_, url := startPlacementServer(t, 1, func(r evidence.Record) { records <- r }, first, second)
 		for range 5 {
 			if resp, _ := roundTrip(t, request(t, http.MethodPost, url+path, []byte("b"))); resp.StatusCode != http.StatusOK {
--- a/internal/instance/entry/outcome.go
+++ b/internal/instance/entry/outcome.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"knapweedreel/internal/document"
 	"knapweedreel/internal/errkind"
@@ -44,8 +45,11 @@
 func (a *attempt) avoid() {
 	id := a.choice.upstream.ID
 	switch {
-	case a.refused == upstream.Shed, a.trace.UnverifiedRefusal:
-		a.st.markFull(id)
+	case a.refused == upstream.Shed, a.trace.UnverifiedRefusal, a.trace.Backoff > 0:
+		if a.st.markFull(id, a.trace.Backoff) && a.trace.Backoff > 0 {
+			a.s.log.Info("upstream_backoff", zap.String("id", id), zap.String("service", a.st.name),
+				zap.Duration("backoff", a.trace.Backoff), zap.String("request_id", a.e.id))
+		}
 	case a.refused == upstream.Draining, a.refused == upstream.Replaced:
 		a.st.avoidFor(id, avoidAfterDraining)
 	case a.err != nil && !a.trace.Sent && a.trace.Fresh && errkind.Of(a.err) == errkind.ConnectFailed && a.ctxAlive():
--- a/internal/instance/entry/placer.go
+++ b/internal/instance/entry/placer.go
@@ -123,7 +123,7 @@
 	for i := range svc.Upstreams {
 		u := &svc.Upstreams[i]
 		cands = append(cands, placement.Candidate{
-			ID: u.ID, Excluded: st.hasAnnouncedLeaving(u), Slots: u.Slots, Connections: u.MaxConnections, Cold: u.Cold,
+			ID: u.ID, Excluded: st.hasAnnouncedLeaving(u), Incarnation: u.Incarnation, Slots: u.Slots, Connections: u.MaxConnections, Cold: u.Cold,
 			Remote: u.Region != snap.Self.Region, TransferCost: p.transferCost(snap, u, req),
 		})
 	}
@@ -174,9 +174,46 @@
 	if left <= 0 || expected > left {
 		return 0, errkind.New(errkind.QueueFull, "%d requests are queued for service %s, an estimated wait of %v with %v left", ahead, st.name, expected, left)
 	}
+	if err := st.turnedAwayUntil(st.earliest(svc, now), now.Add(left), now); err != nil {
+		return 0, err
+	}
 	return left, nil
 }
 
+// earliest returns the time from which some upstream of the service takes
+// requests again, as far as known: now, unless all have asked for none. st.mu is
+// held.
+func (st *serviceState) earliest(svc *routing.Service, now time.Time) time.Time {
+	var first time.Time
+	for i := range svc.Upstreams {
+		u := &svc.Upstreams[i]
+		if u.State != health.InService || st.hasAnnouncedLeaving(u) {
+			continue
+		}
+		at := later(now, later(st.avoidUntil[u.ID], st.placer.tracker.RefusedUntil(u.ID, now)))
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
+	return later(now, first)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// turnedAwayUntil returns an error if no upstream takes requests before the time
+// until which a request can wait.
+func (st *serviceState) turnedAwayUntil(earliest, until, now time.Time) error {
+	if !earliest.After(until) {
+		return nil
+	}
+	return errkind.New(errkind.NoUpstream, "all upstreams of service %s have asked for no requests for another %v", st.name, earliest.Sub(now))
+}
+
 // hedgeDelay returns how long to wait for a response before the request is sent
 // to another upstream, if that is allowed.
 func (st *serviceState) hedgeDelay(c choice, deadline time.Time) time.Duration {
@@ -209,13 +246,18 @@
 	st.placer.tracker.SetLoad(a.choice.upstream.ID, load.Running+load.Waiting, time.Now())
 }
 
-// markFull keeps new requests away from an upstream that has no free slot.
-func (st *serviceState) markFull(id string) {
+// markFull keeps new requests away from an upstream that has no free slot, for at
+// least the backoff that it asks for. It reports whether the upstream took
+// requests before.
+func (st *serviceState) markFull(id string, backoff time.Duration) bool {
 	if st.placer == nil {
-		st.avoidFor(id, avoidAfterShed)
-		return
+		st.avoidFor(id, max(avoidAfterShed, backoff))
+		return true
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.placer.tracker.RecordRefusal(id, time.Now())
+	now := time.Now()
+	first := !now.Before(st.placer.tracker.RefusedUntil(id, now))
+	st.placer.tracker.RecordRefusal(id, backoff, now)
+	return first
 }
--- a/internal/instance/entry/queue.go
+++ b/internal/instance/entry/queue.go
@@ -3,12 +3,14 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // waiter is a queued request.
 type waiter struct {
 	req   *slotRequest
 	grant chan choice // receives the slot or the error; buffered, size 1
+	until time.Time   // end of the wait
 }
 
 // fairQueue holds the waiting requests of a service. It is round-robin across
--- a/internal/instance/entry/upstream/attempt.go
+++ b/internal/instance/entry/upstream/attempt.go
@@ -51,6 +51,9 @@
 	UnverifiedRefusal bool // refused, but without proof that the request was not run
 	OutOfResources    bool // failed because this machine lacked a resource
 	Leaving           bool // the upstream has announced in its response that it is leaving
+	// Backoff is how long the upstream wants no more requests from this instance,
+	// as the response with which it refused this one says; 0 if it doesn't.
+	Backoff time.Duration
 	// Latency is the time from the end of writing the request to the end of the
 	// response header, or 0 if the response came first. It excludes the time
 	// that the caller takes to send its body.
@@ -118,6 +121,7 @@
 	}
 	httpResp.Body = &body{ReadCloser: httpResp.Body, exchange: x, endsWithConn: !framed(x.attempt.Request, httpResp)}
 	resp := &Response{Response: httpResp}
+	x.trace.Backoff = backoffOf(httpResp)
 	if err := x.checkResponse(resp); err != nil {
 		return nil, err
 	}
--- a/internal/instance/entry/upstream/protocol.go
+++ b/internal/instance/entry/upstream/protocol.go
@@ -1,6 +1,10 @@
 package upstream
 
-import "net/http"
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
 
 // Headers of the default protocol with upstreams.
 const (
@@ -52,6 +56,24 @@
 	return refused
 }
 
+// maxBackoff bounds the backoff that an upstream can ask for, so that a mistake
+// doesn't exclude it for good.
+const maxBackoff = 10 * time.Minute
+
+// backoffOf returns the Retry-After of a response that turns the request away, in
+// seconds and possibly with a fraction; 0 if there is none. Dates are not
+// supported, because clocks may differ.
+func backoffOf(resp *http.Response) time.Duration {
+	if resp.StatusCode != http.StatusServiceUnavailable && resp.StatusCode != http.StatusTooManyRequests {
+		return 0
+	}
+	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxBackoff.Seconds()) * float64(time.Second))
+}
+
 // isLeaving reports whether the response says that its upstream is leaving.
 func (p *Protocol) isLeaving(resp *http.Response) bool {
 	return p.Leaving != "" && resp.Header.Get(p.Leaving) == leavingValue
--- /dev/null
+++ b/internal/instance/entry/upstream/protocol_test.go
@@ -0,0 +1,26 @@
+package upstream
+
+import (
+	"net/http"
+	"testing"
+	"time"
+)
+
+// Guards against a backoff that is taken from a malformed header, overflows or
+// never ends, and against one of a response that does not turn the request away.
+func TestBackoffOf(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		value  string
+		want   time.Duration
+	}{
+		{503, "2", 2 * time.Second}, {503, "0.25", 250 * time.Millisecond}, {429, "1", time.Second},
+		{200, "2", 0}, {500, "2", 0}, {503, "", 0}, {503, "-1", 0}, {503, "NaN", 0}, {503, "soon", 0}, {503, "0", 0},
+		{503, "Wed, 21 Oct 2026 07:28:00 GMT", 0}, {503, "1e300", maxBackoff}, {503, "Inf", maxBackoff},
+	} {
+		resp := &http.Response{StatusCode: c.status, Header: http.Header{"Retry-After": {c.value}}}
+		if got := backoffOf(resp); got != c.want {
+			t.Errorf("status %d, value %q: %v, want %v", c.status, c.value, got, c.want)
+		}
+	}
+}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -14,6 +14,7 @@
 	TransferCost float64 // cost of the transfer to it, as a failure probability
 	Cold         bool    // started recently and is still slow
 	Excluded     bool    // must get no request
+	Incarnation  int64   // differs after a restart, which ends a refusal
 }
 
 // Costs and gains of a choice, in units of failure probability.
@@ -140,6 +141,9 @@
 			continue
 		}
 		s := t.upstreamState(c.ID, now)
+		if s.incarnation != c.Incarnation {
+			s.incarnation, s.refusedUntil = c.Incarnation, time.Time{}
+		}
 		load := s.load(now)
 		if !s.hasCapacity(c, load, now) {
 			continue
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -30,6 +30,7 @@
 	peerLoad     int       // requests of other instances, as last reported
 	peerLoadAt   time.Time // when peerLoad was reported
 	refusedUntil time.Time // gets no requests until then
+	incarnation  int64     // when it was last a candidate
 }
 
 // NewTracker returns a tracker without upstreams.
@@ -141,14 +142,23 @@
 	s.peerLoadAt = now
 }
 
-// refusalBackoff is the time for which an upstream gets no requests after it has
-// refused one.
+// refusalBackoff is the minimum time for which an upstream gets no requests after
+// it has refused one.
 const refusalBackoff = 150 * time.Millisecond
 
 // RecordRefusal records that an upstream has refused a request for lack of
-// capacity.
-func (t *Tracker) RecordRefusal(id string, now time.Time) {
-	t.upstreamState(id, now).refusedUntil = now.Add(refusalBackoff)
+// capacity, and for how long it wants no others, 0 if it hasn't said so.
+func (t *Tracker) RecordRefusal(id string, backoff time.Duration, now time.Time) {
+	s := t.upstreamState(id, now)
+	if until := now.Add(max(backoff, refusalBackoff)); until.After(s.refusedUntil) {
+		s.refusedUntil = until
+	}
+}
+
+// RefusedUntil returns the time before which the upstream gets no requests because
+// it has refused one. It may be in the past.
+func (t *Tracker) RefusedUntil(id string, now time.Time) time.Time {
+	return t.upstreamState(id, now).refusedUntil
 }
 
 // Forget drops the upstreams for which keep returns false and which have no
