--- a/internal/instance/entry/backoff_test.go
+++ b/internal/instance/entry/backoff_test.go
@@ -28,8 +28,11 @@
 func TestUpstreamGetsNothingDuringItsBackoff(t *testing.T) {
 	var near atomic.Int64
 	first, second := standin(t, "near", turnAway(&near, "0.8")), standin(t, "far", succeedSigned)
-	first.Region, second.Region = "south", "elsewhere" // chosen only if the other one is not
-	_, url := startPlacementServer(t, 1, nil, first, second)
+	first.Region, second.Region = "south", "elsewhere"
+	_, url := startServer(t, &fakeControl{snap: snapshotOf(testDocument(), first, second)}, func(cfg *Config) {
+		// The remote cost makes the second one the choice only while the first one is excluded.
+		cfg.Placement = &Placement{Model: placement.DefaultModel(), RetryShare: 1, RemoteCost: 1}
+	})
 	began := time.Now()
 	send := func() {
 		if resp, _ := roundTrip(t, request(t, http.MethodPost, url+"/write/x", []byte("b"))); resp.StatusCode != http.StatusOK {
