entry: refused callers return when a slot is expected for them

Cause: Retry-After was a constant of one whole second, so that callers that were refused together returned together, found the slots taken again and gave up, while the slots were idle between the waves. Ruled out: a shorter constant, which moves the waves and multiplies the refusals.

The delay follows from when an upstream takes requests again, the waiting requests and the callers that were sent away before, more urgent ones first, up to the last time that helps. Fractions only where the protocol allows them.

--- a/internal/cli/explain_log.go
+++ b/internal/cli/explain_log.go
@@ -129,10 +129,16 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "total")
 	}
+	var retryAfter time.Duration
+	if text := f["retry_after"]; text != "" {
+		if retryAfter, err = parseSeconds(text); err != nil {
+			return nil, errors.Wrap(err, "retry_after")
+		}
+	}
 	return &admin.RequestExplanation{
 		RequestID: f["request_id"], Instance: l.instance, Time: l.time.Add(-total), Service: f["service"], Revision: revision,
 		Route: f["route"], Caller: f["caller"], Status: status, Kind: f["kind"], Run: f["run"],
-		Queued: queued, Total: total, Attempts: attempts,
+		Queued: queued, Total: total, Attempts: attempts, RetryAfter: retryAfter,
 	}, nil
 }
 
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -84,7 +84,7 @@
 	Kind       Kind
 	Status     int           // HTTP status
 	Run        RunState      // whether the request may have been run
-	RetryAfter time.Duration // Retry-After header; 0 for none
+	RetryAfter time.Duration // Retry-After header unless the error has one; 0 for none
 	Meaning    string        // one sentence, repeated in docs/errors.md
 }
 
@@ -142,8 +142,11 @@
 
 // Error is an error with a kind.
 type Error struct {
-	Kind  Kind
-	cause error
+	Kind Kind
+	// RetryAfter is when a later attempt is likely to succeed, if that is known. It
+	// replaces the Table's for kinds that have one there.
+	RetryAfter time.Duration
+	cause      error
 }
 
 // New returns an error with a kind.
@@ -159,6 +162,27 @@
 	return &Error{Kind: kind, cause: errors.WrapWithDepthf(1, err, format, args...)}
 }
 
+// WithRetryAfter returns err, an *Error, with the time after which a later attempt
+// is likely to succeed. It returns err itself if d is 0.
+func WithRetryAfter(err error, d time.Duration) error {
+	var e *Error
+	if d <= 0 || !errors.As(err, &e) {
+		return err
+	}
+	return &Error{Kind: e.Kind, RetryAfter: d, cause: e.cause}
+}
+
+// RetryAfterOf returns the time set by WithRetryAfter, or the one that the Table
+// has for the kind of err. It returns 0 if a later attempt is no remedy.
+func RetryAfterOf(err error) time.Duration {
+	r := Lookup(Of(err))
+	var e *Error
+	if r.RetryAfter > 0 && errors.As(err, &e) && e.RetryAfter > 0 {
+		return e.RetryAfter
+	}
+	return r.RetryAfter
+}
+
 // Error returns the kind and the cause's message.
 func (e *Error) Error() string { return fmt.Sprintf("%s: %v", e.Kind, e.cause) }
 
--- a/internal/instance/admin/types.go
+++ b/internal/instance/admin/types.go
@@ -27,6 +27,9 @@
 	Queued    time.Duration `json:"queued_ns"`
 	Total     time.Duration `json:"total_ns"`
 	Attempts  []Attempt     `json:"attempts"`
+	// RetryAfter is the time after which a refused caller was told to return, 0 if
+	// it was not.
+	RetryAfter time.Duration `json:"retry_after_ns,omitempty"`
 }
 
 // Attempt is one attempt at an upstream.
--- a/internal/instance/entry/backoff_test.go
+++ b/internal/instance/entry/backoff_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -76,6 +77,10 @@
 		if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(errkind.HeaderRun) != string(errkind.NotRun) {
 			t.Errorf("status %d, run state %q", resp.StatusCode, resp.Header.Get(errkind.HeaderRun))
 		}
+		// The upstream's time is later than the last one that helps the caller.
+		if after, err := strconv.Atoi(resp.Header.Get("Retry-After")); err != nil || after < 8 || after > 10 {
+			t.Errorf("Retry-After %q, want the last seconds before the deadline", resp.Header.Get("Retry-After"))
+		}
 	}
 	wg.Go(post)
 	<-held
--- a/internal/instance/entry/exchange.go
+++ b/internal/instance/entry/exchange.go
@@ -117,7 +117,11 @@
 	if errkind.Lookup(kind).Run == errkind.NotRun && e.mayHaveRun != nil {
 		kind = errkind.UpstreamReset
 	}
-	return errkind.Wrap(kind, err, "service %s", e.svc.Name)
+	err = errkind.Wrap(kind, err, "service %s", e.svc.Name)
+	if errkind.Lookup(kind).RetryAfter > 0 && e.st != nil && e.slotReq != nil {
+		err = errkind.WithRetryAfter(err, e.st.returnDelay(e.slotReq))
+	}
+	return err
 }
 
 // freshOnly reports whether pooled connections to an upstream must not be used.
--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -169,6 +169,10 @@
 	e.explanation.Kind, e.explanation.Run, e.explanation.Status = string(description.Kind), string(description.Run), description.Status
 	w := errorResponse(description.Kind, errorMessage(err))
 	maps.Copy(e.w.Header(), w.header)
+	if d := errkind.RetryAfterOf(err); d > 0 {
+		e.w.Header().Set("Retry-After", e.s.protocol().FormatRetryAfter(d))
+		e.explanation.RetryAfter = d
+	}
 	if e.id != "" {
 		e.w.Header().Set(e.s.protocol().RequestID, e.id)
 	}
@@ -212,8 +216,12 @@
 	if explanation.Kind != "" || explanation.Status >= http.StatusInternalServerError {
 		level, event = zap.WarnLevel, "request_failed"
 	}
+	retryAfter := zap.Skip()
+	if explanation.RetryAfter > 0 {
+		retryAfter = zap.Duration("retry_after", explanation.RetryAfter)
+	}
 	s.log.Log(level, event, zap.String("request_id", explanation.RequestID), zap.String("service", explanation.Service), zap.Uint64("revision", explanation.Revision),
 		zap.String("route", explanation.Route), zap.String("caller", explanation.Caller), zap.Int("status", explanation.Status),
 		zap.String("kind", explanation.Kind), zap.String("run", explanation.Run), zap.Int("attempts", len(explanation.Attempts)),
-		zap.String("tries", admin.FormatAttempts(explanation.Attempts)), zap.Duration("queued", explanation.Queued), zap.Duration("total", explanation.Total))
+		zap.String("tries", admin.FormatAttempts(explanation.Attempts)), zap.Duration("queued", explanation.Queued), zap.Duration("total", explanation.Total), retryAfter)
 }
--- a/internal/instance/entry/placer.go
+++ b/internal/instance/entry/placer.go
@@ -50,6 +50,7 @@
 	share        func(evidence.Record)          // nil to share nothing
 	peerAttempts map[peerAttemptKey]peerAttempt // pending attempts of other instances
 
+	returns    placement.Returns     // of callers whose requests were refused
 	candidates []placement.Candidate // of the latest choice; reused to avoid allocations
 }
 
@@ -198,6 +199,42 @@
 	return later(now, first)
 }
 
+// returnDelay returns how long the caller of a refused request should wait before
+// it sends the request again, 0 if that is not known.
+func (st *serviceState) returnDelay(req *slotRequest) time.Duration {
+	if st.placer == nil {
+		return 0
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	snap, now := st.control.Snapshot(), time.Now()
+	svc := snap.Services[st.name]
+	if svc == nil || !st.usable(svc, req) {
+		return 0
+	}
+	times := st.placer.times(req)
+	return st.placer.returns.Schedule(placement.Refused{
+		Priority: req.priority, Ahead: st.queue.ahead(req.priority), Earliest: st.earliest(svc, now),
+		Interval: times.Mean() / time.Duration(st.concurrency(snap, svc)), Latest: req.deadline.Add(-times.Mean()),
+	}, now)
+}
+
+// concurrency returns the number of requests of this instance that the service
+// runs at a time: those in flight or, if that is more, its part of the slots. st.mu
+// is held.
+func (st *serviceState) concurrency(snap *routing.Snapshot, svc *routing.Service) int {
+	inFlight, slots := 0, 0
+	for _, n := range st.inFlight {
+		inFlight += n
+	}
+	for i := range svc.Upstreams {
+		if u := &svc.Upstreams[i]; !st.hasAnnouncedLeaving(u) {
+			slots += u.Slots
+		}
+	}
+	return max(1, inFlight, slots/max(1, snap.ServingInstances))
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/instance/entry/upstream/protocol.go
+++ b/internal/instance/entry/upstream/protocol.go
@@ -33,6 +33,9 @@
 	// and end when the connection closes. A response that ends early then looks
 	// like a complete one, unless the connection is reset.
 	Unframed bool
+	// FractionalRetryAfter allows fractions of seconds in the Retry-After header of
+	// responses to callers. HTTP itself does not.
+	FractionalRetryAfter bool
 	// ParseLoad parses the value of the Load header.
 	ParseLoad func(string) (Load, bool)
 }
@@ -82,6 +85,16 @@
 // leavingValue is the value of the Leaving header.
 const leavingValue = "1"
 
+// FormatRetryAfter returns the value of the Retry-After header for a duration,
+// rounded up to milliseconds or to seconds.
+func (p *Protocol) FormatRetryAfter(d time.Duration) string {
+	if p.FractionalRetryAfter {
+		milliseconds := (d + time.Millisecond - 1) / time.Millisecond
+		return strconv.FormatFloat(float64(milliseconds)/1000, 'f', -1, 64)
+	}
+	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
+}
+
 // LoadOf returns the load reported in a response.
 func (p *Protocol) LoadOf(resp *http.Response) (Load, bool) {
 	if p.Load == "" {
--- a/internal/instance/entry/upstream/protocol_test.go
+++ b/internal/instance/entry/upstream/protocol_test.go
@@ -6,6 +6,24 @@
 	"time"
 )
 
+// Guards against a delay that is rounded down to one that is too short, and
+// against a fraction where HTTP allows none.
+func TestFormatRetryAfter(t *testing.T) {
+	for _, c := range []struct {
+		d                 time.Duration
+		whole, fractional string
+	}{
+		{time.Second, "1", "1"}, {1100 * time.Millisecond, "2", "1.1"}, {50 * time.Millisecond, "1", "0.05"}, {time.Microsecond, "1", "0.001"},
+	} {
+		if got := (&Protocol{}).FormatRetryAfter(c.d); got != c.whole {
+			t.Errorf("%v: %s, want %s", c.d, got, c.whole)
+		}
+		if got := (&Protocol{FractionalRetryAfter: true}).FormatRetryAfter(c.d); got != c.fractional {
+			t.Errorf("%v: %s, want %s", c.d, got, c.fractional)
+		}
+	}
+}
+
 // Guards against a backoff that is taken from a malformed header, overflows or
 // never ends, and against one of a response that does not turn the request away.
 func TestBackoffOf(t *testing.T) {
