entry: the cost of a transfer follows the size of a route's responses

Ruled out: uploads, whose size was in the cost before.

The size is a moving average over the successful responses of a route. The cost to another region is bounded, so that a request goes there rather than to an upstream that is probably faulty.

Test: TestTransferCostFollowsResponseSize.

--- a/internal/instance/entry/attempt.go
+++ b/internal/instance/entry/attempt.go
@@ -44,6 +44,7 @@
 	prefix   []byte        // first bytes of the response body, in a pooled buffer
 	complete bool          // prefix is the complete body
 	readTime time.Duration // spent reading the rest of a streamed response
+	bodyRead int64         // bytes of the response body read so far
 	late     lateDetector
 	ended    bool
 }
@@ -109,6 +110,7 @@
 	a.prefix = a.s.buffers.get()
 	n, err := io.ReadFull(a.response.Body, a.prefix)
 	a.prefix = a.prefix[:n]
+	a.bodyRead = int64(n)
 	switch err {
 	case nil: // longer than the buffer
 	case io.EOF, io.ErrUnexpectedEOF:
@@ -141,6 +143,9 @@
 		a.prefix = nil
 	}
 	class, _ := a.class()
+	if class == health.OK {
+		a.st.recordResponseSize(routeName(a.e.route), a.bodyRead)
+	}
 	a.avoid() // before a queued request gets the slot
 	a.st.releaseChoice(a.choice, class)
 	a.st.recordBorrow(a)
--- a/internal/instance/entry/placer.go
+++ b/internal/instance/entry/placer.go
@@ -31,8 +31,14 @@
 	// placerRecheckInterval replaces recheckInterval for placers, whose
 	// estimates change within fractions of a second.
 	placerRecheckInterval = 25 * time.Millisecond
-	// assumedResponseKB is the size, in KiB, assumed for a response.
+	// assumedResponseKB is the size, in KiB, assumed for the responses of a route
+	// until one has been received.
 	assumedResponseKB = 2
+	// maxTransferCost bounds the cost of a large transfer to another region, so that
+	// one is made rather than a request lost at an upstream that is probably faulty.
+	maxTransferCost = 0.5
+	// responseSizeGain is the gain of the moving average of response sizes.
+	responseSizeGain = 1.0 / 16
 	// assumedBodyKB is the size, in KiB, assumed for a body without a
 	// Content-Length.
 	assumedBodyKB = 64
@@ -50,6 +56,7 @@
 	share        func(evidence.Record)          // nil to share nothing
 	peerAttempts map[peerAttemptKey]peerAttempt // pending attempts of other instances
 
+	responseKB map[string]float64    // mean size of successful responses in KiB, by route
 	returns    placement.Returns     // of callers whose requests were refused
 	candidates []placement.Candidate // of the latest choice; reused to avoid allocations
 }
@@ -72,6 +79,7 @@
 	return &placer{
 		cfg: cfg.Placement, name: name, tracker: placement.NewTracker(cfg.Placement.Model),
 		share: cfg.Share, peerAttempts: make(map[peerAttemptKey]peerAttempt),
+		responseKB: make(map[string]float64),
 	}
 }
 
@@ -149,11 +157,30 @@
 	if req.bodyBytes < 0 {
 		kb = assumedBodyKB
 	}
-	kb += assumedResponseKB
+	kb += p.expectedResponseKB(req.route)
 	if u.Region == snap.Self.Region {
 		return p.cfg.DomainCostPerKB * kb
 	}
-	return p.cfg.RemoteCost + p.cfg.RemoteCostPerKB*kb
+	return min(maxTransferCost, p.cfg.RemoteCost+p.cfg.RemoteCostPerKB*kb)
+}
+
+func (p *placer) expectedResponseKB(route string) float64 {
+	if kb, ok := p.responseKB[route]; ok {
+		return kb
+	}
+	return assumedResponseKB
+}
+
+// recordResponseSize adds the size of a successful response, in bytes, to the
+// average of its route.
+func (st *serviceState) recordResponseSize(route string, bytes int64) {
+	if st.placer == nil {
+		return
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	old := st.placer.expectedResponseKB(route)
+	st.placer.responseKB[route] = old + responseSizeGain*(float64(bytes)/1024-old)
 }
 
 // maxQueueWait returns how long a request may wait for a slot. It returns an
--- a/internal/instance/entry/placer_test.go
+++ b/internal/instance/entry/placer_test.go
@@ -367,3 +367,47 @@
 		t.Errorf("status %d after %d attempts", resp.StatusCode, runs.Load())
 	}
 }
+
+// Guards against large responses that are fetched from another region as if they
+// were small, and against a cost that makes a request fail at a faulty upstream
+// nearby rather than be sent to another region. Failed responses don't count.
+func TestTransferCostFollowsResponseSize(t *testing.T) {
+	const size = 200 << 10 // more than is buffered
+	var fail atomic.Bool
+	up := standin(t, "u1", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Test-Signature", "genuine")
+		if fail.Load() {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+		_, _ = w.Write(make([]byte, size))
+	})
+	s, url := startPlacementServer(t, 0, nil, up)
+	st := s.service("svc")
+	st.placer.cfg.RemoteCost, st.placer.cfg.RemoteCostPerKB, st.placer.cfg.DomainCostPerKB = 0.05, 0.002, 0.0002
+	cost := func(region string) float64 {
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		u := up
+		u.Region, u.FailureDomain = region, "other"
+		return st.placer.transferCost(s.control.Snapshot(), &u, &slotRequest{route: "* /read/*"})
+	}
+	before, beforeNear := cost("elsewhere"), cost("south")
+	for range 80 {
+		roundTrip(t, request(t, http.MethodGet, url+"/read/x", nil))
+	}
+	after, near := cost("elsewhere"), cost("south")
+	if want := 0.05 + 0.002*size/1024; after < 0.95*want || after > 1.05*want || before >= after/2 || near <= beforeNear {
+		t.Errorf("cost %.3f before, %.3f after, want %.3f; in the region %.3f and %.3f", before, after, want, beforeNear, near)
+	}
+	fail.Store(true)
+	for range 20 {
+		roundTrip(t, request(t, http.MethodGet, url+"/read/x", nil))
+	}
+	if got := cost("elsewhere"); got != after {
+		t.Errorf("cost %.3f after failed responses, want %.3f", got, after)
+	}
+	st.placer.cfg.RemoteCostPerKB = 1
+	if got := cost("elsewhere"); got != maxTransferCost {
+		t.Errorf("cost %.3f, want at most %.3f", got, maxTransferCost)
+	}
+}
--- a/internal/instance/entry/response.go
+++ b/internal/instance/entry/response.go
@@ -89,6 +89,7 @@
 		began := time.Now()
 		n, err := a.response.Body.Read(buf)
 		a.readTime += time.Since(began)
+		a.bodyRead += int64(n)
 		if n > 0 {
 			if werr := e.write(buf[:n]); werr != nil {
 				return werr
