follower: stale content names nothing to use and undoes nothing

Cause: an instance's first read may be some seconds old, and was used at once, so that after a restart it sent requests to upstreams that had left and accepted a key that had been withdrawn until the first changes arrived. The same read after a refused call put back what had been removed before. The previous key was accepted for as long as the instance ran. Ruled out: reading only fresh content, which exceeds the store's rate when all instances start at once.

Stale first content is held until the changes after it have arrived, or the store is lost meanwhile; content older than what was applied is ignored; the previous key is accepted for 10 s.

Tests, failed before: TestRestartedInstanceDoesNotUseStaleContent (2 upstreams and the old key in use), TestStaleContentDoesNotUndoChanges (1 upstream back); TestStaleContentIsUsedWhileStoreIsLost, TestWithdrawnKeyIsAcceptedForLimitedTime.

--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -300,6 +300,9 @@
 	return events
 }
 
+// Loaded reports whether the store's content has been loaded.
+func (c *Catalog) Loaded() bool { return c.loaded }
+
 // Ready reports whether the store's content has been loaded and includes a
 // configuration.
 func (c *Catalog) Ready() bool { return c.loaded && c.configuration != nil }
--- a/internal/instance/follower/follower.go
+++ b/internal/instance/follower/follower.go
@@ -56,7 +56,9 @@
 	serving      int // instances among which the callers of all regions are spread
 	version      uint64
 	key          []byte
+	keyChangedAt time.Time // when key replaced another one, zero if that is no longer accepted
 	sequence     uint64
+	held         *event    // stale first content, nil if none; see hold
 	lastResponse time.Time // last response of the store or a relay
 	appliedAt    time.Time // when the configuration took effect
 }
@@ -65,6 +67,7 @@
 type event struct {
 	changes   []catalog.Change
 	complete  bool  // changes are the complete content of the store
+	stale     bool  // the content may be some seconds old
 	fromRelay bool  // changes are from a relay, without a gap
 	err       error // the store could not be read
 }
@@ -131,6 +134,7 @@
 			if f.logEvents(f.catalog.Tick(now)) {
 				f.publish(now)
 			}
+			f.dropOldKey(now)
 		}
 	}
 }
@@ -166,7 +170,32 @@
 	f.cfg.Scope.Tagged(map[string]string{"call": call, "result": result}).Counter("platform_store_calls").Inc(1)
 }
 
+// hold reports whether an event has to wait: the first content that an instance
+// reads after its start may be stale, and name upstreams that have left and a key
+// that was withdrawn. It is applied together with the first changes after it or,
+// if the store is lost before these arrive, as it is.
+func (f *Follower) hold(e event, now time.Time) bool {
+	if e.complete && e.stale && !f.catalog.Loaded() {
+		f.held = &e
+		return true
+	}
+	held := f.held
+	f.held = nil
+	if held != nil && !e.complete {
+		f.logEvents(f.catalog.Reset(held.changes, now))
+		if e.err != nil {
+			f.lastResponse = now
+			f.publish(now)
+		}
+	}
+	return false
+}
+
 func (f *Follower) apply(e event, now time.Time) {
+	caughtUp := f.held != nil
+	if f.hold(e, now) {
+		return
+	}
 	if e.err != nil {
 		f.catalog.StoreLost()
 		return
@@ -185,7 +214,7 @@
 			events = append(events, f.catalog.Apply(&e.changes[i], now)...)
 		}
 	}
-	if f.logEvents(events) || e.complete || len(e.changes) > 0 {
+	if f.logEvents(events) || e.complete || len(e.changes) > 0 || caughtUp {
 		f.publish(now)
 	}
 }
--- a/internal/instance/follower/follower_test.go
+++ b/internal/instance/follower/follower_test.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -16,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"knapweedreel/internal/catalog"
+	"knapweedreel/internal/instance/evidence"
 	"knapweedreel/internal/instance/relay"
 	"knapweedreel/internal/store"
 	"knapweedreel/platform"
@@ -390,3 +392,136 @@
 		t.Errorf("wait of %v in a call after a refused call, want at most the minimum", wait)
 	}
 }
+
+// staleStore returns recorded content for reads that may be stale, and holds back
+// changes until it is released.
+type staleStore struct {
+	*platform.Store
+	content []catalog.Change
+	index   uint64
+	loads   atomic.Int64 // stale ones
+	release chan struct{}
+}
+
+func (s *staleStore) Load(ctx context.Context, stale bool) ([]catalog.Change, uint64, error) {
+	if !stale {
+		return s.Store.Load(ctx, false)
+	}
+	s.loads.Add(1)
+	return s.content, s.index, nil
+}
+
+func (s *staleStore) Changes(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Change, uint64, error) {
+	select {
+	case <-s.release:
+	case <-ctx.Done():
+	}
+	return s.Store.Changes(ctx, after, wait)
+}
+
+// record returns a source whose stale content is that of now.
+func record(t *testing.T, c *platform.Store) *staleStore {
+	t.Helper()
+	s := &staleStore{Store: c, release: make(chan struct{})}
+	var err error
+	if s.content, s.index, err = c.Load(t.Context(), false); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Guards against an instance that, after a restart, uses an upstream that has left
+// or a key that was withdrawn, because the first content that it reads is stale.
+func TestRestartedInstanceDoesNotUseStaleContent(t *testing.T) {
+	s, c := startStore(t)
+	putConfiguration(s, "3")
+	s.Put("servers/left", []byte(registration))
+	s.Put("servers/stays", []byte(registration))
+	s.Put("fleet/key", bytes.Repeat([]byte{1}, evidence.KeyBytes))
+	source := record(t, c)
+	s.Delete("servers/left")
+	s.Put("fleet/key", bytes.Repeat([]byte{2}, evidence.KeyBytes))
+	f := startFollower(t, "i1", source)
+	eventually(t, "read of stale content", func() bool { return source.loads.Load() > 0 })
+	for range 20 {
+		if f.Ready() || upstreamCount(f) != 0 || f.Keys().Seal != nil {
+			t.Fatalf("ready %t, %d upstreams, key known %t", f.Ready(), upstreamCount(f), f.Keys().Seal != nil)
+		}
+		pause(t, 5*time.Millisecond)
+	}
+	close(source.release)
+	eventually(t, "ready", f.Ready)
+	if n := upstreamCount(f); n != 1 || len(f.Keys().Open) != 1 {
+		t.Errorf("%d upstreams, %d keys accepted, want one of each", n, len(f.Keys().Open))
+	}
+}
+
+// Guards against an instance that waits for an unreachable store although it has
+// read its content.
+func TestStaleContentIsUsedWhileStoreIsLost(t *testing.T) {
+	s, c := startStore(t)
+	putConfiguration(s, "3")
+	s.Put("servers/a", []byte(registration))
+	source := record(t, c)
+	f := startFollower(t, "i1", source)
+	eventually(t, "read of stale content", func() bool { return source.loads.Load() > 0 })
+	s.SetFault(standin.Reset)
+	close(source.release)
+	eventually(t, "ready without the store", func() bool { return f.Ready() && upstreamCount(f) == 1 })
+}
+
+// Guards against stale content, read while the store refuses calls, that undoes
+// changes that were applied before.
+func TestStaleContentDoesNotUndoChanges(t *testing.T) {
+	s, c := startStore(t)
+	putConfiguration(s, "3")
+	s.Put("servers/left", []byte(registration))
+	source := record(t, c)
+	close(source.release)
+	f := startFollower(t, "i1", source)
+	eventually(t, "ready", func() bool { return f.Ready() && upstreamCount(f) == 1 })
+	s.Delete("servers/left")
+	eventually(t, "removed", func() bool { return upstreamCount(f) == 0 })
+	before := source.loads.Load()
+	s.SetFault(standin.ServiceUnavailable)
+	eventually(t, "another read of stale content", func() bool {
+		if n := upstreamCount(f); n != 0 {
+			t.Fatalf("%d upstreams while the store refuses calls", n)
+		}
+		return source.loads.Load() > before+3
+	})
+	s.SetFault(standin.NoFault)
+	putConfiguration(s, "4")
+	eventually(t, "the next version", func() bool { return configurationVersion(f) == 4 })
+	if n := upstreamCount(f); n != 0 {
+		t.Errorf("%d upstreams after the store's return", n)
+	}
+}
+
+// Guards against a withdrawn key that is accepted for as long as the instance runs.
+func TestWithdrawnKeyIsAcceptedForLimitedTime(t *testing.T) {
+	f := New(Config{Log: zap.NewNop(), Scope: tally.NoopScope}, nil)
+	key := func(b byte) catalog.Change {
+		return catalog.Change{Kind: catalog.KindKey, ID: "key", Key: bytes.Repeat([]byte{b}, evidence.KeyBytes)}
+	}
+	now := time.Now()
+	for b := range byte(2) {
+		f.apply(event{changes: []catalog.Change{key(b)}}, now)
+	}
+	f.dropOldKey(now.Add(oldKeyGrace / 2))
+	if n := len(f.Keys().Open); n != 2 {
+		t.Errorf("%d keys are accepted just after the change, want 2", n)
+	}
+	f.dropOldKey(now.Add(2 * oldKeyGrace))
+	if keys := f.Keys(); len(keys.Open) != 1 || keys.Open[0] != keys.Seal {
+		t.Errorf("%d keys are accepted later, want the new one only", len(keys.Open))
+	}
+}
+
+// pause waits in real time, while the follower's loops could do something wrong.
+func pause(t *testing.T, d time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	defer cancel()
+	<-ctx.Done()
+}
--- a/internal/instance/follower/peers.go
+++ b/internal/instance/follower/peers.go
@@ -5,6 +5,7 @@
 	"crypto/cipher"
 	"net/netip"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -56,8 +57,24 @@
 	}
 }
 
-// publishKeys publishes a changed key. Datagrams sealed with the previous key are
-// still accepted.
+// oldKeyGrace is the time for which messages sealed with the previous key are
+// accepted. Instances learn of another key within a few seconds, and one that does
+// not can do without the others' messages.
+const oldKeyGrace = 10 * time.Second
+
+// dropOldKey stops accepting the previous key after oldKeyGrace.
+func (f *Follower) dropOldKey(now time.Time) {
+	if f.keyChangedAt.IsZero() || now.Sub(f.keyChangedAt) < oldKeyGrace {
+		return
+	}
+	f.keyChangedAt = time.Time{}
+	aead := f.keys.Load().Seal
+	f.keys.Store(&evidence.Keys{Seal: aead, Open: []cipher.AEAD{aead}})
+	f.log.Info("fleet_key_withdrawn", zap.Duration("after", oldKeyGrace))
+}
+
+// publishKeys publishes a changed key. Messages sealed with the previous key are
+// accepted for oldKeyGrace.
 func (f *Follower) publishKeys() {
 	key := f.catalog.Key()
 	if key == nil || bytes.Equal(key, f.key) {
@@ -72,6 +89,7 @@
 	open := []cipher.AEAD{aead}
 	if old := f.keys.Load().Seal; old != nil {
 		open = append(open, old)
+		f.keyChangedAt = time.Now()
 	}
 	f.keys.Store(&evidence.Keys{Seal: aead, Open: open})
 }
--- a/internal/instance/follower/watch.go
+++ b/internal/instance/follower/watch.go
@@ -102,6 +102,7 @@
 
 // load reads the complete content.
 func (w *watch) load(ctx context.Context) error {
+	stale, known := w.allowStale, w.index
 	changes, index, err := w.loadParallel(ctx)
 	// The first load may be stale because all instances may start at once. It may
 	// also be stale after a refused call, which spares the store.
@@ -109,10 +110,16 @@
 	if err != nil {
 		return err
 	}
+	e := event{complete: true, stale: stale, changes: changes}
+	if stale && index < known {
+		// Older than what was applied before, of which nothing may be undone: the
+		// changes since then follow, or the store reports that its history is lost.
+		e, index = event{}, known
+	}
 	w.loaded, w.index, w.asOf = true, index, time.Time{}
 	w.f.changeLog.Reset(index, w.asOf)
 	w.markReachable()
-	w.f.send(ctx, event{complete: true, changes: changes})
+	w.f.send(ctx, e)
 	return nil
 }
 
