--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -142,8 +142,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version += step
-	routes := map[string]any{}
+	routes, services := map[string]any{}, map[string]any{}
 	for prefix, service := range f.routes {
+		services[service] = map[string]any{"maxConnections": 330}
 		kind := "unsafe"
 		if service == "lookups" {
 			kind = "safe"
@@ -155,7 +156,7 @@
 	}
 	value, err := json.Marshal(map[string]any{
 		"version": f.version, "routes": routes,
-		"services": map[string]any{"lookups": map[string]any{"maxConnections": 330}, "orders": map[string]any{"maxConnections": 330}},
+		"services": services,
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
 	})
 	if err != nil {
