catalog: callers are not directed to members that are shutting down

Cause: a graceful shutdown ended the member's lease, which looks like the expiry of a member that the store has lost. Where fewer than two others were left in a region, callers were directed to it for another 10 s, though it stops listening after 2.9 s. Ruled out: requests that were accepted and cut off; each of the cut ones got "connection refused".

The member marks its entry as leaving and lets the lease expire: one write, as before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -68,6 +68,8 @@
 	// Width is the number of instances that should serve the callers of this
 	// member's region, judging by this member's own load.
 	Width int `json:"width"`
+	// Leaving is set from the start of the member's graceful shutdown.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Change is a change of one item in the store. Exactly one of Configuration,
@@ -134,8 +136,9 @@
 	Renew(ctx context.Context, r Registration) error
 	// Update replaces the entry of a registered member, or returns ErrExpired.
 	Update(ctx context.Context, r Registration, m Member) error
-	// Withdraw removes a member's entry.
-	Withdraw(ctx context.Context, r Registration) error
+	// Withdraw marks the entry of a registered member as leaving. The entry expires
+	// with the registration, which must not be renewed any more.
+	Withdraw(ctx context.Context, r Registration, m Member) error
 	// OfferKey stores the fleet's key if the store has none, or returns
 	// store.ErrConflict.
 	OfferKey(ctx context.Context, key []byte) error
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -287,6 +287,31 @@
 	}
 }
 
+// Guards against callers that are directed to a member that is shutting down,
+// where too few others are left: unlike one whose entry has expired, it will stop
+// listening.
+func TestLocateExcludesLeavingMembers(t *testing.T) {
+	c := New()
+	for i := range 2 {
+		m := memberChange(i, "south", MinWidth)
+		c.Apply(&m, epoch)
+	}
+	leaving := memberChange(1, "south", MinWidth)
+	leaving.Member.Leaving = true
+	expired := removed(KindMember, "south-1")
+	for _, ch := range []*Change{&leaving, &expired} {
+		c.Apply(ch, epoch)
+		if got := c.Directory().Locate("a.example", "south"); len(got) != 1 || got[0].ID != "south-0" {
+			t.Errorf("%+v", got)
+		}
+	}
+	again := memberChange(1, "south", MinWidth)
+	c.Apply(&again, epoch)
+	if got := c.Directory().Locate("a.example", "south"); len(got) != 2 {
+		t.Errorf("after a restart: %+v", got)
+	}
+}
+
 // Guards against computing the directory again at each change of an upstream, and
 // against a directory that misses changes of members.
 func TestDirectoryChangesOnlyWithMembers(t *testing.T) {
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -242,6 +242,15 @@
 func (c *Catalog) putMember(ch *Change) []Event {
 	m := ch.Member
 	old := c.members[m.ID]
+	if m.Leaving {
+		// Unlike a member whose entry has expired, it is known to stop.
+		delete(c.members, m.ID)
+		c.directory = nil
+		if old == nil {
+			return nil
+		}
+		return []Event{{Name: "member_leaving", ID: m.ID, Detail: m.Address, Revision: ch.Revision}}
+	}
 	c.members[m.ID] = &memberEntry{Member: *m}
 	c.directory = nil
 	if old != nil && old.removedAt.IsZero() && old.Incarnation == m.Incarnation {
--- a/internal/instance/follower/follower_test.go
+++ b/internal/instance/follower/follower_test.go
@@ -136,7 +136,8 @@
 	})
 	eventually(t, "in the directory", func() bool { return len(f.Directory().Locate("a.example", "south")) == 1 })
 	f.Leave()
-	eventually(t, "withdrawn", func() bool { return len(s.Keys("fleet/members/")) == 0 })
+	eventually(t, "withdrawn", func() bool { return len(f.Directory().Locate("a.example", "south")) == 0 })
+	eventually(t, "expired", func() bool { return len(s.Keys("fleet/members/")) == 0 })
 	if f.Ready() {
 		t.Error("ready after leaving")
 	}
--- a/internal/instance/follower/membership.go
+++ b/internal/instance/follower/membership.go
@@ -22,8 +22,8 @@
 	// may hang until its timeout, before the entry expires.
 	renewInterval      = 1500 * time.Millisecond
 	renewRetryInterval = renewInterval / 2
-	// withdrawTimeout bounds the time for removing the entry at a graceful
-	// shutdown.
+	// withdrawTimeout bounds the time for marking the entry as leaving at a
+	// graceful shutdown.
 	withdrawTimeout = time.Second
 )
 
@@ -167,7 +167,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, withdrawTimeout)
 	defer cancel()
-	m.logFailure("member_not_withdrawn", m.f.source.Withdraw(ctx, *m.registration))
+	m.logFailure("member_not_withdrawn", m.f.source.Withdraw(ctx, *m.registration, m.self))
 }
 
 func (m *membership) logFailure(event string, err error) {
