entry: only backoffs turn away queued requests; late copies of failures

And a failure without a request ID on a reused connection was passed on to the next caller, although it may be the second copy of the response before it; every upstream of the protocol with signatures echoes the ID, so that it is rejected now. Ruled out: successes and refusals, which were rejected before.

Test, failed before for a failure, a signed failure and a 304 without ID: TestLateSecondCopyIsNotTheNextResponse.

--- a/internal/instance/entry/backoff_test.go
+++ b/internal/instance/entry/backoff_test.go
@@ -96,6 +96,20 @@
 	}
 }
 
+// Guards against a queued request whose wait has just ended, and which is refused
+// in the name of upstreams that take requests.
+func TestOnlyBackoffsTurnRequestsAway(t *testing.T) {
+	st, now := &serviceState{name: "svc"}, time.Now()
+	for _, c := range []struct {
+		earliest, until time.Duration // from now
+		refused         bool
+	}{{0, -time.Millisecond, false}, {0, time.Second, false}, {time.Second, time.Second, false}, {2 * time.Second, time.Second, true}, {time.Second, -time.Second, true}} {
+		if err := st.turnedAwayUntil(now.Add(c.earliest), now.Add(c.until), now); (err != nil) != c.refused {
+			t.Errorf("earliest %v, until %v: %v", c.earliest, c.until, err)
+		}
+	}
+}
+
 // Guards against requests that are refused although the upstream that asked for
 // none has restarted since.
 func TestBackoffEndsWithRestart(t *testing.T) {
--- a/internal/instance/entry/placer.go
+++ b/internal/instance/entry/placer.go
@@ -272,7 +272,7 @@
 // turnedAwayUntil returns an error if no upstream takes requests before the time
 // until which a request can wait.
 func (st *serviceState) turnedAwayUntil(earliest, until, now time.Time) error {
-	if !earliest.After(until) {
+	if !earliest.After(now) || !earliest.After(until) {
 		return nil
 	}
 	return errkind.New(errkind.NoUpstream, "all upstreams of service %s have asked for no requests for another %v", st.name, earliest.Sub(now))
--- a/internal/instance/entry/upstream/attempt.go
+++ b/internal/instance/entry/upstream/attempt.go
@@ -193,7 +193,7 @@
 	}
 	refused := protocol.ParseRefusal(resp.Response)
 	if refused == NotRefused {
-		return x.checkSuccess(resp.Response, echoed)
+		return x.checkOrigin(resp.Response, echoed)
 	}
 	// A refusal proves that the request was not run only if it cannot belong to
 	// another request: it carries this request's ID, or no other request was
@@ -206,15 +206,19 @@
 	return nil
 }
 
-// checkSuccess rejects a successful response unless its headers show that the
-// upstream itself created it for this request, without content encoding. It
-// accepts every response if the protocol has no signature header.
-func (x *exchange) checkSuccess(resp *http.Response, echoed bool) error {
+// checkOrigin rejects a successful response unless its headers show that the
+// upstream itself created it for this request, without content encoding, and a
+// failure that may be a late copy of another request's. It accepts every response
+// if the protocol has no signature header.
+func (x *exchange) checkOrigin(resp *http.Response, echoed bool) error {
 	protocol := &x.pool.protocol
-	if protocol.Signature == "" || resp.StatusCode >= http.StatusMultipleChoices {
-		return nil
-	}
 	switch {
+	case protocol.Signature == "":
+		return nil
+	case resp.StatusCode >= http.StatusMultipleChoices && !echoed && !x.conn.fresh:
+		return errkind.New(errkind.BadAnswer, "a failure without a request ID on a reused connection")
+	case resp.StatusCode >= http.StatusMultipleChoices:
+		return nil
 	case !echoed:
 		return errkind.New(errkind.BadAnswer, "a successful response without a request ID")
 	case resp.Header.Get(protocol.Signature) == "":
--- a/internal/instance/entry/upstream/attempt_test.go
+++ b/internal/instance/entry/upstream/attempt_test.go
@@ -333,3 +333,52 @@
 type failingWrites struct{ net.Conn }
 
 func (failingWrites) Write([]byte) (int, error) { return 0, errors.New("no write") }
+
+// Guards against the second copy of a response that arrives after the connection
+// was taken for the next request: the next caller must not receive it, whatever
+// its status and whether it carries its request's ID.
+func TestLateSecondCopyIsNotTheNextResponse(t *testing.T) {
+	copies := map[string]string{
+		"success":                     "HTTP/1.1 200 OK\r\n" + HeaderRequestID + ": id-1\r\nTest-Signature: s\r\nContent-Length: 5\r\n\r\nfirst",
+		"failure":                     "HTTP/1.1 500 S\r\n" + HeaderRequestID + ": id-1\r\nContent-Length: 5\r\n\r\nfirst",
+		"success without ID":          "HTTP/1.1 200 OK\r\nTest-Signature: s\r\nContent-Length: 5\r\n\r\nfirst",
+		"failure without ID":          "HTTP/1.1 500 S\r\nContent-Length: 5\r\n\r\nfirst",
+		"failure, signed, without ID": "HTTP/1.1 504 S\r\nTest-Signature: s\r\nContent-Length: 5\r\n\r\nfirst",
+		"refusal without ID":          "HTTP/1.1 503 S\r\nKnapweedreel-Refused: shed\r\nContent-Length: 0\r\n\r\n",
+		"redirect without ID":         "HTTP/1.1 304 S\r\n\r\n",
+	}
+	for name, late := range copies {
+		t.Run(name, func(t *testing.T) {
+			u := newRawUpstream(t, func(u *rawUpstream, n int, c *net.TCPConn, br *bufio.Reader) {
+				req := u.readRequest(br)
+				if req == nil {
+					return
+				}
+				respond(c, req, 200, "Test-Signature: s\r\n", "first")
+				if n == 0 && u.readRequest(br) != nil {
+					_, _ = io.WriteString(c, late)
+				}
+				drain(br)
+			})
+			p := newPools(t, func(cfg *Config) {
+				cfg.Protocol = DefaultProtocol()
+				cfg.Protocol.Signature = "Test-Signature"
+			})
+			ctx := testContext(t)
+			resp, _, err := p.Do(ctx, u.newAttempt("id-1"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			resp, trace, err := p.Do(ctx, u.newAttempt("id-2"))
+			if err == nil {
+				data, _ := io.ReadAll(resp.Body)
+				t.Errorf("status %d, %q on a fresh connection: %t", resp.StatusCode, data, trace.Fresh)
+				_ = resp.Body.Close()
+			} else if kind := errkind.Of(err); kind != errkind.CrossedAnswer && kind != errkind.BadAnswer {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+}
