settings: the time for requests at work follows the platform's stop time

Cause: requests that were still at their upstream were given up 5.55 s after SIGTERM, a constant for a platform that kills after 6 s.

platform.stop_time, filled in from the platform's grace, replaces the constant; 6 s gives the same limit as before.

Tests: TestStopLimitFollowsStopTime, TestInvalidStopTimeIsReported.

--- a/internal/instance/onplatform.go
+++ b/internal/instance/onplatform.go
@@ -115,6 +115,7 @@
 	c.relay = &relay.Server{
 		Address: s.PeerListenAddress, ChangeLog: c.follower.ChangeLog(), Keys: c.follower.Keys, Logger: log, Scope: c.metrics.Scope,
 	}
+	s.Times.StopLimitMS = int(s.StopLimit().Milliseconds())
 	limits := s.Limits
 	limits.CallerConnections = min(limits.CallerConnections, s.Platform.Descriptors/2)
 	c.entry = entry.New(entry.Config{
@@ -215,7 +216,7 @@
 		return
 	}
 	begin := time.Now()
-	c.log.Info("planned_stop", zap.Int("drain_ms", c.settings.Times.DrainMS), zap.Int("limit_ms", c.settings.Times.StopLimitMS))
+	c.log.Info("planned_stop", zap.Int("drain_ms", c.settings.Times.DrainMS), zap.Duration("limit", c.settings.StopLimit()))
 	c.follower.Leave()
 	if err := c.entry.Drain(tree); err != nil {
 		c.log.Warn("drain_incomplete", zap.Error(err))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,6 +2,8 @@
 // comments. Load reports all problems of a file at once.
 package settings
 
+import "time"
+
 // Settings are the settings of one instance. Addresses are IP:port.
 type Settings struct {
 	// Instance is the instance's name, unique within the fleet. It must equal
@@ -73,6 +75,29 @@
 	// RetryReserve is the number of requests that the fleet may send to a second
 	// upstream at once beyond RetryShare. Default 10.
 	RetryReserve int `json:"retry_reserve"`
+	// StopTime is the time from SIGTERM until the process is killed, a number with
+	// the unit "ms" or "s". Requests in flight may complete until shortly before. If
+	// it is set, it replaces times.stop_limit_ms. Default none.
+	StopTime string `json:"stop_time"`
+}
+
+// stopMargin is the time at the end of StopTime for the last responses and the
+// process's exit.
+const stopMargin = 450 * time.Millisecond
+
+// minStopLimit is the minimum time for requests in flight to complete.
+const minStopLimit = 500 * time.Millisecond
+
+// StopLimit returns the maximum time after the drain time for requests in flight
+// to complete.
+func (s *Settings) StopLimit() time.Duration {
+	if s.Platform != nil {
+		// Validation has rejected other values.
+		if total, err := time.ParseDuration(s.Platform.StopTime); err == nil && total > 0 {
+			return max(minStopLimit, total-stopMargin-time.Duration(s.Times.DrainMS)*time.Millisecond)
+		}
+	}
+	return time.Duration(s.Times.StopLimitMS) * time.Millisecond
 }
 
 // InitialPeer is an instance known from the settings.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -106,3 +107,34 @@
 		}
 	}
 }
+
+// Guards against a graceful shutdown that gives up requests at work although the
+// platform would wait for them, or that does not end before the process is killed.
+func TestStopLimitFollowsStopTime(t *testing.T) {
+	for _, c := range []struct {
+		stopTime string
+		want     time.Duration
+	}{
+		{"", 2650 * time.Millisecond}, {"6s", 2650 * time.Millisecond}, {"10s", 6650 * time.Millisecond},
+		{"6000ms", 2650 * time.Millisecond}, {"1s", minStopLimit},
+	} {
+		s := Settings{Times: Times{DrainMS: 2900, StopLimitMS: 2650}, Platform: &Platform{StopTime: c.stopTime}}
+		if got := s.StopLimit(); got != c.want {
+			t.Errorf("%q: %v, want %v", c.stopTime, got, c.want)
+		}
+	}
+	if got := (&Settings{Times: Times{StopLimitMS: 120_000}}).StopLimit(); got != 2*time.Minute {
+		t.Errorf("without a platform %v", got)
+	}
+}
+
+// Guards against a stop time that is ignored because it cannot be parsed.
+func TestInvalidStopTimeIsReported(t *testing.T) {
+	for _, text := range []string{"10", "-1s", "soon", "0s"} {
+		p := new(jsonc.Problems)
+		(&Platform{StopTime: text}).validate(p)
+		if !slices.ContainsFunc(*p, func(problem jsonc.Problem) bool { return problem.Field == "platform.stop_time" }) {
+			t.Errorf("%q was accepted", text)
+		}
+	}
+}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"knapweedreel/internal/jsonc"
 )
@@ -77,6 +78,11 @@
 	jsonc.CheckRange(p, "platform.descriptors", platform.Descriptors, minDescriptors, 10*maxConnections)
 	jsonc.CheckRange(p, "platform.retry_share", platform.RetryShare, 0, 1)
 	jsonc.CheckRange(p, "platform.retry_reserve", platform.RetryReserve, 0, maxConnections)
+	if platform.StopTime != "" {
+		if d, err := time.ParseDuration(platform.StopTime); err != nil || d <= 0 {
+			p.Add("platform.stop_time", "is %q, must be a number with the unit ms or s", platform.StopTime)
+		}
+	}
 }
 
 func (k *Keys) validate(p *jsonc.Problems) {
