follower: a domain's relay polls a lost store for the others

Ruled out: renewals, which are a tenth of the price and fewer.

From the fourth failed call on, an instance that can reach its relay waits for the relay's news of the store's return, and calls by itself only every 1.1 to 1.9 s.

Test, failed before: TestRelayPollsLostStoreForItsSubscribers.

--- a/internal/instance/follower/follower_test.go
+++ b/internal/instance/follower/follower_test.go
@@ -526,3 +526,39 @@
 	defer cancel()
 	<-ctx.Done()
 }
+
+// countingStore counts the loads of all its followers.
+type countingStore struct {
+	*platform.Store
+	loads *atomic.Int64
+}
+
+func (s countingStore) Load(ctx context.Context, stale bool) ([]catalog.Change, uint64, error) {
+	s.loads.Add(1)
+	return s.Store.Load(ctx, stale)
+}
+
+// Guards against calls to a store that is down whose number grows with the number
+// of instances, and against instances that then notice its return late: the load is
+// a failure domain of six instances in an outage.
+func TestRelayPollsLostStoreForItsSubscribers(t *testing.T) {
+	var loads atomic.Int64
+	s, all, _, _ := runFleet(t, 6, func(c *platform.Store) countingStore { return countingStore{c, &loads} })
+	s.SetFault(standin.ServiceUnavailable)
+	pause(t, 3*time.Second) // the first calls come at short intervals
+	before := loads.Load()
+	const outage = 4 * time.Second
+	pause(t, outage)
+	// One relay calls about every 0.3 s, as the jitter is 0, and each of the others
+	// every 1.1 s; all six by themselves would make 80 calls.
+	if n := loads.Load() - before; n > 45 {
+		t.Errorf("%d calls in %v, want at most 45", n, outage)
+	}
+	putConfiguration(s, "4")
+	s.SetFault(standin.NoFault)
+	began := time.Now()
+	eventually(t, "the new version at all instances", func() bool {
+		return !slices.ContainsFunc(all, func(f *Follower) bool { return configurationVersion(f) != 4 })
+	})
+	t.Logf("%d calls, the new version after %v", loads.Load()-before, time.Since(began))
+}
--- a/internal/instance/follower/watch.go
+++ b/internal/instance/follower/watch.go
@@ -39,6 +39,10 @@
 	// itself is polled. It allows 300 ms for the calls and messages between two
 	// responses.
 	maxRelayAge = maxWatchWait + 300*time.Millisecond
+	// relayedPollInterval is about the time between calls to a store that is lost, by
+	// an instance that its relay will tell of the store's return. It bounds the delay
+	// if the store returns for this instance only.
+	relayedPollInterval = 1500 * time.Millisecond
 	// minWatchWait is the shortest wait for changes.
 	minWatchWait = 100 * time.Millisecond
 	// parallelLoadInterval is the time between the parallel calls that read the
@@ -346,11 +350,47 @@
 		w.f.log.Warn("store_lost", zap.Uint64("revision", w.index), zap.Error(err))
 	}
 	w.f.send(ctx, event{err: err})
+	if w.backoff == maxRetryDelay && w.awaitRelay(ctx) {
+		return
+	}
 	w.backoff = min(max(minRetryDelay, 2*w.backoff), maxRetryDelay)
 	// The duration of the failed call counts towards the delay.
 	supervisor.Sleep(ctx, time.Duration((0.5+0.5*w.f.cfg.Jitter())*float64(w.backoff))-time.Since(w.callStart))
 }
 
+// awaitRelay waits, while the store is lost, until the failure domain's relay has
+// news, which means that the store is back, for at most about relayedPollInterval.
+// The number of calls to a store that is down then depends on the number of failure
+// domains rather than of instances. It returns false at once if this instance is
+// the relay or cannot reach it.
+func (w *watch) awaitRelay(ctx context.Context) bool {
+	r := w.f.relays.Load()
+	if r.primary || len(r.others) == 0 {
+		return false
+	}
+	address := r.others[0]
+	s, err := relay.Subscribe(ctx, address, w.f.Keys, w.index)
+	if err != nil {
+		return false
+	}
+	defer s.Close()
+	until := time.Now().Add(time.Duration((0.75 + 0.5*w.f.cfg.Jitter()) * float64(relayedPollInterval)))
+	for first := true; ; first = false {
+		deadline := until
+		if first { // sent at once, however old
+			deadline = time.Now().Add(relayResponseTimeout)
+		}
+		b, err := s.Next(ctx, deadline)
+		switch {
+		case err != nil:
+			return !first && !time.Now().Before(until)
+		case b.Gap, time.Since(b.AsOf) <= maxRelayAge:
+			w.f.log.Info("relay_has_news", zap.String("relay", address), zap.Uint64("revision", b.Index))
+			return true
+		}
+	}
+}
+
 func (f *Follower) send(ctx context.Context, e event) {
 	select {
 	case f.events <- e:
