follower: instances on standby renew their registration every 4.5 s

Ruled out: longer terms for all, since callers would be directed to a crashed instance for longer.

An instance registers for 9 s and, once callers are directed to it, for 3 s.

Test: TestStandbyInstancesRenewSeldom (41 renewals a minute before, 14 now).

--- a/internal/instance/follower/follower.go
+++ b/internal/instance/follower/follower.go
@@ -46,9 +46,11 @@
 	relays     atomic.Pointer[relays]
 	changeLog  *relay.Log
 	usingRelay atomic.Bool // subscribed to a relay that is up to date
+	serves     atomic.Bool // callers are directed to this instance
 	width      chan int
 	ready      chan struct{} // closed once there is a configuration
 	leaving    chan struct{} // closed by Leave
+	promoted   chan struct{} // receives a value when serves becomes true
 
 	// Owned by the control goroutine.
 	catalog      *catalog.Catalog
@@ -77,7 +79,7 @@
 	f := &Follower{
 		cfg: cfg, source: source, log: cfg.Log,
 		events: make(chan event), width: make(chan int, 1),
-		ready: make(chan struct{}), leaving: make(chan struct{}),
+		ready: make(chan struct{}), leaving: make(chan struct{}), promoted: make(chan struct{}, 1),
 		catalog: catalog.New(), changeLog: relay.NewLog(),
 	}
 	f.relays.Store(new(relays))
--- a/internal/instance/follower/membership.go
+++ b/internal/instance/follower/membership.go
@@ -15,13 +15,19 @@
 // Times of a member's registration.
 const (
 	// memberTTL is the time after which the entry of a crashed instance expires.
-	// Callers cache addresses for seconds anyway.
-	memberTTL = 3 * time.Second
-	// renewInterval is the time between renewals, and renewRetryInterval the time
-	// from a failed renewal to the next one. Two renewals in a row may fail, or one
-	// may hang until its timeout, before the entry expires.
-	renewInterval      = 1500 * time.Millisecond
-	renewRetryInterval = renewInterval / 2
+	// Callers cache addresses for seconds anyway. standbyTTL replaces it while no
+	// callers are directed to the instance: most instances of a large fleet are on
+	// standby, and their renewals would be most of the calls to the store.
+	memberTTL  = 3 * time.Second
+	standbyTTL = 9 * time.Second
+	// renewsPerTTL is the number of renewals within the TTL, and retryShare the time
+	// from a failed renewal to the next one as a share of the time between two. Two
+	// renewals in a row may fail, or one may hang until its timeout, before the entry
+	// expires.
+	renewsPerTTL = 2
+	retryShare   = 0.5
+	// renewTimeout bounds the calls of one renewal or registration.
+	renewTimeout = 1500 * time.Millisecond
 	// withdrawTimeout bounds the time for marking the entry as leaving at a
 	// graceful shutdown.
 	withdrawTimeout = time.Second
@@ -53,6 +59,11 @@
 			m.updateWidth(ctx)
 		case <-offerTimer.C:
 			m.offerKey(ctx)
+		case <-m.f.promoted:
+			if m.standby {
+				// Not at once: when a fleet starts, each instance is the only one at first.
+				renewTimer.Reset(renewInterval(memberTTL))
+			}
 		case <-renewTimer.C:
 			start := time.Now()
 			m.maintain(ctx)
@@ -77,9 +88,13 @@
 	self         catalog.Member
 	registration *catalog.Registration // nil while not registered
 	pending      *catalog.Registration // has a lease but no entry yet, nil if none
+	standby      bool                  // the latest lease has standbyTTL
 	interval     time.Duration         // between calls of maintain
 }
 
+// renewInterval returns the time between two renewals of a registration.
+func renewInterval(ttl time.Duration) time.Duration { return ttl / renewsPerTTL }
+
 // maxKeyOfferDelay is the maximum delay before an instance that finds no key
 // offers one. Instances that start together wait for different times, so that
 // only few offer a key: the others receive it with their first batch of changes.
@@ -90,7 +105,7 @@
 	if m.f.Keys().Seal != nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, renewInterval)
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	if err := m.f.source.OfferKey(ctx, evidence.NewKey()); err != nil && !errors.Is(err, store.ErrConflict) {
 		m.f.log.Warn("fleet_key_not_offered", zap.Error(err))
@@ -99,15 +114,20 @@
 
 // maintain renews the registration, or registers if there is none or it expired.
 func (m *membership) maintain(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, renewInterval)
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	m.interval = renewRetryInterval
+	if m.registration != nil && m.standby && m.f.serves.Load() {
+		// Callers are directed to this instance now. The new registration replaces the
+		// entry of this one.
+		m.registration = nil
+	}
 	if m.registration != nil {
+		m.interval = time.Duration(retryShare * float64(renewInterval(m.registration.TTL)))
 		err := m.f.source.Renew(ctx, *m.registration)
 		m.f.countCall("renew", err)
 		if !errors.Is(err, catalog.ErrExpired) {
 			if err == nil {
-				m.interval = renewInterval
+				m.interval = renewInterval(m.registration.TTL)
 			}
 			m.logFailure("member_not_renewed", err)
 			return
@@ -115,12 +135,13 @@
 		m.f.log.Warn("member_expired", zap.Uint64("lease", m.registration.Lease))
 		m.registration = nil
 	}
+	m.interval = time.Duration(retryShare * float64(renewInterval(memberTTL)))
 	r, err := m.register(ctx)
 	if err != nil {
 		m.logFailure("member_not_registered", err)
 		return
 	}
-	m.registration, m.interval = &r, renewInterval
+	m.registration, m.interval = &r, renewInterval(memberTTL)
 	m.f.log.Info("member_registered", zap.Uint64("lease", r.Lease), zap.Duration("ttl", r.TTL), zap.Int("width", m.self.Width))
 }
 
@@ -143,7 +164,11 @@
 			return r, err
 		}
 	}
-	r, err := m.f.source.Register(ctx, m.self, memberTTL)
+	ttl := memberTTL
+	if m.standby = !m.f.serves.Load(); m.standby {
+		ttl = standbyTTL
+	}
+	r, err := m.f.source.Register(ctx, m.self, ttl)
 	m.f.countCall("register", err)
 	if err != nil && r.Lease != 0 {
 		m.pending = &r
@@ -155,7 +180,7 @@
 	if m.registration == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, renewInterval)
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	m.logFailure("member_not_updated", m.f.source.Update(ctx, *m.registration, m.self))
 	m.f.log.Info("member_width", zap.Int("width", m.self.Width))
--- a/internal/instance/follower/peers.go
+++ b/internal/instance/follower/peers.go
@@ -21,8 +21,10 @@
 		hosts = f.table.Hosts()
 	}
 	peers := make([]netip.AddrPort, 0)
+	serves := false
 	for _, m := range d.ServingMembers(hosts, f.cfg.Self.Region) {
 		if m.ID == f.cfg.Self.ID {
+			serves = true
 			continue
 		}
 		address, err := netip.ParseAddrPort(m.PeerAddress)
@@ -33,6 +35,12 @@
 		peers = append(peers, address)
 	}
 	f.peers.Store(&peers)
+	if was := f.serves.Swap(serves); serves && !was {
+		select {
+		case f.promoted <- struct{}{}:
+		default: // MaintainRegistration has not received the previous one yet
+		}
+	}
 }
 
 // relays are the instances that read the store for their failure domain.
--- a/internal/instance/follower/renew_test.go
+++ b/internal/instance/follower/renew_test.go
@@ -22,7 +22,10 @@
 
 	refuseEntries int // number of entries that are still to be refused
 
+	members []catalog.Change // in addition to the configuration
+
 	mu          sync.Mutex
+	ttl         time.Duration // of the latest registration
 	renewals    int
 	registered  int
 	entryStored bool
@@ -30,7 +33,7 @@
 }
 
 func (s *leaseSource) Load(context.Context, bool) ([]catalog.Change, uint64, error) {
-	return []catalog.Change{testConfiguration()}, 1, nil
+	return append([]catalog.Change{testConfiguration()}, s.members...), 1, nil
 }
 
 func (s *leaseSource) Changes(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Change, uint64, error) {
@@ -42,6 +45,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.registered++
+	s.ttl = ttl
 	s.expires = time.Now().Add(ttl)
 	return catalog.Registration{Lease: 1, TTL: ttl}, s.put()
 }
@@ -123,3 +127,33 @@
 		})
 	}
 }
+
+// Guards against renewals of instances that serve no callers as often as of those
+// that do, and against an instance that serves callers and is still named for long
+// after it has crashed.
+func TestStandbyInstancesRenewSeldom(t *testing.T) {
+	member := func(id string, width int) catalog.Change {
+		return catalog.Change{Kind: catalog.KindMember, ID: id, Member: &catalog.Member{
+			ID: id, Address: "10.0.0.1:80", PeerAddress: "10.0.0.1:81", Region: "south", FailureDomain: id, Width: width, Capacity: 1,
+		}}
+	}
+	for _, c := range []struct {
+		name              string
+		members           []catalog.Change
+		ttl               time.Duration
+		registered, renew int // in a minute
+	}{
+		{"others serve", []catalog.Change{member("a", 2), member("b", 2), member("c", 2)}, standbyTTL, 1, 14},
+		{"serves", []catalog.Change{member("i1", 2), member("b", 2)}, memberTTL, 2, 41},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &leaseSource{members: c.members, fail: func(int) (time.Duration, bool) { return 0, false }}
+			_, stop := startLoops(t, s, (*Follower).Run, (*Follower).Watch, (*Follower).MaintainRegistration)
+			time.Sleep(time.Minute)
+			stop()
+			if s.ttl != c.ttl || s.registered > c.registered || s.renewals > c.renew {
+				t.Errorf("%s: TTL %v, registered %d times, %d renewals", c.name, s.ttl, s.registered, s.renewals)
+			}
+		})
+	}
+}
