follower: a response that waited during a pause counts as old

Cause: the time as of which the changes are complete was read after the response had been received. A process that was paused in between took a response from before the pause for the present state, relied on it for another 1.5 s, and its subscribers relied on it too. The same held for a relay's batch that was read late. Ruled out: leases, keys and retries; they are compared by the store, or end by timers that fire after a pause.

Test, failed before (changes counted as 0 s old after a pause of 3.7 s): TestResponseBeforePauseIsOld.

--- a/internal/instance/follower/partition_test.go
+++ b/internal/instance/follower/partition_test.go
@@ -150,3 +150,36 @@
 		})
 	}
 }
+
+// pausedSource returns changes after a pause of this process, which began when the
+// store had sent its response.
+type pausedSource struct {
+	catalog.Source // only Changes is called
+	pause          time.Duration
+}
+
+func (s pausedSource) Changes(_ context.Context, after uint64, _ time.Duration) ([]catalog.Change, uint64, error) {
+	time.Sleep(s.pause)
+	return []catalog.Change{testUpstream()}, after + 1, nil
+}
+
+// Guards against an instance that was paused while it waited for the store, and
+// that then takes the old response for the present state and passes it on as such.
+func TestResponseBeforePauseIsOld(t *testing.T) {
+	for _, c := range []struct {
+		pause time.Duration
+		old   bool
+	}{{maxWatchWait, false}, {maxWatchWait + maxCallTime + time.Second, true}, {20 * time.Second, true}} {
+		synctest.Test(t, func(t *testing.T) {
+			f, stop := startLoops(t, pausedSource{pause: c.pause}, (*Follower).Run)
+			defer stop()
+			w := watch{f: f, loaded: true, index: 1, asOf: time.Now(), callStart: time.Now(), batched: true}
+			if err := w.poll(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			if age := time.Since(w.asOf); (age > maxRelayAge) != c.old {
+				t.Errorf("after a pause of %v the changes count as %v old", c.pause, age)
+			}
+		})
+	}
+}
--- a/internal/instance/follower/watch.go
+++ b/internal/instance/follower/watch.go
@@ -43,6 +43,12 @@
 	// an instance that its relay will tell of the store's return. It bounds the delay
 	// if the store returns for this instance only.
 	relayedPollInterval = 1500 * time.Millisecond
+	// maxCallTime is the longest time that a call takes beyond its wait. A process
+	// that notices the response later was paused.
+	maxCallTime = 1500 * time.Millisecond
+	// pauseSlack is the time after its deadline at which a batch is still read in
+	// time, to allow for a busy processor.
+	pauseSlack = 250 * time.Millisecond
 	// minWatchWait is the shortest wait for changes.
 	minWatchWait = 100 * time.Millisecond
 	// parallelLoadInterval is the time between the parallel calls that read the
@@ -197,6 +203,9 @@
 		raw = append(raw, relay.Change{Revision: changes[i].Revision, Raw: changes[i].Raw})
 	}
 	asOf := time.Now()
+	if asOf.Sub(w.callStart) > wait+maxCallTime {
+		asOf = w.callStart // this process was paused, and the response may be as old
+	}
 	w.f.changeLog.Extend(raw, index, asOf)
 	w.advance(ctx, event{changes: changes}, index, asOf)
 	if len(changes) > 0 {
@@ -274,7 +283,7 @@
 		return b, nil, err
 	case b.Gap:
 		return b, nil, errGap
-	case time.Since(b.AsOf) > maxRelayAge:
+	case time.Since(b.AsOf) > maxRelayAge, time.Since(deadline) > pauseSlack: // the batch may have waited while this process was paused
 		return b, nil, errOutdated
 	}
 	changes := make([]catalog.Change, 0, len(b.Changes))
