placement: requests that can be repeated test suspected upstreams

Ruled out: unknown upstreams, which had all been tried; and testing by any request, since more than half of them would be lost.

Test, failed before: TestRepeatableRequestsTestSuspects.

--- a/internal/instance/entry/pick.go
+++ b/internal/instance/entry/pick.go
@@ -25,6 +25,7 @@
 	tried      []string // upstreams that failed or refused this request
 	borrowed   int      // previous attempts with borrowed slots
 	retry      bool     // not the first attempt
+	repeatable bool     // idempotent, and may be retried
 
 	priority  int           // 0 is served first
 	started   time.Time     // when the request arrived
--- a/internal/instance/entry/placer.go
+++ b/internal/instance/entry/placer.go
@@ -140,7 +140,10 @@
 	allTried := st.triedAll(svc, req)
 	c, ok := p.tracker.Choose(cands, func(id string) bool {
 		return st.avoided(id, now) || !allTried && slices.Contains(req.tried, id) || st.unreachable[id] && st.inFlight[id] > 0
-	}, now.Before(req.started.Add(p.times(req).MaxWait())), now)
+	}, placement.Request{
+		MayWait:    now.Before(req.started.Add(p.times(req).MaxWait())),
+		Repeatable: req.repeatable && !req.retry && st.retryBudget.tokens >= 1,
+	}, now)
 	if !ok {
 		return choice{}, false
 	}
--- a/internal/instance/entry/retry.go
+++ b/internal/instance/entry/retry.go
@@ -41,7 +41,7 @@
 	st.requestArrived()
 	e.slotReq = &slotRequest{
 		caller: e.caller, route: routeName(e.route), idempotent: e.route.Idempotent, deadline: e.deadline,
-		priority: e.route.Priority, started: e.started, objective: milliseconds(e.route.ObjectiveMS), bodyBytes: e.r.ContentLength,
+		priority: e.route.Priority, started: e.started, repeatable: e.route.Idempotent && e.body == nil && e.retryLimit() > 0, objective: milliseconds(e.route.ObjectiveMS), bodyBytes: e.r.ContentLength,
 	}
 	c, err := e.acquire()
 	if err != nil {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -35,8 +35,8 @@
 	// more than the higher risk of the request: without it, the instance knows no
 	// alternative when the upstreams in use become faulty.
 	staleGain = 0.4
-	// retestGain makes an upstream that is probably faulty get a request while
-	// the service is failing anyway.
+	// retestGain makes an upstream that is probably faulty get a request that can be
+	// repeated, or any request while the service is failing anyway.
 	retestGain = 0.8
 	// tieCost spreads requests among otherwise equal upstreams.
 	tieCost = 0.004
@@ -58,6 +58,9 @@
 	// retestEvery is the number of requests of which one may go to an upstream
 	// that is probably faulty. Its fault period may be over.
 	retestEvery = 8
+	// safeRetestEvery is the same for requests that can be repeated, whether the
+	// service is failing or not: each of these costs time, but is not lost.
+	safeRetestEvery = 3
 	// A service is failing if at least failingMin of its latest requests have
 	// failed and these are at least the share failingShare of them.
 	failingShare = 0.12
@@ -92,6 +95,15 @@
 	overcommit = 0.17
 )
 
+// Request holds the properties of a request on which the choice depends.
+type Request struct {
+	// MayWait allows the request to wait for a better upstream than the best one.
+	MayWait bool
+	// Repeatable is set if the request can be sent to another upstream should this
+	// one fail it.
+	Repeatable bool
+}
+
 // Choice is the result of Choose.
 type Choice struct {
 	Index              int     // into the candidates
@@ -101,35 +113,41 @@
 }
 
 // Choose returns the candidate with the lowest cost, or false if none has
-// capacity. skip excludes candidates; it may be nil. With mayWait, Choose also
-// returns false if the failure probability of the best candidate is above
-// waitAbove, so that the request can wait for a better one.
-func (t *Tracker) Choose(cands []Candidate, skip func(id string) bool, mayWait bool, now time.Time) (Choice, bool) {
+// capacity. skip excludes candidates; it may be nil. For a request that may wait,
+// Choose also returns false if the failure probability of the best candidate is
+// above waitAbove, so that the request can wait for a better one.
+func (t *Tracker) Choose(cands []Candidate, skip func(id string) bool, req Request, now time.Time) (Choice, bool) {
 	if now.Sub(t.failingCheckedAt) >= failingCheckInterval {
 		t.failing, t.failingCheckedAt = t.isFailing(now), now
 	}
-	best, found := t.cheapest(cands, skip, now, false)
+	best, found := t.cheapest(cands, skip, req, now, false)
 	if !found || best.Cost > remoteThreshold {
-		if other, ok := t.cheapest(cands, skip, now, true); ok && (!found || other.Cost < best.Cost) {
+		if other, ok := t.cheapest(cands, skip, req, now, true); ok && (!found || other.Cost < best.Cost) {
 			best, found = other, true
 		}
 	}
-	if found && mayWait && best.FailureProbability > waitAbove && best.Cost >= best.FailureProbability { // not chosen to test it
+	if found && req.MayWait && best.FailureProbability > waitAbove && best.Cost >= best.FailureProbability { // not chosen to test it
 		return Choice{}, false
 	}
-	t.sinceStale++
-	if found && now.Sub(t.upstreamState(cands[best.Index].ID, now).lastStart) >= t.staleTime() {
+	stale := found && now.Sub(t.upstreamState(cands[best.Index].ID, now).lastStart) >= t.staleTime()
+	suspect := found && best.FailureProbability > t.priorFailure+suspectMargin
+	if t.sinceStale++; stale {
 		t.sinceStale = 0
 	}
-	if t.sinceRetest++; found && t.failing && best.FailureProbability > t.priorFailure+suspectMargin {
+	if t.sinceRetest++; suspect && t.failing {
 		t.sinceRetest = 0
 	}
+	if req.Repeatable {
+		if t.sinceSafeRetest++; suspect && stale {
+			t.sinceSafeRetest = 0
+		}
+	}
 	return best, found
 }
 
 // cheapest returns the candidate with the lowest cost among the local or the
 // remote ones.
-func (t *Tracker) cheapest(cands []Candidate, skip func(id string) bool, now time.Time, remote bool) (Choice, bool) {
+func (t *Tracker) cheapest(cands []Candidate, skip func(id string) bool, req Request, now time.Time, remote bool) (Choice, bool) {
 	best := Choice{Cost: math.Inf(1)}
 	found := false
 	for i := range cands {
@@ -149,7 +167,7 @@
 			continue
 		}
 		failure := s.failureProbability(&t.model, now)
-		cost := t.cost(c, s, failure, load, now)
+		cost := t.cost(c, s, req, failure, load, now)
 		if cost < best.Cost {
 			best, found = Choice{Index: i, FailureProbability: failure, Load: load, Cost: cost}, true
 		}
@@ -211,7 +229,7 @@
 	return load < c.Slots+int(math.Ceil(overcommit*float64(c.Slots)))
 }
 
-func (t *Tracker) cost(c *Candidate, s *upstreamState, failure float64, load int, now time.Time) float64 {
+func (t *Tracker) cost(c *Candidate, s *upstreamState, req Request, failure float64, load int, now time.Time) float64 {
 	cost := failure + c.TransferCost + tieCost*float64(load)
 	if slots := max(1, c.Slots); load >= slots {
 		cost += queuedCost * float64(load-slots+1) / float64(slots)
@@ -225,7 +243,7 @@
 		switch {
 		case failure <= t.priorFailure+suspectMargin && t.sinceStale >= t.staleEvery():
 			cost -= staleGain
-		case t.failing && t.sinceRetest >= retestEvery:
+		case t.failing && t.sinceRetest >= retestEvery, req.Repeatable && t.sinceSafeRetest >= safeRetestEvery:
 			cost -= retestGain
 		}
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -113,7 +113,7 @@
 	times := tr.ResponseTimes("r", medianTime)
 	c := candidates("a")
 	for n := 0; ; n++ {
-		if _, ok := tr.Choose(c, nil, false, atMS(0)); !ok {
+		if _, ok := tr.Choose(c, nil, Request{}, atMS(0)); !ok {
 			if n != 8 {
 				t.Errorf("%d requests at once, want 6 slots and 2", n)
 			}
@@ -123,21 +123,21 @@
 	}
 	tr = NewTracker(DefaultModel())
 	tr.RecordRefusal("a", 0, atMS(0))
-	if _, ok := tr.Choose(c, nil, false, atMS(100)); ok {
+	if _, ok := tr.Choose(c, nil, Request{}, atMS(100)); ok {
 		t.Error("an upstream that has just refused a request is chosen")
 	}
-	if _, ok := tr.Choose(c, nil, false, atMS(200)); !ok {
+	if _, ok := tr.Choose(c, nil, Request{}, atMS(200)); !ok {
 		t.Error("an upstream is not chosen again some time after a refusal")
 	}
 	c[0].Connections = 1
 	tr.Start("a", times, atMS(200))
-	if _, ok := tr.Choose(c, nil, false, atMS(200)); ok {
+	if _, ok := tr.Choose(c, nil, Request{}, atMS(200)); ok {
 		t.Error("more requests than connections")
 	}
 	// The load that the upstream reports includes requests of other instances.
 	tr = NewTracker(DefaultModel())
 	tr.SetLoad("a", 8, atMS(0))
-	if _, ok := tr.Choose(candidates("a"), nil, false, atMS(100)); ok {
+	if _, ok := tr.Choose(candidates("a"), nil, Request{}, atMS(100)); ok {
 		t.Error("an upstream that reports a full load is chosen")
 	}
 }
@@ -149,12 +149,12 @@
 	tr := NewTracker(DefaultModel())
 	now := serve(tr, c[preferred].ID, 3, 0, Succeeded)
 	serve(tr, c[other].ID, 3, 0, Succeeded)
-	if got, _ := tr.Choose(c, nil, false, atMS(now)); got.Index != preferred {
+	if got, _ := tr.Choose(c, nil, Request{}, atMS(now)); got.Index != preferred {
 		t.Errorf("%s is chosen first", c[other].ID)
 	}
 	now = serve(tr, c[preferred].ID, 3, now, Failed)
 	serve(tr, c[other].ID, 3, now-1200, Succeeded)
-	if got, _ := tr.Choose(c, nil, false, atMS(now)); got.Index != other {
+	if got, _ := tr.Choose(c, nil, Request{}, atMS(now)); got.Index != other {
 		t.Errorf("%s is not chosen while %s fails", c[other].ID, c[preferred].ID)
 	}
 }
@@ -183,7 +183,7 @@
 	now := 0
 	used := map[int]bool{}
 	for range 30 {
-		got, _ := tr.Choose(old, nil, false, atMS(now))
+		got, _ := tr.Choose(old, nil, Request{}, atMS(now))
 		used[got.Index] = true
 		now = serve(tr, old[got.Index].ID, 1, now, Succeeded)
 	}
@@ -191,8 +191,8 @@
 		t.Fatalf("used %v until %d ms", used, now)
 	}
 	joined := candidates("a", "b", "c", "d")
-	tr.Choose(joined, nil, false, atMS(now))
-	if got, _ := tr.Choose(joined, nil, false, atMS(now+1100)); joined[got.Index].ID != "d" {
+	tr.Choose(joined, nil, Request{}, atMS(now))
+	if got, _ := tr.Choose(joined, nil, Request{}, atMS(now+1100)); joined[got.Index].ID != "d" {
 		t.Errorf("%s is chosen after an upstream has joined", joined[got.Index].ID)
 	}
 }
@@ -231,3 +231,37 @@
 		t.Errorf("timeout %v for a route with many samples, want %v", after, late)
 	}
 }
+
+// Guards against an upstream that stays unused for seconds after its fault is over,
+// although requests that can be repeated could test it; against a test by requests
+// that would be lost; and against more tests than needed. The load is 50 requests a
+// second at a service that is otherwise well.
+func TestRepeatableRequestsTestSuspects(t *testing.T) {
+	for _, repeatable := range []bool{false, true} {
+		tr := NewTracker(DefaultModel())
+		cands := []Candidate{{ID: "a", Slots: 6, Connections: 64}, {ID: "b", Slots: 6, Connections: 64}}
+		now := serve(tr, "b", 4, 0, Failed)
+		now = serve(tr, "a", 10, now, Succeeded)
+		tests := 0
+		for step := range 125 {
+			at := now + 20*step
+			got, ok := tr.Choose(cands, nil, Request{Repeatable: repeatable && step%3 == 0}, atMS(at))
+			if !ok {
+				t.Fatal("no upstream")
+			}
+			id, outcome := cands[got.Index].ID, Succeeded
+			if id == "b" {
+				outcome = Failed
+				tests++
+				if step%3 != 0 {
+					t.Error("tested by a request that cannot be repeated")
+				}
+			}
+			a := tr.Start(id, tr.ResponseTimes("r", medianTime), atMS(at))
+			tr.End(id, a, outcome, atMS(at+10))
+		}
+		if repeatable && (tests < 1 || tests > 2) || !repeatable && tests > 0 {
+			t.Errorf("repeatable %t: %d tests within 2.5 s", repeatable, tests)
+		}
+	}
+}
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -84,7 +84,7 @@
 func (l load) choose(tr *Tracker) func(c []Candidate, waited time.Duration, now time.Time) (int, bool) {
 	times := tr.ResponseTimes("r", medianTime)
 	return func(c []Candidate, waited time.Duration, now time.Time) (int, bool) {
-		got, ok := tr.Choose(c, nil, !l.neverWait && waited < times.MaxWait(), now)
+		got, ok := tr.Choose(c, nil, Request{MayWait: !l.neverWait && waited < times.MaxWait()}, now)
 		return got.Index, ok
 	}
 }
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -18,6 +18,8 @@
 
 	sinceStale  int // choices since one of a stale upstream
 	sinceRetest int // choices since one of a probably faulty upstream
+	// sinceSafeRetest is the same for the choices for repeatable requests.
+	sinceSafeRetest int
 }
 
 // upstreamState holds what a Tracker knows about one upstream.
