entry: a test that running work survives the removal of its upstream

Answers the report of machines that were only silent and had their running work started again elsewhere: it can't happen here; the request completes where it runs. No code of the product is changed.

--- a/internal/instance/entry/leaving_test.go
+++ b/internal/instance/entry/leaving_test.go
@@ -102,3 +102,46 @@
 		t.Errorf("kept after the restart: %v", st.departures)
 	}
 }
+
+// Guards against work that is given up, or run again elsewhere, because its
+// upstream has only stopped reporting: the upstream's entry disappears while a
+// request that must not run twice is at work there.
+func TestRunningWorkSurvivesRemovalOfItsUpstream(t *testing.T) {
+	var runs, elsewhere atomic.Int64
+	began, finish := make(chan struct{}), make(chan struct{})
+	silent := standin(t, "silent", func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		close(began)
+		<-finish
+		succeedSigned(w, r)
+	})
+	other := standin(t, "other", func(w http.ResponseWriter, r *http.Request) {
+		elsewhere.Add(1)
+		succeedSigned(w, r)
+	})
+	doc := testDocument()
+	c := &fakeControl{snap: snapshotOf(doc, silent)}
+	s, url := startServer(t, c, func(cfg *Config) { cfg.Placement = &Placement{Model: placement.DefaultModel(), RetryShare: 1} })
+	status := make(chan int, 1)
+	go func() {
+		resp, err := callers.RoundTrip(request(t, http.MethodPost, url+"/write/x", []byte("b")))
+		if err != nil {
+			t.Error(err)
+			status <- 0
+			return
+		}
+		_ = resp.Body.Close()
+		status <- resp.StatusCode
+	}()
+	<-began
+	c.mu.Lock()
+	c.snap = snapshotOf(doc, other)
+	c.mu.Unlock()
+	for range 3 {
+		s.tidyOnce(c.Snapshot(), time.Now())
+	}
+	close(finish)
+	if got := <-status; got != http.StatusOK || runs.Load() != 1 || elsewhere.Load() != 0 {
+		t.Errorf("status %d, %d runs at the silent upstream, %d elsewhere", got, runs.Load(), elsewhere.Load())
+	}
+}
