cli: explain log shows when a refused caller was told to return

The log line has the time since callers are told one that is worked out; the explanation left it out. Test, failed before: TestExplainLogShowsRetryAfter.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -71,7 +71,11 @@
 func printRequestSummary(w io.Writer, e admin.RequestExplanation) {
 	fmt.Fprintf(w, "request=%s instance=%s time=%s service=%s revision=%d route=%q caller=%s\n",
 		e.RequestID, e.Instance, e.Time.Format(time.RFC3339Nano), e.Service, e.Revision, e.Route, e.Caller)
-	fmt.Fprintf(w, "  status=%d kind=%s run=%s queued=%v total=%v\n", e.Status, e.Kind, e.Run, e.Queued, e.Total)
+	fmt.Fprintf(w, "  status=%d kind=%s run=%s queued=%v total=%v", e.Status, e.Kind, e.Run, e.Queued, e.Total)
+	if e.RetryAfter > 0 {
+		fmt.Fprintf(w, " retry_after=%v", e.RetryAfter)
+	}
+	fmt.Fprintln(w)
 }
 
 func explainUpstreamCommand() *command {
--- a/internal/cli/explain_log_test.go
+++ b/internal/cli/explain_log_test.go
@@ -59,3 +59,18 @@
 		t.Errorf("exit code %d for a missing file", code)
 	}
 }
+
+// Guards against a refusal whose explanation lacks when the caller was told to
+// return.
+func TestExplainLogShowsRetryAfter(t *testing.T) {
+	const line = `ts=2026-12-04T10:00:04.000Z level=warn event=request_failed instance=i1 request_id=r service=s revision=3 route="* /a/*" caller=c status=503 kind=queue-full run=not-run attempts=0 tries= queued=0 total=0.001 retry_after=0.35`
+	l, err := parseLogLine(line)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	printRequestSummary(&out, *l.request)
+	if !strings.Contains(out.String(), " retry_after=350ms\n") {
+		t.Error(out.String())
+	}
+}
