--- a/internal/instance/entry/placer.go
+++ b/internal/instance/entry/placer.go
@@ -221,12 +221,15 @@
 		if u.State != health.InService || st.hasAnnouncedLeaving(u) {
 			continue
 		}
-		at := later(now, later(st.avoidUntil[u.ID], st.placer.tracker.RefusedUntil(u.ID, now)))
+		at := slices.MaxFunc([]time.Time{now, st.avoidUntil[u.ID], st.placer.tracker.RefusedUntil(u.ID, now)}, time.Time.Compare)
 		if first.IsZero() || at.Before(first) {
 			first = at
 		}
 	}
-	return later(now, first)
+	if first.IsZero() {
+		return now
+	}
+	return first
 }
 
 // returnDelay returns how long the caller of a refused request should wait before
@@ -265,13 +268,6 @@
 	return max(1, inFlight, slots/max(1, snap.ServingInstances))
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // turnedAwayUntil returns an error if no upstream takes requests before the time
 // until which a request can wait.
 func (st *serviceState) turnedAwayUntil(earliest, until, now time.Time) error {
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 )
 
@@ -36,6 +37,22 @@
 	outcomes []outcome
 }
 
+// startCallers starts callers that send requests until stop is called, which waits
+// for them.
+func startCallers(t *testing.T, f *fleet, seed uint64) (c *callers, stop func()) {
+	c = &callers{fleet: f}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.run(ctx, seed)
+	}()
+	return c, func() {
+		cancel()
+		<-done
+	}
+}
+
 func (c *callers) run(ctx context.Context, seed uint64) {
 	var wg sync.WaitGroup
 	for n := range callerCount {
--- a/test/soak/endless_test.go
+++ b/test/soak/endless_test.go
@@ -125,14 +125,7 @@
 			t.Logf("%s: peak of %d KiB", i.name, kb)
 		}
 	}
-	c := &callers{fleet: f}
-	ctx, stop := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		c.run(ctx, 9)
-	}()
+	c, stop := startCallers(t, f, 9)
 	f.waitRecovered(c)
 	stop()
-	<-done
 }
--- a/test/soak/odd_test.go
+++ b/test/soak/odd_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -38,13 +37,7 @@
 	for _, i := range f.instances {
 		started = append(started, i.done())
 	}
-	c := &callers{fleet: f}
-	ctx, stop := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		c.run(ctx, 7)
-	}()
+	c, stop := startCallers(t, f, 7)
 	for range 3 {
 		for n, text := range oddEntries() {
 			f.store.Put(fmt.Sprint("servers/odd-", n), []byte(text))
@@ -59,7 +52,6 @@
 	f.eventually("an upstream added after odd entries runs requests", func() bool { return !u.LastRun().IsZero() })
 	f.waitRecovered(c)
 	stop()
-	<-done
 	for n, i := range f.instances {
 		select {
 		case <-started[n]:
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -56,15 +56,9 @@
 	for _, i := range f.instances {
 		f.eventually("ready after the start: "+i.name, func() bool { return i.isReady() })
 	}
-	c := &callers{fleet: f}
 	faultCtx, stopFaults := context.WithTimeout(t.Context(), time.Duration(*seconds)*time.Second)
 	defer stopFaults()
-	callerCtx, stopCallers := context.WithCancel(t.Context())
-	callersDone := make(chan struct{})
-	go func() {
-		defer close(callersDone)
-		c.run(callerCtx, seed)
-	}()
+	c, stopCallers := startCallers(t, f, seed)
 	f.injectFaults(faultCtx)
 	f.logEvent("fault injection ends")
 	wait(t.Context(), stableTime)
@@ -72,7 +66,6 @@
 	f.checkLeaving()
 	f.checkConfiguration()
 	stopCallers()
-	<-callersDone
 	f.checkOutcomes(c.outcomes)
 }
 
--- a/test/soak/stop_test.go
+++ b/test/soak/stop_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"context"
 	"syscall"
 	"testing"
 )
@@ -15,20 +14,13 @@
 	for _, i := range f.instances {
 		f.eventually("ready after the start: "+i.name, i.isReady)
 	}
-	c := &callers{fleet: f}
-	ctx, stop := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		c.run(ctx, 11)
-	}()
+	c, stop := startCallers(t, f, 11)
 	for _, i := range f.instances {
 		f.restart(i, syscall.SIGTERM)
 		f.eventually("ready after the stop: "+i.name, i.isReady)
 	}
 	f.waitRecovered(c)
 	stop()
-	<-done
 	cut, refused := 0, 0
 	for i := range c.outcomes {
 		o := &c.outcomes[i]
