--- a/internal/instance/evidence/evidence.go
+++ b/internal/instance/evidence/evidence.go
@@ -22,10 +22,11 @@
 	"knapweedreel/internal/placement"
 )
 
-// Record reports the start or the end of an attempt at an upstream.
+// Record reports the start or the end of an attempt at an upstream or, with the
+// outcome Leaving, that the upstream has announced that it is leaving.
 type Record struct {
 	_          struct{}          `cbor:",toarray"`
-	Attempt    uint64            // unique within the sender's process
+	Attempt    uint64            // unique within the sender's process; with Leaving, the upstream's incarnation
 	Service    string            // name
 	Upstream   string            // ID
 	Route      string            // name
--- a/internal/instance/follower/watch.go
+++ b/internal/instance/follower/watch.go
@@ -370,8 +370,8 @@
 // awaitRelay waits, while the store is lost, until the failure domain's relay has
 // news, which means that the store is back, for at most about relayedPollInterval.
 // The number of calls to a store that is down then depends on the number of failure
-// domains rather than of instances. It returns false at once if this instance is
-// the relay or cannot reach it.
+// domains rather than of instances. It returns false if this instance is the relay,
+// cannot reach it or loses it.
 func (w *watch) awaitRelay(ctx context.Context) bool {
 	r := w.f.relays.Load()
 	if r.primary || len(r.others) == 0 {
