--- a/internal/instance/follower/membership.go
+++ b/internal/instance/follower/membership.go
@@ -88,8 +88,10 @@
 	self         catalog.Member
 	registration *catalog.Registration // nil while not registered
 	pending      *catalog.Registration // has a lease but no entry yet, nil if none
-	standby      bool                  // the latest lease has standbyTTL
-	interval     time.Duration         // between calls of maintain
+	// standby and pendingStandby are set if the leases of registration and pending
+	// have standbyTTL.
+	standby, pendingStandby bool
+	interval                time.Duration // between calls of maintain
 }
 
 // renewInterval returns the time between two renewals of a registration.
@@ -116,10 +118,8 @@
 func (m *membership) maintain(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	if m.registration != nil && m.standby && m.f.serves.Load() {
-		// Callers are directed to this instance now. The new registration replaces the
-		// entry of this one.
-		m.registration = nil
+	if m.registration != nil && m.standby && m.f.serves.Load() && m.promote(ctx) {
+		return
 	}
 	if m.registration != nil {
 		m.interval = time.Duration(retryShare * float64(renewInterval(m.registration.TTL)))
@@ -141,8 +141,25 @@
 		m.logFailure("member_not_registered", err)
 		return
 	}
-	m.registration, m.interval = &r, renewInterval(memberTTL)
-	m.f.log.Info("member_registered", zap.Uint64("lease", r.Lease), zap.Duration("ttl", r.TTL), zap.Int("width", m.self.Width))
+	m.setRegistration(r, m.pendingStandby)
+}
+
+// promote replaces the registration of an instance on standby, to which callers are
+// directed now. If it fails, the registration stays as it is.
+func (m *membership) promote(ctx context.Context) bool {
+	r, err := m.f.source.Register(ctx, m.self, memberTTL)
+	m.f.countCall("register", err)
+	if err != nil {
+		m.logFailure("member_not_promoted", err)
+		return false
+	}
+	m.setRegistration(r, false)
+	return true
+}
+
+func (m *membership) setRegistration(r catalog.Registration, standby bool) {
+	m.registration, m.standby, m.interval = &r, standby, renewInterval(memberTTL)
+	m.f.log.Info("member_registered", zap.Uint64("lease", r.Lease), zap.Duration("ttl", r.TTL), zap.Bool("standby", standby), zap.Int("width", m.self.Width))
 }
 
 // register registers the member. If the store granted a lease but refused the
@@ -165,7 +182,7 @@
 		}
 	}
 	ttl := memberTTL
-	if m.standby = !m.f.serves.Load(); m.standby {
+	if m.pendingStandby = !m.f.serves.Load(); m.pendingStandby {
 		ttl = standbyTTL
 	}
 	r, err := m.f.source.Register(ctx, m.self, ttl)
--- a/internal/instance/follower/renew_test.go
+++ b/internal/instance/follower/renew_test.go
@@ -157,3 +157,26 @@
 		})
 	}
 }
+
+// Guards against an instance that gives up its registration when callers are
+// directed to it while the store refuses the new one.
+func TestFailedPromotionKeepsRegistration(t *testing.T) {
+	member := func(id string) catalog.Change {
+		return catalog.Change{Kind: catalog.KindMember, ID: id, Member: &catalog.Member{
+			ID: id, Address: "10.0.0.1:80", PeerAddress: "10.0.0.1:81", Region: "south", FailureDomain: id, Width: 2, Capacity: 1,
+		}}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		s := &leaseSource{members: []catalog.Change{member("i1"), member("b")}, fail: func(int) (time.Duration, bool) { return 0, false }}
+		_, stop := startLoops(t, s, (*Follower).Run, (*Follower).Watch, (*Follower).MaintainRegistration)
+		time.Sleep(time.Second)
+		s.mu.Lock()
+		s.refuseEntries = 1 << 30
+		s.mu.Unlock()
+		time.Sleep(20 * time.Second)
+		stop()
+		if s.renewals < 5 || time.Now().After(s.expires) {
+			t.Errorf("%d renewals, expires %v", s.renewals, s.expires)
+		}
+	})
+}
