upstream: a connection carries each request ID at most once

Callers saw requests that must run once run twice, or got 503 "not run" for requests that had run, when an upstream sent a refusal a second time.

Cause: a response was matched to its request by the ID only. The ID names the request, not the attempt. A service down to one upstream gets a refused request back on the same connection; a late copy of the first refusal then passed for the response to the second attempt.

Ruled out: responses without an ID (rejected on used connections), copies met by other requests (rejected by their ID), the check before reuse (the copy comes after it).

Change: the pool gives an attempt only a connection that has not carried its request ID. IDs are kept as hashes, at most 512 for each connection, which is then replaced. The echoed ID so identifies the attempt.

--- a/internal/instance/entry/upstream/conn.go
+++ b/internal/instance/entry/upstream/conn.go
@@ -4,9 +4,12 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // readStartTimeout limits the wait for the transport to start the next Read on a
@@ -215,8 +218,23 @@
 	netConn  *countingConn
 	lastUsed time.Time // end of the last complete response
 	fresh    bool      // no request was sent on it before the current one
+	// carried holds the hashes of the IDs of all requests sent on the connection.
+	// A response echoes the ID of a request, which several attempts may share, so
+	// it identifies an attempt only if the connection carries each ID once.
+	carried []uint64
 }
 
+// maxRequests is the number of requests after which a connection is not reused. It
+// bounds conn.carried.
+const maxRequests = 512
+
+// hasCarried reports whether a request with the given ID was sent on the
+// connection. A hash collision only makes the attempt use another connection.
+func (c *conn) hasCarried(id string) bool { return slices.Contains(c.carried, xxhash.Sum64String(id)) }
+
+// carry records that a request with the given ID is sent on the connection.
+func (c *conn) carry(id string) { c.carried = append(c.carried, xxhash.Sum64String(id)) }
+
 // open opens a connection. It takes at most half of the time left until the
 // deadline, so that an unreachable upstream leaves time to try another one.
 func (p *Pools) open(ctx context.Context, address string) (*conn, error) {
--- a/internal/instance/entry/upstream/pool.go
+++ b/internal/instance/entry/upstream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,21 +26,23 @@
 	closed bool
 }
 
-// get returns a verified idle connection or opens a new one. The caller returns
-// it with put or discard.
+// get returns a verified idle connection that has not carried a request with the
+// same ID, or opens a new one. The caller returns it with put or discard.
 func (p *Pools) get(ctx context.Context, a Attempt) (*pool, *conn, error) {
 	pl := p.pool(a.Target)
+	id := a.Request.Header.Get(pl.protocol.RequestID)
 	maxIdle := a.Target.IdleTimeout
 	if !a.Idempotent {
 		maxIdle = min(maxIdle, maxIdleNonIdempotent)
 	}
 	for !a.FreshOnly {
-		c := pl.takeIdle(maxIdle, a.Target.IdleTimeout)
+		c := pl.takeIdle(id, maxIdle, a.Target.IdleTimeout)
 		if c == nil {
 			break
 		}
 		if c.verify() {
 			c.fresh = false
+			c.carry(id)
 			return pl, c, nil
 		}
 		pl.discard(c)
@@ -53,24 +56,29 @@
 		pl.discard(nil)
 		return nil, nil, errkind.Wrap(errkind.ConnectFailed, err, "connect to upstream %s", a.Target.Key.Upstream)
 	}
+	c.carry(id)
 	return pl, c, nil
 }
 
-// takeIdle returns the most recently used idle connection if it has been idle
-// for less than maxIdle, else nil. It closes connections that have been idle for
-// idleTimeout or longer.
-func (pl *pool) takeIdle(maxIdle, idleTimeout time.Duration) *conn {
+// takeIdle returns the most recently used of the connections that have been idle
+// for less than maxIdle and have not carried a request with the given ID, nil if
+// there is none. It closes connections that have been idle for idleTimeout or
+// longer.
+func (pl *pool) takeIdle(id string, maxIdle, idleTimeout time.Duration) *conn {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	pl.closeIdleLocked(idleTimeout)
-	last := len(pl.idle) - 1
-	if last < 0 || time.Since(pl.idle[last].lastUsed) >= maxIdle {
-		return nil
+	for i, c := range slices.Backward(pl.idle) {
+		if time.Since(c.lastUsed) >= maxIdle {
+			break
+		}
+		if !c.hasCarried(id) {
+			pl.idle = slices.Delete(pl.idle, i, i+1)
+			pl.busy++
+			return c
+		}
 	}
-	c := pl.idle[last]
-	pl.idle = pl.idle[:last]
-	pl.busy++
-	return c
+	return nil
 }
 
 // closeIdle closes connections that have been idle for idleTimeout or longer.
@@ -122,7 +130,7 @@
 func (pl *pool) put(c *conn) {
 	pl.mu.Lock()
 	pl.busy--
-	keep := !pl.closed && c.client.Err() == nil
+	keep := !pl.closed && c.client.Err() == nil && len(c.carried) < maxRequests
 	if keep {
 		c.lastUsed = time.Now()
 		pl.idle = append(pl.idle, c)
