upstream: a rejected response asks for no backoff

An upstream was left unused for up to the Retry-After of a response that was rejected as another request's.

Cause: the backoff was read before the response was checked. A late second copy of a refusal, met by another request, so repeated a backoff that had been asked for earlier.

Ruled out: the leaving header and the load are read after the check.

Change: the backoff is read from accepted responses only.

Measured: TestRejectedResponseSetsNoBackoff, change absent: a backoff of 30 s after a crossed answer; with it 0.

--- a/internal/instance/entry/upstream/attempt.go
+++ b/internal/instance/entry/upstream/attempt.go
@@ -52,7 +52,8 @@
 	OutOfResources    bool // failed because this machine lacked a resource
 	Leaving           bool // the upstream has announced in its response that it is leaving
 	// Backoff is how long the upstream wants no more requests from this instance,
-	// as the response with which it refused this one says; 0 if it doesn't.
+	// as the response with which it refused this one says; 0 if it doesn't, or if
+	// the response was rejected and may be a copy of an earlier one.
 	Backoff time.Duration
 	// Latency is the time from the end of writing the request to the end of the
 	// response header, or 0 if the response came first. It excludes the time
@@ -121,10 +122,10 @@
 	}
 	httpResp.Body = &body{ReadCloser: httpResp.Body, exchange: x, endsWithConn: !framed(x.attempt.Request, httpResp)}
 	resp := &Response{Response: httpResp}
-	x.trace.Backoff = backoffOf(httpResp)
 	if err := x.checkResponse(resp); err != nil {
 		return nil, err
 	}
+	x.trace.Backoff = backoffOf(httpResp)
 	// A response with which an address was refused is another upstream's.
 	x.trace.Leaving = resp.Refused != Replaced && x.pool.protocol.isLeaving(httpResp)
 	return resp, nil
--- a/internal/instance/entry/upstream/copy_test.go
+++ b/internal/instance/entry/upstream/copy_test.go
@@ -8,6 +8,9 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
+
+	"knapweedreel/internal/errkind"
 )
 
 // earlyCopies are responses to a first attempt whose second copy comes while a
@@ -104,3 +107,22 @@
 		t.Errorf("%d connections for %d requests", conns, maxRequests+1)
 	}
 }
+
+// Guards against a backoff that a rejected response asks for: a late copy repeats
+// one that the upstream asked for earlier, or that was meant for another instance.
+func TestRejectedResponseSetsNoBackoff(t *testing.T) {
+	u := newRawUpstream(t, func(u *rawUpstream, _ int, c *net.TCPConn, br *bufio.Reader) {
+		respond(c, u.readRequest(br), 200, "", "ok")
+		if u.readRequest(br) != nil {
+			_, _ = io.WriteString(c, earlyCopies["refusal with backoff"])
+		}
+		drain(br)
+	})
+	p := newPools(t)
+	ctx := testContext(t)
+	readAll(t, ctx, p, u.newAttempt("id-1"))
+	_, trace, err := p.Do(ctx, u.newAttempt("id-2"))
+	if errkind.Of(err) != errkind.CrossedAnswer || trace.Backoff != 0 {
+		t.Errorf("backoff of %v, error %v", trace.Backoff.Round(time.Second), err)
+	}
+}
