entry: waiting requests follow their route when the configuration changes

Callers that waited for a slot got 404 when a configuration moved their route and no longer held the service. They do not come back after a 404.

Cause: a request is bound to a service on arrival. When the service had gone, the queue answered for the whole configuration, "unknown service", although only the binding had become invalid.

Ruled out: matching of new requests (uses the configuration in effect), the routing table (swapped whole), the store's order of changes.

Change: a service that cannot admit a request says just that, as 503. The request is matched again, and admitted where its route leads now, with the deadline of its arrival; only the match decides on 404. It stays where it waits while its service can serve it, and keeps its part of a split.

Related paths, tried with the change absent: a body that still arrives (404), a removed part of a split (404), a new service without upstreams (404), a service that has lost its upstreams while the route has moved (503 although the new one had room). A waiting retry got 503 "not run" before and after.

--- a/internal/instance/entry/admission.go
+++ b/internal/instance/entry/admission.go
@@ -80,7 +80,8 @@
 	snap := st.control.Snapshot()
 	svc := snap.Services[st.name]
 	if svc == nil || svc.Document == nil {
-		return nil, nil, errkind.New(errkind.UnknownService, "the document of service %s was removed", st.name)
+		// Whether the request is served elsewhere is decided by admit.
+		return nil, nil, errkind.New(errkind.NoUpstream, "service %s was removed", st.name)
 	}
 	if !st.usable(svc, req) {
 		if req.borrowed >= maxBorrows {
--- a/internal/instance/entry/exchange.go
+++ b/internal/instance/entry/exchange.go
@@ -31,8 +31,9 @@
 	w        http.ResponseWriter
 	rc       *http.ResponseController
 	r        *http.Request
-	conn     *callerConn     // nil if ServeHTTP is called without Run, as in tests
-	ctx      context.Context // done at the deadline or when the caller disconnects
+	conn     *callerConn        // nil if ServeHTTP is called without Run, as in tests
+	ctx      context.Context    // done at the deadline or when the caller disconnects
+	cancel   context.CancelFunc // of ctx
 	id       string
 	caller   string
 	started  time.Time
@@ -53,6 +54,19 @@
 	explanation  admin.RequestExplanation
 }
 
+// setDeadline replaces the context by one that ends at the deadline.
+func (e *exchange) setDeadline() {
+	if e.cancel != nil {
+		e.cancel()
+	}
+	ctx, cancel := context.WithDeadline(e.r.Context(), e.deadline)
+	stop := context.AfterFunc(e.s.stopping, cancel)
+	e.ctx, e.cancel = ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // acquire takes a slot and records the time spent waiting.
 func (e *exchange) acquire() (choice, error) {
 	began := time.Now()
--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"crypto/rand"
 	"maps"
 	"net"
@@ -85,31 +84,58 @@
 	if err := e.checkRequest(); err != nil {
 		return err
 	}
+	defer func() {
+		if e.cancel != nil {
+			e.cancel()
+		}
+	}()
+	c, err := s.admit(e)
+	for err != nil && e.isReassigned() {
+		s.log.Info("request_reassigned", zap.String("request_id", e.id), zap.String("service", e.svc.Name), zap.Error(err))
+		c, err = s.admit(e)
+	}
+	if err != nil {
+		return err
+	}
+	return s.proxy(e, c)
+}
+
+// admit matches the request and takes a slot for its first attempt.
+func (s *Server) admit(e *exchange) (choice, error) {
 	var err error
 	if e.svc, e.route, err = match(s.control.Snapshot(), e.r); err != nil {
-		return err
+		return choice{}, err
 	}
 	if e.deadline, err = e.requestDeadline(); err != nil {
-		return err
+		return choice{}, err
 	}
 	if limit := maxBody(e.route); e.r.ContentLength > limit {
-		return errkind.New(errkind.BodyTooLarge, "the body of %d bytes exceeds the route's limit of %d", e.r.ContentLength, limit)
+		return choice{}, errkind.New(errkind.BodyTooLarge, "the body of %d bytes exceeds the route's limit of %d", e.r.ContentLength, limit)
 	}
 	if e.body != nil {
 		e.body.setLimit(maxBody(e.route))
 	}
-	var cancel context.CancelFunc
-	e.ctx, cancel = context.WithDeadline(e.r.Context(), e.deadline)
-	defer cancel()
-	defer context.AfterFunc(s.stopping, cancel)()
+	e.setDeadline()
 	if n := e.r.ContentLength; n > 0 && n <= int64(s.cfg.Limits.BufferedBodyBytes) && !e.body.expectContinue {
 		// The body is read first so that a slow caller doesn't occupy a slot.
 		e.body.awaitBuffered(e.ctx)
 		if err := cmp.Or(e.body.failure(), e.ctx.Err()); err != nil {
-			return e.callerError(err)
+			return choice{}, e.callerError(err)
 		}
 	}
-	return s.proxy(e)
+	c, err := s.acquireFirst(e)
+	if err != nil {
+		return choice{}, e.callerError(err)
+	}
+	return c, nil
+}
+
+// isReassigned reports whether the configuration no longer leads the request to the
+// service that could not admit it. A service admits a request under the
+// configuration of its arrival and may have left the configuration, or lost its
+// upstreams, while the request waited.
+func (e *exchange) isReassigned() bool {
+	return e.svc != nil && e.ctx != nil && e.ctx.Err() == nil && !leadsTo(e.s.control.Snapshot(), e.r, e.svc.Name)
 }
 
 // maxRequestID is the maximum length of a request ID, in bytes.
--- a/internal/instance/entry/match.go
+++ b/internal/instance/entry/match.go
@@ -42,6 +42,19 @@
 	return svc, &route.Rule, nil
 }
 
+// leadsTo reports whether match may return the service for the request.
+func leadsTo(snap *routing.Snapshot, r *http.Request, service string) bool {
+	if snap.Services[service] == nil {
+		return false
+	}
+	if snap.Table != nil {
+		route := snap.Table.Match(normalizeHost(r.Host), r.URL.Path)
+		return route != nil && route.Split.Includes(service)
+	}
+	svc := snap.Hosts[normalizeHost(r.Host)]
+	return svc != nil && svc.Name == service
+}
+
 // matchService returns the service of a Host header.
 func matchService(snap *routing.Snapshot, host string) (*routing.Service, error) {
 	svc := snap.Hosts[normalizeHost(host)]
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -83,6 +83,11 @@
 	return s
 }
 
+// Includes reports whether a share of the requests goes to the service.
+func (s *Split) Includes(service string) bool {
+	return slices.ContainsFunc(s.services, func(w WeightedService) bool { return w.Service == service && w.Weight > 0 })
+}
+
 // Next returns the service of the next request.
 func (s *Split) Next() string {
 	if len(s.services) == 1 {
