follower: content is followed from the index of its oldest page

A restarted instance used an upstream that had left until that ended.

Cause: the first read after a start may be stale, and its pages may come from replicas of different ages. The instance followed the changes after the first page's revision, so it never read those that an older later page lacked.

Ruled out: the hold of stale content until the first changes (works, but the changes began too late), the relay (a starting instance knows none).

Change: catalog.Content carries the index of the oldest part and of the newest. Changes are followed from the oldest. While the two differ, the next changes come from the store, because a relay may be older than the newest part.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -85,7 +85,7 @@
 	Removed       bool
 	Unreadable    error // why the item cannot be decoded or used
 	// Raw is the encoded change for other instances, which pass it to
-	// Source.Decode. It is empty in changes that Load returns.
+	// Source.Decode. It is empty in a Content.
 	Raw []byte
 }
 
@@ -107,6 +107,18 @@
 // ErrExpired means that a registration has expired.
 var ErrExpired = errors.New("catalog: the registration has expired")
 
+// Content is all items of the store. A read takes several calls while the items
+// change, and calls that may return stale items reach replicas of different ages, so
+// the items need not be of one moment.
+type Content struct {
+	Changes []Change // without removed items
+	// Index is the index from which to wait for changes. No item is older.
+	Index uint64
+	// Newest is the index of the newest part. Changes up to it may be older than the
+	// items they concern, and take effect only together.
+	Newest uint64
+}
+
 // Registration identifies the entry of a registered member in the store.
 type Registration struct {
 	Lease uint64
@@ -116,11 +128,10 @@
 // Source reads and writes the platform's store. Errors of package store
 // distinguish calls without effect from calls whose result is unknown.
 type Source interface {
-	// Load returns all items and the index from which to wait for changes. With
-	// stale they may be some seconds old; such a read costs the store less and is
-	// not refused when many instances read at once. What is missing follows as
-	// changes after the index.
-	Load(ctx context.Context, stale bool) ([]Change, uint64, error)
+	// Load returns all items. With stale they may be some seconds old; such a read
+	// costs the store less and is not refused when many instances read at once. What
+	// is missing follows as changes after the index.
+	Load(ctx context.Context, stale bool) (Content, error)
 	// Changes waits for changes after an index, for at most the given time, and
 	// returns them with the index to continue from. It may return no changes. It
 	// returns ErrHistoryLost if the changes are no longer available.
--- a/internal/instance/follower/follower_test.go
+++ b/internal/instance/follower/follower_test.go
@@ -365,10 +365,10 @@
 	return changes, index, err
 }
 
-func (s *refusingStore) Load(ctx context.Context, stale bool) ([]catalog.Change, uint64, error) {
+func (s *refusingStore) Load(ctx context.Context, stale bool) (catalog.Content, error) {
 	if s.refusing.Load() {
 		s.refusals.Add(1)
-		return nil, 0, store.ErrUnavailable
+		return catalog.Content{}, store.ErrUnavailable
 	}
 	return s.Store.Load(ctx, stale)
 }
@@ -401,18 +401,17 @@
 // changes until it is released.
 type staleStore struct {
 	*platform.Store
-	content []catalog.Change
-	index   uint64
+	content catalog.Content
 	loads   atomic.Int64 // stale ones
 	release chan struct{}
 }
 
-func (s *staleStore) Load(ctx context.Context, stale bool) ([]catalog.Change, uint64, error) {
+func (s *staleStore) Load(ctx context.Context, stale bool) (catalog.Content, error) {
 	if !stale {
 		return s.Store.Load(ctx, false)
 	}
 	s.loads.Add(1)
-	return s.content, s.index, nil
+	return s.content, nil
 }
 
 func (s *staleStore) Changes(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Change, uint64, error) {
@@ -428,7 +427,7 @@
 	t.Helper()
 	s := &staleStore{Store: c, release: make(chan struct{})}
 	var err error
-	if s.content, s.index, err = c.Load(t.Context(), false); err != nil {
+	if s.content, err = c.Load(t.Context(), false); err != nil {
 		t.Fatal(err)
 	}
 	return s
@@ -536,7 +535,7 @@
 	loads *atomic.Int64
 }
 
-func (s countingStore) Load(ctx context.Context, stale bool) ([]catalog.Change, uint64, error) {
+func (s countingStore) Load(ctx context.Context, stale bool) (catalog.Content, error) {
 	s.loads.Add(1)
 	return s.Store.Load(ctx, stale)
 }
--- a/internal/instance/follower/partition_test.go
+++ b/internal/instance/follower/partition_test.go
@@ -82,15 +82,15 @@
 	return errors.Mark(errors.New("no response"), store.ErrUnavailable)
 }
 
-func (s *partitionedSource) Load(ctx context.Context, _ bool) ([]catalog.Change, uint64, error) {
+func (s *partitionedSource) Load(ctx context.Context, _ bool) (catalog.Content, error) {
 	partitioned, entries := s.state()
 	if partitioned {
-		return nil, 0, s.hang(ctx)
+		return catalog.Content{}, s.hang(ctx)
 	}
 	if !supervisor.Sleep(ctx, s.loadTime) {
-		return nil, 0, ctx.Err()
+		return catalog.Content{}, ctx.Err()
 	}
-	return entries, 1, nil
+	return catalog.Content{Changes: entries, Index: 1, Newest: 1}, nil
 }
 
 func (s *partitionedSource) Changes(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Change, uint64, error) {
--- a/internal/instance/follower/renew_test.go
+++ b/internal/instance/follower/renew_test.go
@@ -32,8 +32,8 @@
 	expires     time.Time
 }
 
-func (s *leaseSource) Load(context.Context, bool) ([]catalog.Change, uint64, error) {
-	return append([]catalog.Change{testConfiguration()}, s.members...), 1, nil
+func (s *leaseSource) Load(context.Context, bool) (catalog.Content, error) {
+	return catalog.Content{Changes: append([]catalog.Change{testConfiguration()}, s.members...), Index: 1, Newest: 1}, nil
 }
 
 func (s *leaseSource) Changes(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Change, uint64, error) {
--- a/internal/instance/follower/watch.go
+++ b/internal/instance/follower/watch.go
@@ -83,6 +83,7 @@
 	f          *Follower
 	batched    bool      // startBatchInterval has been used
 	loaded     bool      // the store can be polled for changes after the index
+	mixed      bool      // the loaded content is of different ages, of which some are newer than the index
 	allowStale bool      // the next load may return stale content
 	index      uint64    // of the last change that was read
 	asOf       time.Time // when there were no changes after the index, zero if unknown
@@ -99,7 +100,9 @@
 // step reads new changes and sends them to the control goroutine. A relay can
 // also provide them after calls to the store have failed.
 func (w *watch) step(ctx context.Context) error {
-	if w.index > 0 && w.followRelay(ctx) {
+	// A relay may be older than parts of mixed content, and its changes would undo
+	// them for a while. The store returns all changes up to now at once.
+	if w.index > 0 && !w.mixed && w.followRelay(ctx) {
 		w.loaded = true
 		return nil
 	}
@@ -113,18 +116,19 @@
 // load reads the complete content.
 func (w *watch) load(ctx context.Context) error {
 	stale, known := w.allowStale, w.index
-	changes, index, err := w.loadParallel(ctx)
+	content, err := w.loadParallel(ctx)
 	// The first load may be stale because all instances may start at once. It may
 	// also be stale after a refused call, which spares the store.
 	w.allowStale = err != nil && errors.Is(err, store.ErrUnavailable)
 	if err != nil {
 		return err
 	}
-	e := event{complete: true, stale: stale, changes: changes}
+	e, index := event{complete: true, stale: stale, changes: content.Changes}, content.Index
+	w.mixed = content.Newest > index
 	if stale && index < known {
-		// Older than what was applied before, of which nothing may be undone: the
-		// changes since then follow, or the store reports that its history is lost.
-		e, index = event{}, known
+		// Older in part than what was applied before, of which nothing may be undone:
+		// the changes since then follow, or the store reports that its history is lost.
+		e, index, w.mixed = event{}, known, false
 	}
 	w.loaded, w.index, w.asOf = true, index, time.Time{}
 	w.f.changeLog.Reset(index, w.asOf)
@@ -137,11 +141,10 @@
 // several calls in parallel: a call that has been hanging since before the
 // store's return must not hide the return, and a call that reads page by page may
 // take as long as it needs.
-func (w *watch) loadParallel(ctx context.Context) ([]catalog.Change, uint64, error) {
+func (w *watch) loadParallel(ctx context.Context) (catalog.Content, error) {
 	type response struct {
 		call    int
-		changes []catalog.Change
-		index   uint64
+		content catalog.Content
 		err     error
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -155,7 +158,7 @@
 		n, stale := newest, w.allowStale
 		calls.Go(func() {
 			r := response{call: n}
-			r.changes, r.index, r.err = w.f.source.Load(ctx, stale)
+			r.content, r.err = w.f.source.Load(ctx, stale)
 			w.f.countCall("load", r.err)
 			responses <- r
 		})
@@ -167,7 +170,7 @@
 		select {
 		case r := <-responses:
 			if r.err == nil || r.call == newest {
-				return r.changes, r.index, r.err
+				return r.content, r.err
 			}
 			failed++
 		case <-ticks.C:
@@ -176,7 +179,7 @@
 			case newest < maxParallelLoads:
 				call()
 			case failed > 0: // start over rather than wait for the remaining calls
-				return nil, 0, errNoResponse
+				return catalog.Content{}, errNoResponse
 			}
 		}
 	}
@@ -197,6 +200,7 @@
 		return err
 	}
 	w.markReachable()
+	w.mixed = false
 	w.unsubscribe() // from a relay that was used while the store was unavailable
 	raw := make([]relay.Change, 0, len(changes))
 	for i := range changes {
@@ -348,7 +352,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	w.loaded = false
+	w.loaded, w.mixed = false, false
 	if errors.Is(err, catalog.ErrHistoryLost) {
 		w.f.log.Info("store_history_lost", zap.Uint64("revision", w.index))
 		w.allowStale = false // stale content may be older than the start of the history
