entry: a stopping instance sends only requests that it can complete

Report from operators of a similar system: requests that come late in a planned stop are passed on and cut off at its end.

Cause: a request was passed on whatever time was left until the stop limit. At the limit, requests that had never been sent were answered 504 "unknown" like those at work.

Ruled out, with real processes and requests each 0.1 s until the process was gone: used, unused and new connections (served until 2.9 s, then closed unread).

Change: from the signal on, a request gets a slot only if its response is expected before the stop limit; otherwise it is refused at once, with the new kind stopping-before-send (503, not run). Requests that wait for a slot or their body at the limit get that too.

Remaining: a body without a length, or larger than the buffer, is passed on as it arrives and may still be cut, with 504.

With the change absent, both new tests of package entry fail.

--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -58,6 +58,7 @@
 	BadAnswer          Kind = "bad-answer"
 	CrossedAnswer      Kind = "crossed-answer"
 	TruncatedAnswer    Kind = "truncated-answer"
+	StoppingBeforeSend Kind = "stopping-before-send"
 	Stopping           Kind = "stopping"
 	CallerGone         Kind = "caller-gone"
 	CallerBodyFailed   Kind = "caller-body-failed"
@@ -110,6 +111,7 @@
 	{BadAnswer, http.StatusBadGateway, Unknown, 0, "The upstream's response is malformed or has no length."},
 	{CrossedAnswer, http.StatusBadGateway, Unknown, 0, "The upstream's response belongs to another request."},
 	{TruncatedAnswer, http.StatusBadGateway, Unknown, 0, "The upstream's response was truncated."},
+	{StoppingBeforeSend, http.StatusServiceUnavailable, NotRun, 0, "The instance is shutting down and has not sent the request to an upstream."},
 	{Stopping, http.StatusGatewayTimeout, Unknown, 0, "The instance shut down before the upstream responded."},
 	{CallerGone, StatusCallerGone, Unknown, 0, "The caller closed its connection before the response."},
 	{CallerBodyFailed, http.StatusBadRequest, Unknown, 0, "The caller's body ended early."},
--- a/internal/instance/entry/admission.go
+++ b/internal/instance/entry/admission.go
@@ -83,6 +83,9 @@
 		// Whether the request is served elsewhere is decided by admit.
 		return nil, nil, errkind.New(errkind.NoUpstream, "service %s was removed", st.name)
 	}
+	if st.drain.endsBefore(time.Now().Add(st.longestResponse(req))) {
+		return nil, nil, errkind.New(errkind.StoppingBeforeSend, "the instance stops before service %s is expected to respond", st.name)
+	}
 	if !st.usable(svc, req) {
 		if req.borrowed >= maxBorrows {
 			return nil, nil, errkind.New(errkind.UpstreamRefused, "the request may not borrow any more slots of service %s", st.name)
--- a/internal/instance/entry/drain.go
+++ b/internal/instance/entry/drain.go
@@ -25,7 +25,16 @@
 const finalResponseTimeout = 150 * time.Millisecond
 
 // drainState is the state of a graceful shutdown.
-type drainState struct{ started atomic.Bool }
+type drainState struct {
+	started atomic.Bool
+	limit   atomic.Pointer[time.Time] // when requests in flight are canceled; nil before the shutdown
+}
+
+// endsBefore reports whether requests in flight are canceled before the given time.
+func (d *drainState) endsBefore(t time.Time) bool {
+	limit := d.limit.Load()
+	return limit != nil && limit.Before(t)
+}
 
 // Drain shuts the server down gracefully. For the drain time it still accepts
 // requests, because callers may cache its address for that long; responses
@@ -33,16 +42,20 @@
 // arrives, and stops accepting. Callers that keep opening connections delay
 // this for at most the quiet limit. Requests that are still in flight when the
 // stop limit has passed after the drain time are canceled with an error
-// response, and Drain returns an error. If ctx is done first, Drain returns its
-// error and leaves the server running.
+// response, and Drain returns an error. Requests that arrive so late that their
+// response is not expected before then are refused instead of being sent to an
+// upstream. If ctx is done first, Drain returns its error and leaves the server
+// running.
 //
 // Run returns only when its own context is done.
 func (s *Server) Drain(ctx context.Context) error {
+	stopAt := time.Now().Add(milliseconds(s.cfg.Times.DrainMS) + milliseconds(s.cfg.Times.StopLimitMS))
+	s.drain.limit.Store(&stopAt)
 	s.drain.started.Store(true)
 	if !supervisor.Sleep(ctx, milliseconds(s.cfg.Times.DrainMS)) {
 		return ctx.Err()
 	}
-	limit, cancel := context.WithTimeout(ctx, milliseconds(s.cfg.Times.StopLimitMS))
+	limit, cancel := context.WithDeadline(ctx, stopAt)
 	defer cancel()
 	s.callers.awaitQuiet(limit, milliseconds(s.cfg.Times.QuietLimitMS), quietPeriod)
 	if ctx.Err() != nil {
--- a/internal/instance/entry/drain_test.go
+++ b/internal/instance/entry/drain_test.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/placement"
 	"knapweedreel/internal/settings"
 )
 
@@ -134,6 +138,99 @@
 	}
 }
 
+// Guards against a request that is passed on although the shutdown ends before its
+// response is expected, so that it would be canceled while it runs. It is refused
+// at once as not run; one that can be served is served.
+func TestDrainRefusesRequestsThatItWouldCancel(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		usual  time.Duration // response time observed before
+		status int
+	}{{"slow route", waitTimeout, http.StatusServiceUnavailable}, {"fast route", time.Millisecond, http.StatusOK}} {
+		for _, withPlacement := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, placement %t", tc.name, withPlacement), func(t *testing.T) {
+				var n atomic.Int64
+				up := countingStandin(t, "u1", &n, succeedSigned)
+				s, url := startServer(t, &fakeControl{snap: snapshotOf(testDocument(), up)}, func(cfg *Config) {
+					cfg.Times = settings.Times{DrainMS: int(waitTimeout.Milliseconds()), StopLimitMS: int(waitTimeout.Milliseconds())}
+					if withPlacement {
+						cfg.Placement = &Placement{Model: placement.DefaultModel()}
+					}
+				})
+				st := s.service("svc")
+				for range 2 * minSamples {
+					st.observe("* /write/*", 3*tc.usual)
+					if withPlacement {
+						st.placer.tracker.ResponseTimes("* /write/*", tc.usual).Add(3 * tc.usual)
+					}
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				ended := drainAsync(ctx, s)
+				defer func() {
+					cancel()
+					_ = awaitResult(t, ended)
+				}()
+				eventually(t, "start of the shutdown", s.drain.started.Load)
+				resp, body := roundTrip(t, request(t, http.MethodPost, url+"/write/x", []byte("b")))
+				refused := resp.StatusCode == http.StatusServiceUnavailable
+				if resp.StatusCode != tc.status || refused != (resp.Header.Get(errkind.HeaderError) == string(errkind.StoppingBeforeSend)) || refused != (n.Load() == 0) {
+					t.Errorf("status %d, %d requests at the upstream: %s", resp.StatusCode, n.Load(), body)
+				}
+			})
+		}
+	}
+}
+
+// Guards against requests that still wait for a slot, or for the rest of their
+// body, at the stop limit and are not told that they have not run.
+func TestDrainLimitRefusesRequestsThatWait(t *testing.T) {
+	began := make(chan struct{})
+	up := standin(t, "u1", func(_ http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+	})
+	up.Slots, up.HomeSlots = 1, 1
+	doc := testDocument()
+	doc.Queue.TimeoutMS = int(waitTimeout.Milliseconds())
+	s, url := startServer(t, &fakeControl{snap: snapshotOf(doc, up)}, func(cfg *Config) {
+		cfg.Times = settings.Times{DrainMS: 1, StopLimitMS: 300}
+	})
+	var wg sync.WaitGroup
+	post := func(body io.Reader, length int64, status int, kind errkind.Kind) {
+		wg.Go(func() {
+			req := request(t, http.MethodPost, url+"/write/x", nil)
+			if body != nil {
+				req.Body, req.ContentLength = io.NopCloser(body), length
+			}
+			resp, err := callers.RoundTrip(req)
+			if err != nil {
+				t.Errorf("%s: %v", kind, err)
+				return
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode != status || resp.Header.Get(errkind.HeaderError) != string(kind) {
+				t.Errorf("status %d, kind %q, want %q", resp.StatusCode, resp.Header.Get(errkind.HeaderError), kind)
+			}
+		})
+	}
+	rest, unsent := io.Pipe()
+	post(nil, 0, http.StatusGatewayTimeout, errkind.Stopping)
+	<-began
+	post(nil, 0, http.StatusServiceUnavailable, errkind.StoppingBeforeSend)
+	post(rest, 4, http.StatusServiceUnavailable, errkind.StoppingBeforeSend)
+	eventually(t, "requests that wait", func() bool {
+		st := s.service("svc")
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		return st.queue.length == 1 && s.Requests() == 3
+	})
+	if err := awaitResult(t, drainAsync(t.Context(), s)); !errors.Is(err, errDrainLimit) {
+		t.Errorf("error %v", err)
+	}
+	_ = unsent.Close()
+	wg.Wait()
+}
+
 // Guards against a shutdown that can't be canceled.
 func TestDrainCanceled(t *testing.T) {
 	c := &fakeControl{snap: snapshotOf(testDocument())}
--- a/internal/instance/entry/exchange.go
+++ b/internal/instance/entry/exchange.go
@@ -124,6 +124,9 @@
 	if kind == errkind.DeadlineExceeded && e.mayHaveRun == nil {
 		kind = errkind.DeadlineBeforeSend
 	}
+	if kind == errkind.Stopping && e.mayHaveRun == nil {
+		kind = errkind.StoppingBeforeSend
+	}
 	if errkind.Lookup(kind).Run == errkind.NotRun && e.mayHaveRun != nil {
 		kind = e.kindOf(e.mayHaveRun)
 		err = e.mayHaveRun
--- a/internal/instance/entry/placer.go
+++ b/internal/instance/entry/placer.go
@@ -285,6 +285,16 @@
 	return c.tracked.times.LateAfter(time.Until(deadline))
 }
 
+// longestResponse returns a time that few healthy responses exceed, 0 if it is not
+// known. st.mu is held.
+func (st *serviceState) longestResponse(req *slotRequest) time.Duration {
+	if st.placer != nil {
+		return st.placer.times(req).Longest()
+	}
+	d, _ := st.latency(req.route).high()
+	return d
+}
+
 // outOfTime reports whether too little time is left for another attempt.
 func (st *serviceState) outOfTime(req *slotRequest) bool {
 	if st.placer == nil {
--- a/internal/instance/entry/service.go
+++ b/internal/instance/entry/service.go
@@ -18,6 +18,7 @@
 type serviceState struct {
 	name    string
 	control Control
+	drain   *drainState // of the server
 	metrics *serviceMetrics
 
 	mu            sync.Mutex
@@ -46,6 +47,7 @@
 		st = &serviceState{
 			name:          name,
 			control:       s.control,
+			drain:         &s.drain,
 			metrics:       newServiceMetrics(s.cfg.Scope, name),
 			rand:          rand.New(rand.NewPCG(s.rand.Uint64(), s.rand.Uint64())),
 			inFlight:      make(map[string]int),
--- a/internal/placement/times.go
+++ b/internal/placement/times.go
@@ -80,6 +80,9 @@
 // less time left is pointless.
 func (t *ResponseTimes) Shortest() time.Duration { return t.AtDeviations(-2) }
 
+// Longest returns a time that few responses exceed.
+func (t *ResponseTimes) Longest() time.Duration { return t.AtDeviations(2) }
+
 func (t *ResponseTimes) deviation() float64 { return max(minDeviation, math.Sqrt(t.variance)) }
 
 // tailProbability returns the share of healthy responses that take longer than d.
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -45,6 +45,7 @@
 	version      int
 	routes       map[string]string // prefix → service, in the current configuration
 	maxAttempts  int               // of each route
+	timeout      time.Duration     // of each route; its latency objective is half of it
 	lastUpstream int               // number of the last upstream
 	events       []string
 	started      time.Time
@@ -90,7 +91,7 @@
 	}
 	f := &fleet{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), dir: dir, store: standin.NewStore(),
-		routes: map[string]string{"/read/": "lookups", "/write/": "orders"}, maxAttempts: 2, started: time.Now(),
+		routes: map[string]string{"/read/": "lookups", "/write/": "orders"}, maxAttempts: 2, timeout: routeTimeout, started: time.Now(),
 	}
 	f.storeServer = httptest.NewServer(f.store)
 	t.Cleanup(f.close)
@@ -151,7 +152,7 @@
 			kind = "safe"
 		}
 		routes["r"+prefix[1:len(prefix)-1]] = map[string]any{
-			"host": "soak.example", "prefix": prefix, "kind": kind, "timeout": "2000ms", "aim": "1000ms",
+			"host": "soak.example", "prefix": prefix, "kind": kind, "timeout": fmt.Sprint(f.timeout.Milliseconds(), "ms"), "aim": fmt.Sprint(f.timeout.Milliseconds()/2, "ms"),
 			"priority": 1, "service": service, "maxAttempts": f.maxAttempts,
 		}
 	}
@@ -167,6 +168,11 @@
 }
 
 func (f *fleet) addUpstream(service string) *proxiedUpstream {
+	return f.addUpstreamOf(service, slots, workTime)
+}
+
+// addUpstreamOf starts an upstream with the given slots and time to run a request.
+func (f *fleet) addUpstreamOf(service string, slots int, workTime time.Duration) *proxiedUpstream {
 	f.mu.Lock()
 	f.lastUpstream++
 	n := f.lastUpstream
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -163,15 +163,21 @@
 	}
 }
 
-// checkOutcomes compares the outcomes of callers with the requests that upstreams
-// ran.
-func (f *fleet) checkOutcomes(outcomes []outcome) {
+// runs returns the number of runs of each request, by request ID.
+func (f *fleet) runs() map[string]int {
 	runs := map[string]int{}
 	for _, u := range f.upstreams {
 		for id, n := range u.Runs() {
 			runs[id] += n
 		}
 	}
+	return runs
+}
+
+// checkOutcomes compares the outcomes of callers with the requests that upstreams
+// ran.
+func (f *fleet) checkOutcomes(outcomes []outcome) {
+	runs := f.runs()
 	served, refused := 0, 0
 	sent := map[string]bool{}
 	for n := range outcomes {
