soak: other requests are served while upstreams send endless bytes

Report from operators of a similar system: endless bytes in a head or a body used up a machine's memory, and other clients' requests ended with it.

Nothing was found here. The earlier test covered heads, bodies and memory, but no requests of others at the same time, no failure and no trickling body.

--- a/test/soak/endless_test.go
+++ b/test/soak/endless_test.go
@@ -53,7 +53,8 @@
 // Guards against an instance whose memory, connections or time are used up by
 // upstreams that send bytes without end, in a head or in a body, and against such
 // bytes that look like a complete response. All upstreams of a service do so,
-// each in one of the ways.
+// each in one of the ways. Requests to other services get their responses
+// meanwhile.
 func TestEndlessResponsesAreBounded(t *testing.T) {
 	f := newFleet(t, 9)
 	f.mu.Lock()
@@ -73,6 +74,12 @@
 	for _, i := range f.instances {
 		f.eventually("ready after the start: "+i.name, i.isReady)
 	}
+	var started []<-chan struct{}
+	for _, i := range f.instances {
+		started = append(started, i.done())
+	}
+	c, stop := startCallers(t, f, 9)
+	f.waitRecovered(c) // the response times are known
 	var wg sync.WaitGroup
 	for n := range 200 {
 		wg.Go(func() {
@@ -125,7 +132,19 @@
 			t.Logf("%s: peak of %d KiB", i.name, kb)
 		}
 	}
-	c, stop := startCallers(t, f, 9)
 	f.waitRecovered(c)
 	stop()
+	for n, i := range f.instances {
+		select {
+		case <-started[n]:
+			t.Errorf("%s has ended", i.name)
+		default:
+		}
+	}
+	for i := range c.outcomes {
+		if o := &c.outcomes[i]; o.status == 0 {
+			t.Errorf("request %s to another service was cut off: %v", o.id, o.err)
+		}
+	}
+	f.checkOutcomes(c.outcomes)
 }
