soak: routes that move, replicas that lag, refusals written twice

A route moves to a new service while the old one leaves the configuration, one page of stale reads lags, an upstream writes refusals twice. A proper request that is denied is an error now.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -189,6 +189,9 @@
 	return false
 }
 
+// denied reports whether the response says that the request is not a proper one.
+func (o *outcome) denied() bool { return o.status >= 300 && o.status < 500 && !o.notRun() }
+
 // correct reports whether a served response is complete and belongs to this
 // request.
 func (o *outcome) correct() bool {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -36,8 +36,8 @@
 
 // Guards against violated guarantees to callers and upstreams under overlapping
 // faults: a non-idempotent request runs twice, a refused request runs, a response
-// is incomplete or belongs to another request, or a leaving upstream gets a
-// request. Also guards against a fleet that does not recover.
+// is incomplete or belongs to another request, a proper request is denied, or a
+// leaving upstream gets a request. Also guards against a fleet that does not recover.
 func TestSoak(t *testing.T) {
 	firstSeed := *first
 	if firstSeed == 0 {
@@ -59,7 +59,13 @@
 	faultCtx, stopFaults := context.WithTimeout(t.Context(), time.Duration(*seconds)*time.Second)
 	defer stopFaults()
 	c, stopCallers := startCallers(t, f, seed)
+	changesEnded := make(chan struct{})
+	go func() {
+		defer close(changesEnded)
+		f.injectChanges(faultCtx, seed)
+	}()
 	f.injectFaults(faultCtx)
+	<-changesEnded
 	f.logEvent("fault injection ends")
 	wait(t.Context(), stableTime)
 	f.waitRecovered(c)
@@ -188,6 +194,8 @@
 			f.t.Errorf("request %s ran %d times", o.id, runs[o.id])
 		case o.notRun() && runs[o.id] > 0:
 			f.t.Errorf("request %s ran although its response is %d (%s)", o.id, o.status, o.body)
+		case o.denied():
+			f.t.Errorf("request %s was denied with %d (%s), but all configurations have its route", o.id, o.status, o.body)
 		case o.served() && (!o.correct() || runs[o.id] == 0):
 			f.t.Errorf("request %s ran %d times and got the response %q, signed %t", o.id, runs[o.id], o.body, o.signed)
 		}
