entry: admission is one loop that decides on the caller's error last

Read again as a newcomer: the error for the caller was made, and a time for its return reserved, before it was known that the request is matched again.

Change: admit matches, takes the slot and only then decides between matching again and the error.

Measured: all tests of package entry pass, TestWaitingRequestsFollowTheirRoute among them; no change of behavior is expected.

--- a/internal/instance/entry/admission.go
+++ b/internal/instance/entry/admission.go
@@ -80,7 +80,7 @@
 	snap := st.control.Snapshot()
 	svc := snap.Services[st.name]
 	if svc == nil || svc.Document == nil {
-		// Whether the request is served elsewhere is decided by admit.
+		// Whether its requests are served elsewhere is decided by Server.admit.
 		return nil, nil, errkind.New(errkind.NoUpstream, "service %s was removed", st.name)
 	}
 	if st.drain.endsBefore(time.Now().Add(st.longestResponse(req))) {
--- a/internal/instance/entry/body.go
+++ b/internal/instance/entry/body.go
@@ -57,7 +57,7 @@
 	return b
 }
 
-// setLimit sets the maximum body size. It is called before the first read.
+// setLimit sets the maximum body size. It applies to later reads.
 func (b *requestBody) setLimit(limit int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -90,52 +90,72 @@
 		}
 	}()
 	c, err := s.admit(e)
-	for err != nil && e.isReassigned() {
-		s.log.Info("request_reassigned", zap.String("request_id", e.id), zap.String("service", e.svc.Name), zap.Error(err))
-		c, err = s.admit(e)
-	}
 	if err != nil {
 		return err
 	}
 	return s.proxy(e, c)
 }
 
-// admit matches the request and takes a slot for its first attempt.
+// admit matches the request and takes a slot for its first attempt. A request that
+// cannot be admitted is matched again if its route leads elsewhere by now.
 func (s *Server) admit(e *exchange) (choice, error) {
+	for {
+		if err := s.matchRequest(e); err != nil {
+			return choice{}, err
+		}
+		c, err := s.acquireFirst(e)
+		if err == nil {
+			return c, nil
+		}
+		if !e.isReassigned() {
+			return choice{}, e.callerError(err)
+		}
+		s.log.Info("request_reassigned", zap.String("request_id", e.id), zap.String("service", e.svc.Name), zap.Error(err))
+	}
+}
+
+// matchRequest sets the service, the route and the deadline of a request.
+func (s *Server) matchRequest(e *exchange) error {
 	var err error
 	if e.svc, e.route, err = match(s.control.Snapshot(), e.r); err != nil {
-		return choice{}, err
+		return err
 	}
 	if e.deadline, err = e.requestDeadline(); err != nil {
-		return choice{}, err
+		return err
 	}
 	if limit := maxBody(e.route); e.r.ContentLength > limit {
-		return choice{}, errkind.New(errkind.BodyTooLarge, "the body of %d bytes exceeds the route's limit of %d", e.r.ContentLength, limit)
+		return errkind.New(errkind.BodyTooLarge, "the body of %d bytes exceeds the route's limit of %d", e.r.ContentLength, limit)
 	}
 	if e.body != nil {
 		e.body.setLimit(maxBody(e.route))
 	}
 	e.setDeadline()
+	return nil
+}
+
+// acquireFirst takes the slot for the first attempt of a request.
+func (s *Server) acquireFirst(e *exchange) (choice, error) {
 	if n := e.r.ContentLength; n > 0 && n <= int64(s.cfg.Limits.BufferedBodyBytes) && !e.body.expectContinue {
 		// The body is read first so that a slow caller doesn't occupy a slot.
 		e.body.awaitBuffered(e.ctx)
 		if err := cmp.Or(e.body.failure(), e.ctx.Err()); err != nil {
-			return choice{}, e.callerError(err)
+			return choice{}, err
 		}
 	}
-	c, err := s.acquireFirst(e)
-	if err != nil {
-		return choice{}, e.callerError(err)
+	e.st = s.service(e.svc.Name)
+	e.st.requestArrived()
+	e.slotReq = &slotRequest{
+		caller: e.caller, route: routeName(e.route), idempotent: e.route.Idempotent, deadline: e.deadline,
+		priority: e.route.Priority, started: e.started, repeatable: e.route.Idempotent && e.body == nil && e.retryLimit() > 0, objective: milliseconds(e.route.ObjectiveMS), bodyBytes: e.r.ContentLength,
 	}
-	return c, nil
+	return e.acquire()
 }
 
-// isReassigned reports whether the configuration no longer leads the request to the
-// service that could not admit it. A service admits a request under the
-// configuration of its arrival and may have left the configuration, or lost its
-// upstreams, while the request waited.
+// isReassigned reports whether the route of the request no longer leads to the
+// service that could not admit it. The service was chosen on arrival, and may have
+// left the configuration or lost its upstreams while the request waited.
 func (e *exchange) isReassigned() bool {
-	return e.svc != nil && e.ctx != nil && e.ctx.Err() == nil && !leadsTo(e.s.control.Snapshot(), e.r, e.svc.Name)
+	return e.ctx.Err() == nil && !leadsTo(e.s.control.Snapshot(), e.r, e.svc.Name)
 }
 
 // maxRequestID is the maximum length of a request ID, in bytes.
--- a/internal/instance/entry/retry.go
+++ b/internal/instance/entry/retry.go
@@ -33,18 +33,6 @@
 	noRetryNoOtherUpstream = "no-other-upstream"
 )
 
-// acquireFirst takes the slot for the first attempt of a request.
-func (s *Server) acquireFirst(e *exchange) (choice, error) {
-	st := s.service(e.svc.Name)
-	e.st = st
-	st.requestArrived()
-	e.slotReq = &slotRequest{
-		caller: e.caller, route: routeName(e.route), idempotent: e.route.Idempotent, deadline: e.deadline,
-		priority: e.route.Priority, started: e.started, repeatable: e.route.Idempotent && e.body == nil && e.retryLimit() > 0, objective: milliseconds(e.route.ObjectiveMS), bodyBytes: e.r.ContentLength,
-	}
-	return e.acquire()
-}
-
 // proxy makes the attempts of a request, the first one with the slot c, and writes
 // the response. An error means that nothing was written to the caller.
 func (s *Server) proxy(e *exchange, c choice) error {
--- a/internal/instance/follower/watch.go
+++ b/internal/instance/follower/watch.go
@@ -83,7 +83,7 @@
 	f          *Follower
 	batched    bool      // startBatchInterval has been used
 	loaded     bool      // the store can be polled for changes after the index
-	mixed      bool      // the loaded content is of different ages, of which some are newer than the index
+	mixed      bool      // parts of the loaded content are newer than the index
 	allowStale bool      // the next load may return stale content
 	index      uint64    // of the last change that was read
 	asOf       time.Time // when there were no changes after the index, zero if unknown
