entry: a steadier test of a waiting retry

TestWaitingRetryOfRemovedServiceIsRefused had to see the retry in the queue within the 150 ms after a refusal, which a busy machine may miss. The upstream now asks for 3 s, so that the retry waits until the change; what is asserted is the same.

--- a/internal/instance/entry/reassign_test.go
+++ b/internal/instance/entry/reassign_test.go
@@ -66,6 +66,7 @@
 		return func(w http.ResponseWriter, req *http.Request) {
 			if id == "old" && r.refuse.Load() {
 				w.Header().Set(upstream.HeaderRefused, string(upstream.Shed))
+				w.Header().Set("Retry-After", "3") // the retry waits for the change
 				w.WriteHeader(http.StatusServiceUnavailable)
 				r.refused <- struct{}{}
 				return
