--- a/test/soak/late_stop_test.go
+++ b/test/soak/late_stop_test.go
@@ -113,7 +113,7 @@
 		warm.Go(func() {
 			r.dial(stopped.entry)
 			first := &lateRequest{conn: r.conn, outcome: outcome{id: checkPrefix + r.outcome.id}}
-			if first.write(first.head()+lateBody) && r.conn != nil {
+			if first.write(first.head() + lateBody) {
 				first.read(&first.outcome)
 			}
 			if !first.outcome.served() {
@@ -128,27 +128,23 @@
 	var wg sync.WaitGroup
 	for _, r := range all {
 		wg.Go(func() {
-			early := min(r.at, lastOpened)
-			switch r.arrival {
-			case unusedConnection:
-				wait(t.Context(), time.Until(signaled.Add(early)))
-				r.dial(stopped.entry)
-			case slowBody:
-				wait(t.Context(), time.Until(signaled.Add(early)))
+			early, late := "", r.head()+lateBody
+			if r.arrival == slowBody {
+				half := len(late) - len(lateBody)/2
+				early, late = late[:half], late[half:]
+			}
+			if r.arrival == unusedConnection || r.arrival == slowBody {
+				wait(t.Context(), time.Until(signaled.Add(min(r.at, lastOpened))))
 				r.dial(stopped.entry)
-				if !r.write(r.head() + lateBody[:len(lateBody)/2]) {
-					return
-				}
+			}
+			if early != "" && !r.write(early) {
+				return
 			}
 			wait(t.Context(), time.Until(signaled.Add(r.at)))
-			rest := r.head() + lateBody
 			if r.arrival == newConnection {
 				r.dial(stopped.entry)
 			}
-			if r.arrival == slowBody {
-				rest = lateBody[len(lateBody)/2:]
-			}
-			if r.write(rest) {
+			if r.write(late) {
 				r.read(&r.outcome)
 			}
 		})
