entry: the stop limit alone says that a shutdown has begun

Two fields of drainState were set together, and one follows from the other.

Change: started() is derived from the limit. The tests call it instead of reading the field and assert the same.

Measured: the tests of graceful shutdown in package entry pass.

--- a/internal/instance/entry/drain.go
+++ b/internal/instance/entry/drain.go
@@ -26,10 +26,11 @@
 
 // drainState is the state of a graceful shutdown.
 type drainState struct {
-	started atomic.Bool
-	limit   atomic.Pointer[time.Time] // when requests in flight are canceled; nil before the shutdown
+	limit atomic.Pointer[time.Time] // when requests in flight are canceled; nil before the shutdown
 }
 
+func (d *drainState) started() bool { return d.limit.Load() != nil }
+
 // endsBefore reports whether requests in flight are canceled before the given time.
 func (d *drainState) endsBefore(t time.Time) bool {
 	limit := d.limit.Load()
@@ -51,7 +52,6 @@
 func (s *Server) Drain(ctx context.Context) error {
 	stopAt := time.Now().Add(milliseconds(s.cfg.Times.DrainMS) + milliseconds(s.cfg.Times.StopLimitMS))
 	s.drain.limit.Store(&stopAt)
-	s.drain.started.Store(true)
 	if !supervisor.Sleep(ctx, milliseconds(s.cfg.Times.DrainMS)) {
 		return ctx.Err()
 	}
--- a/internal/instance/entry/drain_test.go
+++ b/internal/instance/entry/drain_test.go
@@ -63,7 +63,7 @@
 	}()
 	<-began
 	ended := drainAsync(t.Context(), s)
-	eventually(t, "start of the shutdown", s.drain.started.Load)
+	eventually(t, "start of the shutdown", s.drain.started)
 	resp, got := roundTrip(t, request(t, http.MethodGet, url+"/write/x", nil))
 	if string(got) != "ok" || !resp.Close {
 		t.Errorf("response %q, close %t", got, resp.Close)
@@ -170,7 +170,7 @@
 					cancel()
 					_ = awaitResult(t, ended)
 				}()
-				eventually(t, "start of the shutdown", s.drain.started.Load)
+				eventually(t, "start of the shutdown", s.drain.started)
 				resp, body := roundTrip(t, request(t, http.MethodPost, url+"/write/x", []byte("b")))
 				refused := resp.StatusCode == http.StatusServiceUnavailable
 				if resp.StatusCode != tc.status || refused != (resp.Header.Get(errkind.HeaderError) == string(errkind.StoppingBeforeSend)) || refused != (n.Load() == 0) {
@@ -237,7 +237,7 @@
 	s, _ := startServer(t, c, nil)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := drainAsync(ctx, s)
-	eventually(t, "start of the shutdown", s.drain.started.Load)
+	eventually(t, "start of the shutdown", s.drain.started)
 	cancel()
 	if err := awaitResult(t, ended); !errors.Is(err, context.Canceled) {
 		t.Errorf("error %v", err)
--- a/internal/instance/entry/response.go
+++ b/internal/instance/entry/response.go
@@ -137,7 +137,7 @@
 func (e *exchange) prepareHeader(streaming bool) {
 	_ = e.rc.SetWriteDeadline(e.writeDeadline())
 	complete := e.body == nil || e.body.complete() || !streaming && e.body.finish(bodySettleTimeout)
-	if !complete || e.s.drain.started.Load() || e.conn != nil && e.conn.nearLimit() {
+	if !complete || e.s.drain.started() || e.conn != nil && e.conn.nearLimit() {
 		e.w.Header().Set("Connection", "close")
 	}
 }
