--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -7,6 +7,11 @@
 // because its key may have been withdrawn meanwhile.
 package account
 
+import (
+	"fmt"
+	"io"
+)
+
 // Account is a client account.
 type Account struct {
 	Name string
@@ -28,3 +33,7 @@
 
 // GoString implements fmt.GoStringer.
 func (Key) GoString() string { return "[redacted]" }
+
+// Format implements fmt.Formatter, so that verbs such as %q and %x don't print
+// the key either.
+func (k Key) Format(f fmt.State, _ rune) { _, _ = io.WriteString(f, k.String()) }
