--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"knapweedreel/internal/account"
 	"knapweedreel/internal/document"
 	"knapweedreel/internal/routing"
 )
@@ -20,6 +21,8 @@
 	Routes   []Route
 	Services map[string]Service // by name
 	Limits   Limits
+	// Accounts are the client accounts, nil if the configuration has none.
+	Accounts *account.Set
 }
 
 // Route is a route of the configuration.
@@ -28,6 +31,8 @@
 	Host  string // lower case, without port
 	Rule  document.Route
 	Split []routing.WeightedService
+	// Public routes need no key of a client account.
+	Public bool
 }
 
 // Service holds the settings of a service.
@@ -39,8 +44,10 @@
 
 // Limits bound what callers may send. The settings apply where a limit is 0.
 type Limits struct {
-	BodyBytes   int64
-	IdleTimeout time.Duration // of a keep-alive connection
+	HeaderBytes   int
+	HeaderTimeout time.Duration // for the whole header of a request
+	BodyBytes     int64
+	IdleTimeout   time.Duration // of a keep-alive connection
 }
 
 // Upstream is an upstream as it registered itself.
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -30,7 +30,7 @@
 	routes := make([]*routing.Route, 0, len(c.Routes))
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		routes = append(routes, &routing.Route{Name: r.Name, Host: r.Host, Rule: r.Rule, Split: routing.NewSplit(r.Split)})
+		routes = append(routes, &routing.Route{Name: r.Name, Host: r.Host, Rule: r.Rule, Split: routing.NewSplit(r.Split), Public: r.Public})
 	}
 	return routing.NewTable(routes)
 }
@@ -50,6 +50,7 @@
 		return s
 	}
 	s.CallerIdle = c.configuration.Limits.IdleTimeout
+	s.Accounts = c.configuration.Accounts
 	c.refreshServices(in)
 	for name := range c.configuration.Services {
 		s.Services[name] = &routing.Service{
--- a/internal/instance/entry/upstream/protocol.go
+++ b/internal/instance/entry/upstream/protocol.go
@@ -27,6 +27,7 @@
 	Signature string // present in every successful response that an upstream itself created
 	Load      string // load of the upstream, parsed by ParseLoad
 	Leaving   string // "1" in the responses of an upstream that is leaving
+	Account   string // name of the client account, in requests to upstreams
 	// ParseRefusal returns why the upstream did not run the request, or NotRefused.
 	ParseRefusal func(*http.Response) Refusal
 	// Unframed allows responses that have neither a length nor chunked encoding
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"knapweedreel/internal/account"
 	"knapweedreel/internal/document"
 	"knapweedreel/internal/health"
 	"knapweedreel/internal/member"
@@ -23,8 +24,11 @@
 	// CallerIdle is the idle timeout of a caller's connection, 0 for that of the
 	// settings.
 	CallerIdle time.Duration
-	Members    []Member // the whole fleet, this instance included
-	Shards     int
+	// Accounts are the client accounts, nil if the configuration has none. Requests
+	// then need no key.
+	Accounts *account.Set
+	Members  []Member // the whole fleet, this instance included
+	Shards   int
 	// ServingInstances is the number of instances that serve the callers of all
 	// regions, 0 while it is not known.
 	ServingInstances int
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -24,6 +24,8 @@
 	// Rule holds the settings of the route. Its path is a prefix that ends in "*".
 	Rule  document.Route
 	Split *Split
+	// Public routes need no key of a client account.
+	Public bool
 }
 
 // prefix returns the path prefix that selects the route.
