entry: requests need the key of a client account

If the configuration has accounts, a request is identified after its route is matched. A request without a valid key gets 401 (unauthenticated), except on public routes. Authorization is removed from what is sent to upstreams, and the header for accounts names the holder of the key or is removed, also in trailers and in spellings that CGI would take for the same name. The account's name replaces the caller in logs, explanations and the queue; Knapweedreel-Caller is ignored then, because a caller could pass for an account with it.

If the key is gone, it gets 401 if no attempt may have run, else the failure of that attempt. If the version has changed, the route's current public flag counts.

slotRequest gets the class of the request; the queue does not use it yet. match returns a struct now, as the public flag is a fourth result.

--- a/internal/account/set.go
+++ b/internal/account/set.go
@@ -207,16 +207,16 @@
 	return &s.accounts[i], true
 }
 
-// scheme is the authentication scheme of keys. Names of schemes are
+// Scheme is the authentication scheme of keys. Names of schemes are
 // case-insensitive (RFC 9110, section 11.1).
-const scheme = "Bearer"
+const Scheme = "Bearer"
 
 // bearerKey returns the key in the value of an Authorization header: the scheme,
 // one or more spaces, and the key.
 func bearerKey(value string) (string, bool) {
-	if len(value) <= len(scheme) || value[len(scheme)] != ' ' || !strings.EqualFold(value[:len(scheme)], scheme) {
+	if len(value) <= len(Scheme) || value[len(Scheme)] != ' ' || !strings.EqualFold(value[:len(Scheme)], Scheme) {
 		return "", false
 	}
-	key := strings.TrimLeft(value[len(scheme):], " ")
+	key := strings.TrimLeft(value[len(Scheme):], " ")
 	return key, key != ""
 }
--- a/internal/catalog/accounts_test.go
+++ b/internal/catalog/accounts_test.go
@@ -35,14 +35,12 @@
 	if s := snapshotAt(c, epoch); s.Accounts != nil || s.Ready || s.Table.Match("a.example", "/a/x") != nil {
 		t.Errorf("before the first configuration: %+v", s)
 	}
-	for version, keys := range [][]account.Key{nil, {"k1"}, {"k2"}} {
-		if version == 0 {
-			continue
-		}
-		ch := withAccount(t, uint64(version), keys...)
+	for version, key := range map[uint64]account.Key{1: "k1", 2: "k2"} {
+		c = New()
+		ch := withAccount(t, version, key)
 		c.Reset([]Change{ch}, epoch)
 		first, second := snapshotAt(c, epoch), snapshotAt(c, at(time.Second))
-		if first.Accounts != ch.Configuration.Accounts || second.Accounts != first.Accounts || first.Accounts.Version() != uint64(version) {
+		if first.Accounts != ch.Configuration.Accounts || second.Accounts != first.Accounts || first.Accounts.Version() != version {
 			t.Errorf("version %d: other accounts", version)
 		}
 		if r := first.Table.Match("a.example", "/a/x"); r == nil || !r.Public {
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -43,6 +43,7 @@
 	NoDocument         Kind = "no-document"
 	UnknownRoute       Kind = "unknown-route"
 	Misdirected        Kind = "misdirected"
+	Unauthenticated    Kind = "unauthenticated"
 	HeaderTooLarge     Kind = "header-too-large"
 	BodyTooLarge       Kind = "body-too-large"
 	BodyLimitExceeded  Kind = "body-limit-exceeded"
@@ -96,6 +97,7 @@
 	{NoDocument, http.StatusServiceUnavailable, NotRun, time.Second, "This instance has not received any document yet."},
 	{UnknownRoute, http.StatusNotFound, NotRun, 0, "The service's document has no route for this method and path."},
 	{Misdirected, http.StatusMisdirectedRequest, NotRun, 0, "This instance does not serve the service's shard."},
+	{Unauthenticated, http.StatusUnauthorized, NotRun, 0, "The request has no key of a client account, or one that is not known."},
 	{HeaderTooLarge, http.StatusRequestHeaderFieldsTooLarge, NotRun, 0, "The request header is over the limit."},
 	{BodyTooLarge, http.StatusRequestEntityTooLarge, NotRun, 0, "The announced body is over the route's limit."},
 	{BodyLimitExceeded, http.StatusRequestEntityTooLarge, Unknown, 0, "The body grew over the route's limit after part of it was sent."},
--- a/internal/instance/entry/admission.go
+++ b/internal/instance/entry/admission.go
@@ -78,6 +78,9 @@
 // slot would be pointless.
 func (st *serviceState) current(req *slotRequest) (*routing.Snapshot, *routing.Service, error) {
 	snap := st.control.Snapshot()
+	if _, err := req.credentials.holder(snap); err != nil {
+		return nil, nil, err
+	}
 	svc := snap.Services[st.name]
 	if svc == nil || svc.Document == nil {
 		// Whether its requests are served elsewhere is decided by Server.admit.
--- a/internal/instance/entry/attempt.go
+++ b/internal/instance/entry/attempt.go
@@ -28,6 +28,7 @@
 	e       *exchange
 	st      *serviceState
 	choice  choice
+	holder  holder
 	cause   string   // cause of a retry, empty for the first attempt
 	number  int      // from 0
 	hedgeOf *attempt // the attempt that this one hedges, nil for none
@@ -61,7 +62,9 @@
 func (a *attempt) run() {
 	a.started = time.Now()
 	a.st.metrics.attempts.Inc(1)
-	a.response, a.trace, a.err = a.s.pools.Do(a.ctx, a.upstreamAttempt())
+	if a.holder, a.err = a.e.holder(); a.err == nil {
+		a.response, a.trace, a.err = a.s.pools.Do(a.ctx, a.upstreamAttempt())
+	}
 	if a.late.stop() { // even if the response has arrived in the meantime
 		a.err = errkind.Wrap(errkind.UpstreamSilent, errLateResponse, "upstream %s", a.choice.upstream.ID)
 	}
@@ -79,9 +82,10 @@
 // for a late response.
 func (a *attempt) upstreamAttempt() upstream.Attempt {
 	e, u := a.e, &a.choice.upstream
-	req := e.outgoingRequest(u)
+	req := e.outgoingRequest(u, a.holder)
 	if e.body != nil {
 		a.view = e.body.view()
+		a.holder.removeHeaders(a.view.trailer, a.s.protocol())
 		req.Body, req.Trailer = a.view, a.view.trailer
 	}
 	up := upstream.Attempt{
--- a/internal/instance/entry/exchange.go
+++ b/internal/instance/entry/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"knapweedreel/internal/account"
 	"knapweedreel/internal/document"
 	"knapweedreel/internal/errkind"
 	"knapweedreel/internal/instance/admin"
@@ -27,23 +28,26 @@
 // exchange is the state of one request. It belongs to the goroutine that serves
 // the request.
 type exchange struct {
-	s        *Server
-	w        http.ResponseWriter
-	rc       *http.ResponseController
-	r        *http.Request
-	conn     *callerConn        // nil if ServeHTTP is called without Run, as in tests
-	ctx      context.Context    // done at the deadline or when the caller disconnects
-	cancel   context.CancelFunc // of ctx
-	id       string
-	caller   string
-	started  time.Time
-	deadline time.Time
-	svc      *routing.Service
-	st       *serviceState
-	slotReq  *slotRequest
-	route    *document.Route
-	body     *requestBody // nil without a body
-	aborted  bool
+	s      *Server
+	w      http.ResponseWriter
+	rc     *http.ResponseController
+	r      *http.Request
+	conn   *callerConn        // nil if ServeHTTP is called without Run, as in tests
+	ctx    context.Context    // done at the deadline or when the caller disconnects
+	cancel context.CancelFunc // of ctx
+	id     string
+	caller string
+	// credentials are nil before the request is matched.
+	credentials *credentials
+	account     *account.Account // that was identified, nil for none
+	started     time.Time
+	deadline    time.Time
+	svc         *routing.Service
+	st          *serviceState
+	slotReq     *slotRequest
+	route       *document.Route
+	body        *requestBody // nil without a body
+	aborted     bool
 
 	// mu guards the fields below and slotReq, which concurrent attempts share.
 	mu           sync.Mutex
@@ -127,6 +131,11 @@
 	if kind == errkind.Stopping && e.mayHaveRun == nil {
 		kind = errkind.StoppingBeforeSend
 	}
+	if errkind.Lookup(kind).Run == errkind.NotRun && e.mayHaveRun == nil && kind != errkind.Unauthenticated {
+		if revoked := e.checkAccount(); revoked != nil {
+			kind, err = errkind.Unauthenticated, revoked
+		}
+	}
 	if errkind.Lookup(kind).Run == errkind.NotRun && e.mayHaveRun != nil {
 		kind = e.kindOf(e.mayHaveRun)
 		err = e.mayHaveRun
@@ -148,11 +157,12 @@
 	return slices.Contains(e.deadPooled, id)
 }
 
-// outgoingRequest returns the request to send to an upstream.
-func (e *exchange) outgoingRequest(u *routing.Upstream) *http.Request {
+// outgoingRequest returns the request to send to an upstream for an account.
+func (e *exchange) outgoingRequest(u *routing.Upstream, holder holder) *http.Request {
 	p := e.s.protocol()
 	h := e.r.Header.Clone()
 	removeHopByHop(h)
+	holder.setHeaders(h, p)
 	h.Del("Expect") // handled by this server when the body is first read
 	h.Set(p.RequestID, e.id)
 	h.Set(p.Deadline, strconv.FormatInt(max(1, time.Until(e.deadline).Milliseconds()), 10))
--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"crypto/rand"
 	"maps"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"knapweedreel/internal/account"
 	"knapweedreel/internal/errkind"
 	"knapweedreel/internal/instance/admin"
 )
@@ -71,11 +71,7 @@
 	if c := r.Header.Get(headerCaller); c != "" {
 		return c
 	}
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		return r.RemoteAddr
-	}
-	return host
+	return callerAddress(r)
 }
 
 // serve matches the request and proxies it. An error means that nothing was
@@ -116,8 +112,13 @@
 
 // matchRequest sets the service, the route and the deadline of a request.
 func (s *Server) matchRequest(e *exchange) error {
-	var err error
-	if e.svc, e.route, err = match(s.control.Snapshot(), e.r); err != nil {
+	snap := s.control.Snapshot()
+	m, err := match(snap, e.r)
+	e.svc, e.route = m.service, m.route
+	if err != nil {
+		return err
+	}
+	if err := e.identify(snap, m.public); err != nil {
 		return err
 	}
 	if e.deadline, err = e.requestDeadline(); err != nil {
@@ -145,7 +146,7 @@
 	e.st = s.service(e.svc.Name)
 	e.st.requestArrived()
 	e.slotReq = &slotRequest{
-		caller: e.caller, route: routeName(e.route), idempotent: e.route.Idempotent, deadline: e.deadline,
+		caller: e.caller, credentials: e.credentials, class: e.class(), route: routeName(e.route), idempotent: e.route.Idempotent, deadline: e.deadline,
 		priority: e.route.Priority, started: e.started, repeatable: e.route.Idempotent && e.body == nil && e.retryLimit() > 0, objective: milliseconds(e.route.ObjectiveMS), bodyBytes: e.r.ContentLength,
 	}
 	return e.acquire()
@@ -215,6 +216,9 @@
 	e.explanation.Kind, e.explanation.Run, e.explanation.Status = string(description.Kind), string(description.Run), description.Status
 	w := errorResponse(description.Kind, errorMessage(err))
 	maps.Copy(e.w.Header(), w.header)
+	if description.Kind == errkind.Unauthenticated {
+		e.w.Header().Set("Www-Authenticate", account.Scheme) // RFC 9110, section 15.5.2
+	}
 	if d := errkind.RetryAfterOf(err); d > 0 {
 		e.w.Header().Set("Retry-After", e.s.protocol().FormatRetryAfter(d))
 		e.explanation.RetryAfter = d
--- a/internal/instance/entry/match.go
+++ b/internal/instance/entry/match.go
@@ -10,36 +10,43 @@
 	"knapweedreel/internal/routing"
 )
 
+// matched is the result of matching a request.
+type matched struct {
+	service *routing.Service
+	route   *document.Route
+	public  bool // the request needs no key of a client account
+}
+
 // match returns the service and the route of a request. A routing table takes
 // precedence over the hosts of single documents.
-func match(snap *routing.Snapshot, r *http.Request) (*routing.Service, *document.Route, error) {
+func match(snap *routing.Snapshot, r *http.Request) (matched, error) {
 	if snap.Table != nil {
 		return matchTable(snap, r)
 	}
 	svc, err := matchService(snap, r.Host)
 	if err != nil {
-		return nil, nil, err
+		return matched{}, err
 	}
 	route, err := matchRoute(svc.Document, r)
-	return svc, route, err
+	return matched{service: svc, route: route}, err
 }
 
 // matchTable returns the route of the host with the longest matching prefix, and
 // one of the services among which its traffic is split.
-func matchTable(snap *routing.Snapshot, r *http.Request) (*routing.Service, *document.Route, error) {
+func matchTable(snap *routing.Snapshot, r *http.Request) (matched, error) {
 	route := snap.Table.Match(normalizeHost(r.Host), r.URL.Path)
 	if route == nil {
 		if !snap.Ready {
-			return nil, nil, errkind.New(errkind.NoDocument, "this instance has received no configuration yet")
+			return matched{}, errkind.New(errkind.NoDocument, "this instance has received no configuration yet")
 		}
-		return nil, nil, errkind.New(errkind.UnknownRoute, "no route for host %q and path %s", r.Host, r.URL.Path)
+		return matched{}, errkind.New(errkind.UnknownRoute, "no route for host %q and path %s", r.Host, r.URL.Path)
 	}
 	name := route.Split.Next()
 	svc := snap.Services[name]
 	if svc == nil {
-		return nil, nil, errkind.New(errkind.NoDocument, "route %s refers to the unknown service %s", route.Rule.Path, name)
+		return matched{}, errkind.New(errkind.NoDocument, "route %s refers to the unknown service %s", route.Rule.Path, name)
 	}
-	return svc, &route.Rule, nil
+	return matched{svc, &route.Rule, route.Public}, nil
 }
 
 // leadsTo reports whether match may return the service for the request.
--- a/internal/instance/entry/outcome.go
+++ b/internal/instance/entry/outcome.go
@@ -75,8 +75,8 @@
 	if a.refused == upstream.NotRefused && a.late.alreadyReported(class) {
 		return
 	}
-	if reason == string(errkind.NoUpstream) {
-		return
+	if reason == string(errkind.NoUpstream) || reason == string(errkind.Unauthenticated) {
+		return // no upstream was involved
 	}
 	if a.refused != upstream.NotRefused {
 		a.st.metrics.refusals.Inc(1)
--- a/internal/instance/entry/pick.go
+++ b/internal/instance/entry/pick.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"knapweedreel/internal/admission"
 	"knapweedreel/internal/health"
 	"knapweedreel/internal/routing"
 )
@@ -18,14 +19,16 @@
 // slotRequest holds the properties of a request on which the choice of its
 // upstream depends.
 type slotRequest struct {
-	caller     string
-	route      string
-	idempotent bool
-	deadline   time.Time
-	tried      []string // upstreams that failed or refused this request
-	borrowed   int      // previous attempts with borrowed slots
-	retry      bool     // not the first attempt
-	repeatable bool     // idempotent, and may be retried
+	caller      string
+	class       admission.Class
+	credentials *credentials // nil if the request needs no account
+	route       string
+	idempotent  bool
+	deadline    time.Time
+	tried       []string // upstreams that failed or refused this request
+	borrowed    int      // previous attempts with borrowed slots
+	retry       bool     // not the first attempt
+	repeatable  bool     // idempotent, and may be retried
 
 	priority  int           // 0 is served first
 	started   time.Time     // when the request arrived
--- a/internal/instance/entry/placer_test.go
+++ b/internal/instance/entry/placer_test.go
@@ -335,16 +335,16 @@
 	}})
 	req := request(t, http.MethodGet, "http://127.0.0.1/a/x", nil)
 	req.Host = "A.example:80"
-	svc, route, err := match(snap, req)
-	if err != nil || svc.Name != "svc" || route.Path != "/a/*" {
-		t.Errorf("service %v, route %v, error %v", svc, route, err)
+	m, err := match(snap, req)
+	if err != nil || m.service.Name != "svc" || m.route.Path != "/a/*" {
+		t.Errorf("service %v, route %v, error %v", m.service, m.route, err)
 	}
 	req.Host = "b.example"
-	if _, _, err := match(snap, req); errkind.Of(err) != errkind.UnknownRoute {
+	if _, err := match(snap, req); errkind.Of(err) != errkind.UnknownRoute {
 		t.Errorf("unknown host: %v", err)
 	}
 	snap.Ready, snap.Table = false, routing.NewTable(nil)
-	if _, _, err := match(snap, req); errkind.Of(err) != errkind.NoDocument {
+	if _, err := match(snap, req); errkind.Of(err) != errkind.NoDocument {
 		t.Errorf("no configuration: %v", err)
 	}
 }
