--- a/internal/instance/entry/identity_test.go
+++ b/internal/instance/entry/identity_test.go
@@ -53,11 +53,15 @@
 	retries, wait := 1, int(waitTimeout.Milliseconds())
 	var routes []*routing.Route
 	for _, name := range []string{"read", "write", "open"} {
+		objective := wait
+		if name == "read" {
+			objective = 2_000 // bounds the time after which a response is late
+		}
 		routes = append(routes, &routing.Route{
 			Name: name, Host: "svc", Public: name == "open", Split: routing.NewSplit([]routing.WeightedService{{Service: "svc", Weight: 1}}),
 			Rule: document.Route{
 				Method: "*", Path: "/" + name + "/*", Idempotent: name == "read", Priority: 2,
-				DeadlineMS: wait, ObjectiveMS: wait, MaxBodyBytes: 64 << 20, Retries: &retries,
+				DeadlineMS: wait, ObjectiveMS: objective, MaxBodyBytes: 64 << 20, Retries: &retries,
 			},
 		})
 	}
@@ -68,7 +72,7 @@
 func withAccounts(cfg *Config) {
 	cfg.Upstreams.Protocol = upstream.DefaultProtocol()
 	cfg.Upstreams.Protocol.Account = headerAccount
-	cfg.Placement = &Placement{Model: placement.DefaultModel(), RetryShare: 1, RetryReserve: 10}
+	cfg.Placement = &Placement{Model: placement.DefaultModel(), RetryShare: 1, RetryReserve: 10, RemoteCost: 0.1}
 }
 
 // Guards against requests without a valid key that reach an upstream, get another
--- a/internal/instance/entry/retry.go
+++ b/internal/instance/entry/retry.go
@@ -31,6 +31,7 @@
 	noRetryMayHaveRun      = "may-have-run"
 	noRetryBudget          = "retry-budget"
 	noRetryNoOtherUpstream = "no-other-upstream"
+	noRetryKeyWithdrawn    = "key-withdrawn"
 )
 
 // proxy makes the attempts of a request, the first one with the slot c, and writes
@@ -140,6 +141,8 @@
 		return noRetryAttemptLimit
 	case e.ctx.Err() != nil:
 		return noRetryRequestOver
+	case e.checkAccount() != nil:
+		return noRetryKeyWithdrawn
 	case e.st.outOfTime(e.slotReq):
 		return noRetryTooLate
 	case e.body != nil && !e.body.replayable():
