--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -20,6 +20,7 @@
 // outcome is the result of a request as its caller observed it.
 type outcome struct {
 	id           string
+	key          string // of a client account, "" for none
 	idempotent   bool
 	status       int // 0 without a response
 	body         string
@@ -61,7 +62,7 @@
 			// Idle connections are reused until they are closed.
 			transport := &http.Transport{MaxIdleConnsPerHost: 2}
 			defer transport.CloseIdleConnections()
-			caller := &caller{fleet: c.fleet, rng: rng, client: &http.Client{Transport: transport}, region: regions[n%len(regions)]}
+			caller := &caller{fleet: c.fleet, rng: rng, client: &http.Client{Transport: transport}, region: regions[n%len(regions)], key: c.fleet.accounts.key(n)}
 			for k := 0; ctx.Err() == nil; k++ {
 				o := caller.request(ctx, fmt.Sprintf("%d-%d-%d", seed, n, k))
 				c.mu.Lock()
@@ -89,6 +90,7 @@
 	rng       *rand.Rand
 	client    *http.Client
 	region    string
+	key       string
 	addresses []string
 	expires   time.Time
 }
@@ -133,7 +135,7 @@
 // request sends one request. A non-idempotent request is written to at most one
 // connection: the HTTP library retries it only if no byte was written.
 func (c *caller) request(ctx context.Context, id string) outcome {
-	o := outcome{id: id, idempotent: c.rng.IntN(3) == 0, startedAt: time.Now()}
+	o := outcome{id: id, key: c.key, idempotent: c.rng.IntN(3) == 0, startedAt: time.Now()}
 	address := c.address(ctx)
 	if address == "" {
 		o.err = fmt.Errorf("no address")
@@ -165,6 +167,9 @@
 	req.Host = "soak.example"
 	req.Header.Set("Request-Id", o.id)
 	req.Header.Set("Deadline-Ms", "2500")
+	if o.key != "" {
+		req.Header.Set("Authorization", "Bearer "+o.key)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		o.err = err
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -47,6 +47,7 @@
 	maxAttempts  int               // of each route
 	timeout      time.Duration     // of each route; its latency objective is half of it
 	lastUpstream int               // number of the last upstream
+	accounts     testAccounts      // nil for none
 	events       []string
 	started      time.Time
 }
@@ -83,7 +84,13 @@
 	return path, nil
 })
 
+// newFleet starts a fleet without client accounts.
 func newFleet(t *testing.T, seed uint64) *fleet {
+	t.Helper()
+	return newFleetWith(t, seed, nil)
+}
+
+func newFleetWith(t *testing.T, seed uint64, accounts testAccounts) *fleet {
 	t.Helper()
 	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 	if err != nil {
@@ -91,7 +98,7 @@
 	}
 	f := &fleet{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), dir: dir, store: standin.NewStore(),
-		routes: map[string]string{"/read/": "lookups", "/write/": "orders"}, maxAttempts: 2, timeout: routeTimeout, started: time.Now(),
+		routes: map[string]string{"/read/": "lookups", "/write/": "orders"}, maxAttempts: 2, timeout: routeTimeout, accounts: accounts, started: time.Now(),
 	}
 	f.storeServer = httptest.NewServer(f.store)
 	t.Cleanup(f.close)
@@ -156,11 +163,15 @@
 			"priority": 1, "service": service, "maxAttempts": f.maxAttempts,
 		}
 	}
-	value, err := json.Marshal(map[string]any{
+	configuration := map[string]any{
 		"version": f.version, "routes": routes,
 		"services": services,
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
-	})
+	}
+	if f.accounts != nil {
+		configuration["tenants"] = f.accounts.entries()
+	}
+	value, err := json.Marshal(configuration)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -52,7 +52,7 @@
 }
 
 func soak(t *testing.T, seed uint64) {
-	f := newFleet(t, seed)
+	f := newFleetWith(t, seed, twoAccounts())
 	for _, i := range f.instances {
 		f.eventually("ready after the start: "+i.name, func() bool { return i.isReady() })
 	}
@@ -73,6 +73,11 @@
 	f.checkConfiguration()
 	stopCallers()
 	f.checkOutcomes(c.outcomes)
+	keys := make(map[string]string)
+	for n := range c.outcomes {
+		keys[c.outcomes[n].id] = c.outcomes[n].key
+	}
+	f.checkAccounts(keys)
 }
 
 func (i *instance) isReady() bool {
@@ -159,7 +164,7 @@
 	for _, i := range f.instances {
 		status := 0
 		for k := 0; status != http.StatusOK && time.Since(confirmed) < waitTimeout; k++ {
-			o := send(http.DefaultClient, outcome{id: fmt.Sprintf("%s%s-%d", checkPrefix, i.name, k)}, http.MethodGet, "http://"+i.entry+"/added/x", nil)
+			o := send(http.DefaultClient, outcome{id: fmt.Sprintf("%s%s-%d", checkPrefix, i.name, k), key: f.accounts.key(0)}, http.MethodGet, "http://"+i.entry+"/added/x", nil)
 			if status = o.status; status == http.StatusNotFound && time.Since(confirmed) > configTime+slack {
 				f.t.Errorf("%s does not know a route %v after it was written", i.name, time.Since(confirmed))
 				break
