--- a/test/soak/accounts_test.go
+++ b/test/soak/accounts_test.go
@@ -116,7 +116,7 @@
 const revocationTime = 3 * time.Second
 
 // Guards against processes that serve callers without a valid key, refuse a
-// withdrawn key too late, forget while the store is lost that it was withdrawn, or
+// withdrawn key too late, also after a pause, forget while the store is lost that it was withdrawn, or
 // answer about keys before they have a configuration.
 func TestAccountsOfAFleet(t *testing.T) {
 	f := newFleetWith(t, 11, twoAccounts())
@@ -144,6 +144,23 @@
 	}
 	c.awaitStatus("the key of another account", second, http.StatusOK)
 
+	f.logEvent("%s is paused while a key is withdrawn", f.instances[1].name)
+	f.accounts = testAccounts{"sese880": {first}, "sese881": {second}}
+	f.putConfiguration(1)
+	c.awaitStatus("a restored key", first, http.StatusOK)
+	f.instances[1].signal(syscall.SIGSTOP)
+	f.accounts = testAccounts{"sese880": nil, "sese881": {second}}
+	f.putConfiguration(1)
+	wait(t.Context(), revocationTime)
+	f.instances[1].signal(syscall.SIGCONT)
+	resumed := time.Now()
+	c.awaitStatus("a key withdrawn during a pause", first, http.StatusUnauthorized)
+	if d := time.Since(resumed); d > revocationTime+slack {
+		t.Errorf("the key was refused everywhere %v after the pause", d)
+	} else {
+		t.Logf("the key was refused everywhere %v after the pause", d)
+	}
+
 	f.logEvent("the store is lost")
 	f.store.SetFault(standin.ServiceUnavailable)
 	wait(t.Context(), time.Second)
