entry, cli: the reason of a 401 in the log and in explanations

An operator could not tell a missing key from an unknown one without the caller's response. Adds the reason to the line of the request, to explain request and to explain log; it contains no part of the credentials.

Measured: go test -race of internal/cli, internal/instance/entry and platform passes; FuzzItem with a configuration with accounts, 18,715 inputs.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -72,6 +72,9 @@
 	fmt.Fprintf(w, "request=%s instance=%s time=%s service=%s revision=%d route=%q caller=%s\n",
 		e.RequestID, e.Instance, e.Time.Format(time.RFC3339Nano), e.Service, e.Revision, e.Route, e.Caller)
 	fmt.Fprintf(w, "  status=%d kind=%s run=%s queued=%v total=%v", e.Status, e.Kind, e.Run, e.Queued, e.Total)
+	if e.Reason != "" {
+		fmt.Fprintf(w, " reason=%s", e.Reason)
+	}
 	if e.RetryAfter > 0 {
 		fmt.Fprintf(w, " retry_after=%v", e.RetryAfter)
 	}
--- a/internal/cli/explain_log.go
+++ b/internal/cli/explain_log.go
@@ -137,7 +137,7 @@
 	}
 	return &admin.RequestExplanation{
 		RequestID: f["request_id"], Instance: l.instance, Time: l.time.Add(-total), Service: f["service"], Revision: revision,
-		Route: f["route"], Caller: f["caller"], Status: status, Kind: f["kind"], Run: f["run"],
+		Route: f["route"], Caller: f["caller"], Status: status, Kind: f["kind"], Reason: f["reason"], Run: f["run"],
 		Queued: queued, Total: total, Attempts: attempts, RetryAfter: retryAfter,
 	}, nil
 }
--- a/internal/cli/explain_log_test.go
+++ b/internal/cli/explain_log_test.go
@@ -74,3 +74,18 @@
 		t.Error(out.String())
 	}
 }
+
+// Guards against a refusal whose reason, the caller's key, is in the log but not in
+// the explanation.
+func TestExplainLogShowsTheReason(t *testing.T) {
+	const line = `ts=2026-12-04T10:00:04.000Z level=warn event=request_failed instance=i1 reason=unknown-key request_id=r service=s revision=3 route="* /a/*" caller=10.0.0.1 status=401 kind=unauthenticated run=not-run attempts=0 tries= queued=0 total=0.001`
+	l, err := parseLogLine(line)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	printRequestSummary(&out, *l.request)
+	if !strings.Contains(out.String(), "kind=unauthenticated") || !strings.Contains(out.String(), " reason=unknown-key\n") {
+		t.Errorf("%s", out.String())
+	}
+}
--- a/internal/instance/admin/types.go
+++ b/internal/instance/admin/types.go
@@ -14,19 +14,22 @@
 
 // RequestExplanation explains the response to a request.
 type RequestExplanation struct {
-	RequestID string        `json:"request_id"`
-	Instance  string        `json:"instance"`
-	Time      time.Time     `json:"time"`
-	Service   string        `json:"service"`
-	Revision  uint64        `json:"revision"`
-	Route     string        `json:"route"`
-	Caller    string        `json:"caller"`
-	Status    int           `json:"status"`
-	Kind      string        `json:"kind,omitempty"` // error kind; empty for an upstream's response
-	Run       string        `json:"run,omitempty"`  // an errkind.RunState; empty if Kind is empty
-	Queued    time.Duration `json:"queued_ns"`
-	Total     time.Duration `json:"total_ns"`
-	Attempts  []Attempt     `json:"attempts"`
+	RequestID string    `json:"request_id"`
+	Instance  string    `json:"instance"`
+	Time      time.Time `json:"time"`
+	Service   string    `json:"service"`
+	Revision  uint64    `json:"revision"`
+	Route     string    `json:"route"`
+	Caller    string    `json:"caller"`
+	Status    int       `json:"status"`
+	Kind      string    `json:"kind,omitempty"` // error kind; empty for an upstream's response
+	// Reason is why the request was not accepted as one of an account: "no-key",
+	// "malformed-credentials" or "unknown-key". It is empty for other kinds.
+	Reason   string        `json:"reason,omitempty"`
+	Run      string        `json:"run,omitempty"` // an errkind.RunState; empty if Kind is empty
+	Queued   time.Duration `json:"queued_ns"`
+	Total    time.Duration `json:"total_ns"`
+	Attempts []Attempt     `json:"attempts"`
 	// RetryAfter is the time after which a refused caller was told to return, 0 if
 	// it was not.
 	RetryAfter time.Duration `json:"retry_after_ns,omitempty"`
--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -217,6 +217,7 @@
 	w := errorResponse(description.Kind, errorMessage(err))
 	maps.Copy(e.w.Header(), w.header)
 	if description.Kind == errkind.Unauthenticated {
+		e.explanation.Reason = credentialFault(err)
 		e.w.Header().Set("Www-Authenticate", account.Scheme) // RFC 9110, section 15.5.2
 	}
 	if d := errkind.RetryAfterOf(err); d > 0 {
@@ -266,11 +267,15 @@
 	if explanation.Kind != "" || explanation.Status >= http.StatusInternalServerError {
 		level, event = zap.WarnLevel, "request_failed"
 	}
+	reason := zap.Skip()
+	if explanation.Reason != "" {
+		reason = zap.String("reason", explanation.Reason)
+	}
 	retryAfter := zap.Skip()
 	if explanation.RetryAfter > 0 {
 		retryAfter = zap.Duration("retry_after", explanation.RetryAfter)
 	}
-	s.log.Log(level, event, zap.String("request_id", explanation.RequestID), zap.String("service", explanation.Service), zap.Uint64("revision", explanation.Revision),
+	s.log.Log(level, event, reason, zap.String("request_id", explanation.RequestID), zap.String("service", explanation.Service), zap.Uint64("revision", explanation.Revision),
 		zap.String("route", explanation.Route), zap.String("caller", explanation.Caller), zap.Int("status", explanation.Status),
 		zap.String("kind", explanation.Kind), zap.String("run", explanation.Run), zap.Int("attempts", len(explanation.Attempts)),
 		zap.String("tries", admin.FormatAttempts(explanation.Attempts)), zap.Duration("queued", explanation.Queued), zap.Duration("total", explanation.Total), retryAfter)
--- a/internal/instance/entry/identity.go
+++ b/internal/instance/entry/identity.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
+
 	"knapweedreel/internal/account"
 	"knapweedreel/internal/admission"
 	"knapweedreel/internal/errkind"
@@ -100,6 +102,18 @@
 	return err
 }
 
+// credentialFault returns the reason, for explanations, of an error of the kind
+// Unauthenticated.
+func credentialFault(err error) string {
+	switch {
+	case errors.Is(err, account.ErrNoKey):
+		return "no-key"
+	case errors.Is(err, account.ErrMalformed):
+		return "malformed-credentials"
+	}
+	return "unknown-key"
+}
+
 // class returns the urgency of the request. An account without a priority leaves
 // it to the route.
 func (e *exchange) class() admission.Class {
--- a/internal/instance/entry/identity_test.go
+++ b/internal/instance/entry/identity_test.go
@@ -136,7 +136,14 @@
 					resp.Header.Get(errkind.HeaderRun) != string(errkind.NotRun) || resp.Header.Get("Retry-After") != "" || resp.Header.Get("Www-Authenticate") != "Bearer" {
 					t.Errorf("response %q", data)
 				}
-				if x.Revision != 1 || x.Route != "* /write/*" || x.Kind != string(errkind.Unauthenticated) || len(x.Attempts) != 0 {
+				reason := "unknown-key"
+				switch {
+				case !strings.HasPrefix(tc.headers, "Authorization"):
+					reason = "no-key"
+				case strings.Contains(tc.name, "empty") || strings.Contains(tc.name, "scheme") || tc.name == "two headers" || strings.Contains(tc.name, "tab"):
+					reason = "malformed-credentials"
+				}
+				if x.Reason != reason || x.Revision != 1 || x.Route != "* /write/*" || x.Kind != string(errkind.Unauthenticated) || len(x.Attempts) != 0 {
 					t.Errorf("explanation %+v", x)
 				}
 			})
