evidence, follower: messages about tokens of accounts between instances

Requests for tokens and transfers need a way between instances of all regions, while evidence goes to all peers of one region. They travel in sealed datagrams of their own kind on the same socket, to single addresses, and share the sequence numbers and replay windows of evidence. An extension of the evidence message was ruled out, since they would fail to decode it.

A message carries the sender's address: the source address of a datagram may be that of a translating host.

The follower publishes the serving members of all regions if the configuration has accounts. ServingInstances doesn't fit, as it counts one shard of hosts only. Ranking hashes each member once instead of in each comparison, and AllServingMembers ranks once for each shard.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -287,6 +287,43 @@
 	}
 }
 
+// Guards against instances that serve callers but have no share of the accounts'
+// tokens, and the reverse, in fleets with one and several shards.
+func TestAllServingMembersAreThoseThatCallersUse(t *testing.T) {
+	for _, n := range []int{1, 6, 70} {
+		c := New()
+		for _, r := range []string{"south", "north", "west"} {
+			for i := range n {
+				m := memberChange(i, r, 3)
+				c.Apply(&m, epoch)
+			}
+		}
+		for i := range n - n/3 {
+			removal := removed(KindMember, fmt.Sprintf("west-%d", i))
+			c.Apply(&removal, epoch)
+		}
+		d := c.Directory()
+		want := map[string]bool{}
+		var hosts []string
+		for i := range 40 {
+			host := fmt.Sprintf("host-%d.example", i)
+			hosts = append(hosts, host)
+			for _, r := range []string{"south", "north", "west"} {
+				for _, m := range d.Locate(host, r) {
+					want[m.ID] = true
+				}
+			}
+		}
+		got := map[string]bool{}
+		for _, m := range d.AllServingMembers(hosts) {
+			got[m.ID] = true
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%d instances in each region: %s", n, diff)
+		}
+	}
+}
+
 // Guards against callers that are directed to a member that is shutting down,
 // where too few others are left: unlike one whose entry has expired, it will stop
 // listening.
--- a/internal/catalog/locate.go
+++ b/internal/catalog/locate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 
@@ -44,7 +45,12 @@
 // The result depends only on the arguments and the members, so that all instances
 // return the same ones.
 func (d *Directory) Locate(host, region string) []Member {
-	registered := ranked(host, d.registered)
+	return locate(ranked(host, d.registered), ranked(host, d.recentlyRemoved), region)
+}
+
+// locate returns the members for a region from those registered and recently
+// removed, both in order of preference.
+func locate(registered, recentlyRemoved []Member, region string) []Member {
 	regional := inRegion(registered, region)
 	if len(regional) == 0 {
 		regional = registered
@@ -52,7 +58,7 @@
 	width := maxWidth(regional)
 	picked := pickAcrossDomains(largestFirst(regional), width)
 	// Members whose entries were removed may still run while the store is down.
-	for _, m := range inRegion(ranked(host, d.recentlyRemoved), region) {
+	for _, m := range inRegion(recentlyRemoved, region) {
 		if len(picked) >= MinWidth {
 			break
 		}
@@ -120,15 +126,56 @@
 	return all
 }
 
+// AllServingMembers returns the members that serve the callers of any of the hosts
+// in any region, sorted by ID. It ranks the members once for each shard of hosts.
+func (d *Directory) AllServingMembers(hosts []string) []Member {
+	regions := make(map[string]bool)
+	for _, m := range d.registered {
+		regions[m.Region] = true
+	}
+	for _, m := range d.recentlyRemoved {
+		regions[m.Region] = true
+	}
+	shards, removedShards := member.Shards(len(d.registered)), member.Shards(len(d.recentlyRemoved))
+	done := make(map[[2]int]bool)
+	serving := make(map[string]Member)
+	for _, host := range hosts {
+		shard := [2]int{member.ShardOf(host, shards), member.ShardOf(host, removedShards)}
+		if done[shard] {
+			continue
+		}
+		done[shard] = true
+		registered, removed := ranked(host, d.registered), ranked(host, d.recentlyRemoved)
+		for region := range regions {
+			for _, m := range locate(slices.Clone(registered), removed, region) {
+				serving[m.ID] = m
+			}
+		}
+	}
+	return slices.SortedFunc(maps.Values(serving), func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+}
+
 // ranked returns members in order of preference for the callers of a host. All
 // hosts of a shard have the same order: in a small fleet few instances serve all
 // hosts, and a large fleet divides its services among instances.
 func ranked(host string, members []Member) []Member {
 	shard := strconv.Itoa(member.ShardOf(host, member.Shards(len(members))))
-	rank := func(m *Member) uint64 { return xxhash.Sum64String(shard + "\x00" + m.ID) }
-	return slices.SortedFunc(slices.Values(members), func(a, b Member) int {
-		return cmp.Or(cmp.Compare(rank(&a), rank(&b)), cmp.Compare(a.ID, b.ID))
+	type rankedMember struct {
+		rank uint64
+		m    *Member
+	}
+	order := make([]rankedMember, len(members))
+	for i := range members {
+		order[i] = rankedMember{xxhash.Sum64String(shard + "\x00" + members[i].ID), &members[i]}
+	}
+	slices.SortFunc(order, func(a, b rankedMember) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.m.ID, b.m.ID))
 	})
+	sorted := make([]Member, len(members))
+	for i := range order {
+		sorted[i] = *order[i].m
+	}
+	return sorted
 }
 
 // largestFirst moves the members that have at least half the capacity of the
--- a/internal/instance/evidence/evidence.go
+++ b/internal/instance/evidence/evidence.go
@@ -1,6 +1,7 @@
 // Package evidence shares attempts and their outcomes among the instances that
 // serve the same callers, so that all of them detect a faulty upstream as soon
-// as one does.
+// as one does. It also carries requests for tokens of client accounts and
+// transfers between single instances.
 //
 // Each message is a single encrypted UDP datagram, sent only when there are
 // records to share. Datagrams are neither acknowledged nor retransmitted: a
@@ -12,6 +13,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,18 +57,24 @@
 	maxDatagramBytes = 2048
 )
 
-// Config configures an Exchange. All fields are required.
+// Config configures an Exchange. Fields without a default are required.
 type Config struct {
 	Address     string // IP:port of the UDP socket
 	Incarnation uint64 // differs for each run of the process
+	// ReplyTo is the address of the UDP socket for other instances, IP:port.
+	// Default: Address.
+	ReplyTo string
 	// Peers returns the UDP addresses to send to.
 	Peers func() []netip.AddrPort
 	// Keys returns the current encryption and decryption keys.
 	Keys func() Keys
 	// Deliver receives the records of another instance. It must not block.
 	Deliver func(sender uint64, records []Record)
-	Log     *zap.Logger
-	Scope   tally.Scope
+	// DeliverQuota receives the requests for tokens and the transfers of another
+	// instance. It must not block. Nil ignores them.
+	DeliverQuota func(QuotaMessage)
+	Log          *zap.Logger
+	Scope        tally.Scope
 }
 
 // Exchange sends and receives records.
@@ -76,18 +84,23 @@
 	dropped tally.Counter
 	sent    tally.Counter
 	refused tally.Counter
+	quota   quotaSender
 
 	mu       sync.Mutex
 	windows  map[uint64]*replayWindow // by the sender's incarnation
-	sequence uint64
+	sequence atomic.Uint64            // of the latest datagram
 }
 
 // New returns an Exchange. It sends and receives nothing before Run.
 func New(cfg Config) *Exchange {
+	if cfg.ReplyTo == "" {
+		cfg.ReplyTo = cfg.Address
+	}
 	return &Exchange{
 		cfg: cfg, queue: make(chan Record, queueLength), windows: make(map[uint64]*replayWindow),
 		dropped: cfg.Scope.Counter("evidence_dropped"), sent: cfg.Scope.Counter("evidence_datagrams_sent"),
 		refused: cfg.Scope.Counter("evidence_datagrams_refused"),
+		quota:   quotaSender{sent: cfg.Scope.Counter("quota_datagrams_sent"), dropped: cfg.Scope.Counter("quota_datagrams_dropped")},
 	}
 }
 
@@ -107,9 +120,11 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for evidence")
 	}
+	x.quota.open(conn)
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
 		<-ctx.Done()
+		x.quota.open(nil)
 		return conn.Close()
 	})
 	g.Go(func() error { return x.receive(ctx, conn) })
@@ -157,8 +172,7 @@
 	if len(peers) == 0 || key == nil {
 		return
 	}
-	x.sequence++
-	datagram, err := seal(key, &message{Incarnation: x.cfg.Incarnation, Sequence: x.sequence, Records: batch})
+	datagram, err := seal(key, &message{Incarnation: x.cfg.Incarnation, Sequence: x.sequence.Add(1), Records: batch})
 	if err != nil {
 		x.cfg.Log.Error("evidence_not_sealed", zap.Error(err))
 		return
@@ -188,11 +202,15 @@
 	}
 }
 
-// handleDatagram delivers the records of a datagram. It discards datagrams that
+// handleDatagram delivers the content of a datagram. It discards datagrams that
 // cannot be authenticated and those received before.
 func (x *Exchange) handleDatagram(datagram []byte) {
+	if len(datagram) > 0 && datagram[0] == quotaVersion {
+		x.handleQuota(datagram)
+		return
+	}
 	m, err := open(x.cfg.Keys().Open, datagram)
-	if err != nil || !x.isNew(m) {
+	if err != nil || !x.isNew(m.Incarnation, m.Sequence) {
 		x.refused.Inc(1)
 		return
 	}
@@ -203,19 +221,20 @@
 // fleet's key get one.
 const maxSenders = 4096
 
-// isNew reports whether the message was not received before.
-func (x *Exchange) isNew(m *message) bool {
+// isNew reports whether a message with a sender's incarnation and sequence number
+// was not received before.
+func (x *Exchange) isNew(incarnation, sequence uint64) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	w := x.windows[m.Incarnation]
+	w := x.windows[incarnation]
 	if w == nil {
 		if len(x.windows) >= maxSenders {
 			clear(x.windows)
 		}
 		w = new(replayWindow)
-		x.windows[m.Incarnation] = w
+		x.windows[incarnation] = w
 	}
-	return w.accept(m.Sequence)
+	return w.accept(sequence)
 }
 
 // replayWindow records which of a sender's last 64 sequence numbers were
--- a/internal/instance/evidence/seal.go
+++ b/internal/instance/evidence/seal.go
@@ -45,11 +45,17 @@
 	Records     []Record
 }
 
-// version is the first byte of a datagram. It is authenticated but not
-// encrypted.
+// version is the first byte of a datagram with evidence. It is authenticated but
+// not encrypted. An instance ignores datagrams with a first byte that it doesn't
+// know.
 const version = 1
 
 func seal(key cipher.AEAD, m *message) ([]byte, error) {
+	return sealAs(version, key, m)
+}
+
+// sealAs returns a datagram with the given first byte.
+func sealAs(version byte, key cipher.AEAD, m any) ([]byte, error) {
 	plain, err := cbor.Marshal(m)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode")
@@ -60,18 +66,20 @@
 var errNotAuthenticated = errors.New("datagram is not authenticated with a key of this fleet")
 
 func open(keys []cipher.AEAD, datagram []byte) (*message, error) {
+	var m message
+	return &m, openAs(version, keys, datagram, &m)
+}
+
+// openAs decodes a datagram with the given first byte into m.
+func openAs(version byte, keys []cipher.AEAD, datagram []byte, m any) error {
 	if len(datagram) < 1 || datagram[0] != version {
-		return nil, errNotAuthenticated
+		return errNotAuthenticated
 	}
 	plain, ok := Unseal(keys, datagram[1:], datagram[:1])
 	if !ok {
-		return nil, errNotAuthenticated
-	}
-	var m message
-	if err := decMode.Unmarshal(plain, &m); err != nil {
-		return nil, errors.Wrap(err, "decode")
+		return errNotAuthenticated
 	}
-	return &m, nil
+	return errors.Wrap(decMode.Unmarshal(plain, m), "decode")
 }
 
 // Unseal decrypts and authenticates sealed with the first key that fits. It
--- a/internal/instance/follower/follower.go
+++ b/internal/instance/follower/follower.go
@@ -18,6 +18,7 @@
 	"knapweedreel/internal/instance/evidence"
 	"knapweedreel/internal/instance/relay"
 	"knapweedreel/internal/member"
+	"knapweedreel/internal/quota"
 	"knapweedreel/internal/routing"
 	"knapweedreel/internal/store"
 )
@@ -38,19 +39,20 @@
 	source catalog.Source
 	log    *zap.Logger
 
-	events     chan event
-	snapshot   atomic.Pointer[routing.Snapshot]
-	directory  atomic.Pointer[catalog.Directory]
-	peers      atomic.Pointer[[]netip.AddrPort]
-	keys       atomic.Pointer[evidence.Keys]
-	relays     atomic.Pointer[relays]
-	changeLog  *relay.Log
-	usingRelay atomic.Bool // subscribed to a relay that is up to date
-	serves     atomic.Bool // callers are directed to this instance
-	width      chan int
-	ready      chan struct{} // closed once there is a configuration
-	leaving    chan struct{} // closed by Leave
-	promoted   chan struct{} // receives a value when serves becomes true
+	events       chan event
+	snapshot     atomic.Pointer[routing.Snapshot]
+	directory    atomic.Pointer[catalog.Directory]
+	peers        atomic.Pointer[[]netip.AddrPort]
+	keys         atomic.Pointer[evidence.Keys]
+	relays       atomic.Pointer[relays]
+	quotaMembers atomic.Pointer[[]quota.Member]
+	changeLog    *relay.Log
+	usingRelay   atomic.Bool // subscribed to a relay that is up to date
+	serves       atomic.Bool // callers are directed to this instance
+	width        chan int
+	ready        chan struct{} // closed once there is a configuration
+	leaving      chan struct{} // closed by Leave
+	promoted     chan struct{} // receives a value when serves becomes true
 
 	// Owned by the control goroutine.
 	catalog      *catalog.Catalog
@@ -83,6 +85,7 @@
 		catalog: catalog.New(), changeLog: relay.NewLog(),
 	}
 	f.relays.Store(new(relays))
+	f.quotaMembers.Store(new([]quota.Member))
 	f.keys.Store(&evidence.Keys{})
 	f.publish(time.Now())
 	return f
@@ -98,6 +101,10 @@
 // this region.
 func (f *Follower) Peers() []netip.AddrPort { return *f.peers.Load() }
 
+// QuotaMembers returns the instances that serve callers of any region, none if the
+// configuration has no client accounts. The slice is replaced when they change.
+func (f *Follower) QuotaMembers() *[]quota.Member { return f.quotaMembers.Load() }
+
 // Keys returns the fleet's keys for messages between instances.
 func (f *Follower) Keys() evidence.Keys { return *f.keys.Load() }
 
@@ -249,6 +256,7 @@
 		f.directory.Store(d)
 		f.serving = d.ServingInstances()
 		f.publishPeers(d)
+		f.publishQuotaMembers(d)
 		f.publishRelays(d)
 	}
 	snap.ServingInstances = f.serving
--- a/internal/instance/follower/peers.go
+++ b/internal/instance/follower/peers.go
@@ -11,6 +11,7 @@
 
 	"knapweedreel/internal/catalog"
 	"knapweedreel/internal/instance/evidence"
+	"knapweedreel/internal/quota"
 )
 
 // publishPeers publishes the addresses of the other instances that serve callers
@@ -43,6 +44,26 @@
 	}
 }
 
+// publishQuotaMembers publishes the instances that serve callers of any region and
+// share the tokens of client accounts.
+func (f *Follower) publishQuotaMembers(d *catalog.Directory) {
+	members := make([]quota.Member, 0)
+	if f.table != nil && f.catalog.Configuration().Accounts != nil {
+		for _, m := range d.AllServingMembers(f.table.Hosts()) {
+			self := m.ID == f.cfg.Self.ID
+			address, err := netip.ParseAddrPort(m.PeerAddress)
+			if err != nil && !self {
+				f.log.Warn("peer_address_invalid", zap.String("id", m.ID), zap.Error(err))
+				continue
+			}
+			members = append(members, quota.Member{ID: m.ID, Address: address, Remote: m.Region != f.cfg.Self.Region, Self: self})
+		}
+	}
+	if !slices.Equal(members, *f.quotaMembers.Load()) {
+		f.quotaMembers.Store(&members)
+	}
+}
+
 // relays are the instances that read the store for their failure domain.
 type relays struct {
 	primary bool     // this instance reads the store as long as the store serves it
