entry: requests of accounts over their limit are refused with 429

The entry takes a token once for each request, before the queue, and uses it up when the request has its slot. While a request waits, its token still occupies the bucket, so requests that leave a queue together cannot exceed the bound. The token of a request of which nothing was sent is given back. Taking it after the queue was ruled out: a request that waits for a transfer would hold a slot of an upstream.

The request's log line and explanation name the account, its limit and the version.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -75,6 +75,9 @@
 	if e.RetryAfter > 0 {
 		fmt.Fprintf(w, " retry_after=%v", e.RetryAfter)
 	}
+	if e.LimitVersion > 0 {
+		fmt.Fprintf(w, " limit=%g limit_version=%d", e.Limit, e.LimitVersion)
+	}
 	fmt.Fprintln(w)
 }
 
--- a/internal/cli/explain_log.go
+++ b/internal/cli/explain_log.go
@@ -135,10 +135,21 @@
 			return nil, errors.Wrap(err, "retry_after")
 		}
 	}
+	var limit float64
+	var limitVersion uint64
+	if text := f["limit_version"]; text != "" {
+		if limitVersion, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return nil, errors.Wrap(err, "limit_version")
+		}
+		if limit, err = strconv.ParseFloat(f["limit"], 64); err != nil {
+			return nil, errors.Wrap(err, "limit")
+		}
+	}
 	return &admin.RequestExplanation{
 		RequestID: f["request_id"], Instance: l.instance, Time: l.time.Add(-total), Service: f["service"], Revision: revision,
 		Route: f["route"], Caller: f["caller"], Status: status, Kind: f["kind"], Run: f["run"],
 		Queued: queued, Total: total, Attempts: attempts, RetryAfter: retryAfter,
+		Limit: limit, LimitVersion: limitVersion,
 	}, nil
 }
 
--- a/internal/cli/explain_log_test.go
+++ b/internal/cli/explain_log_test.go
@@ -20,6 +20,21 @@
   1.8 i1 ts=2026-12-04T10:00:02.300Z level=info event=request instance=i1 tries=broken status=200
 `
 
+// Guards against a refusal whose reason, the limit of the account, is in the log
+// but not in the explanation.
+func TestExplainLogShowsTheLimit(t *testing.T) {
+	const line = `ts=2026-12-04T10:00:04.000Z level=warn event=request_failed instance=i1 request_id=r service=s revision=3 route="* /a/*" caller=gauges status=429 kind=quota-exceeded run=not-run attempts=0 tries= queued=0 total=0.001 retry_after=0.35 limit=1.5 limit_version=9`
+	l, err := parseLogLine(line)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	printRequestSummary(&out, *l.request)
+	if !strings.Contains(out.String(), " retry_after=350ms limit=1.5 limit_version=9\n") {
+		t.Errorf("%s", out.String())
+	}
+}
+
 // Guards against an explanation of a failed request that omits other attempts at
 // its upstream or what the instance had learned before, or that includes
 // unrelated lines.
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -47,6 +47,7 @@
 	HeaderTooLarge     Kind = "header-too-large"
 	BodyTooLarge       Kind = "body-too-large"
 	BodyLimitExceeded  Kind = "body-limit-exceeded"
+	QuotaExceeded      Kind = "quota-exceeded"
 	QueueFull          Kind = "queue-full"
 	QueueTimeout       Kind = "queue-timeout"
 	DeadlineBeforeSend Kind = "deadline-before-send"
@@ -101,6 +102,7 @@
 	{HeaderTooLarge, http.StatusRequestHeaderFieldsTooLarge, NotRun, 0, "The request header is over the limit."},
 	{BodyTooLarge, http.StatusRequestEntityTooLarge, NotRun, 0, "The announced body is over the route's limit."},
 	{BodyLimitExceeded, http.StatusRequestEntityTooLarge, Unknown, 0, "The body grew over the route's limit after part of it was sent."},
+	{QuotaExceeded, http.StatusTooManyRequests, NotRun, time.Second, "The client account sent more requests than its limit allows."},
 	{QueueFull, http.StatusServiceUnavailable, NotRun, time.Second, "The service's queue is full."},
 	{QueueTimeout, http.StatusServiceUnavailable, NotRun, time.Second, "No slot became free within the queue's timeout."},
 	{DeadlineBeforeSend, http.StatusGatewayTimeout, NotRun, 0, "The deadline passed before the request was sent to an upstream."},
--- a/internal/instance/admin/types.go
+++ b/internal/instance/admin/types.go
@@ -30,6 +30,11 @@
 	// RetryAfter is the time after which a refused caller was told to return, 0 if
 	// it was not.
 	RetryAfter time.Duration `json:"retry_after_ns,omitempty"`
+	// Limit is the limit of the caller's account in requests per second, and
+	// LimitVersion the version of the configuration that has it, if the request was
+	// refused because of it.
+	Limit        float64 `json:"limit,omitempty"`
+	LimitVersion uint64  `json:"limit_version,omitempty"`
 }
 
 // Attempt is one attempt at an upstream.
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -51,6 +51,8 @@
 	// Share, if not nil, sends the state of an attempt to other instances. It
 	// must not block.
 	Share func(evidence.Record)
+	// Quota enables the limits of client accounts.
+	Quota *Quota
 	// Upstreams configures the protocol with upstreams and the connections to
 	// them. If its limits are 0, they are taken from Limits and Times.
 	Upstreams upstream.Config
@@ -66,6 +68,7 @@
 	metrics      *serviceMetrics // of requests without a service
 
 	buffers *bufferPool
+	quota   *quotaGate // nil without Config.Quota
 
 	mu       sync.Mutex
 	services map[string]*serviceState
@@ -108,6 +111,7 @@
 		services:     make(map[string]*serviceState),
 		rand:         cfg.Rand,
 	}
+	s.quota = newQuotaGate(s, cfg.Quota)
 	s.stopping, s.cancelRequests = context.WithCancel(context.Background())
 	s.callers.active = make(map[net.Conn]struct{})
 	s.callers.idle = make(map[net.Conn]time.Time)
--- a/internal/instance/entry/exchange.go
+++ b/internal/instance/entry/exchange.go
@@ -40,6 +40,7 @@
 	// credentials are nil before the request is matched.
 	credentials *credentials
 	account     *account.Account // that was identified, nil for none
+	token       requestToken
 	started     time.Time
 	deadline    time.Time
 	svc         *routing.Service
@@ -136,6 +137,9 @@
 			kind, err = errkind.Unauthenticated, revoked
 		}
 	}
+	if kind == errkind.QuotaExceeded && e.mayHaveRun == nil {
+		return err // has the time after which to return
+	}
 	if errkind.Lookup(kind).Run == errkind.NotRun && e.mayHaveRun != nil {
 		kind = e.kindOf(e.mayHaveRun)
 		err = e.mayHaveRun
--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -85,6 +85,7 @@
 			e.cancel()
 		}
 	}()
+	defer e.settleToken()
 	c, err := s.admit(e)
 	if err != nil {
 		return err
@@ -149,7 +150,7 @@
 		caller: e.caller, credentials: e.credentials, class: e.class(), route: routeName(e.route), idempotent: e.route.Idempotent, deadline: e.deadline,
 		priority: e.route.Priority, started: e.started, repeatable: e.route.Idempotent && e.body == nil && e.retryLimit() > 0, objective: milliseconds(e.route.ObjectiveMS), bodyBytes: e.r.ContentLength,
 	}
-	return e.acquire()
+	return e.acquireWithToken()
 }
 
 // isReassigned reports whether the route of the request no longer leads to the
@@ -270,8 +271,12 @@
 	if explanation.RetryAfter > 0 {
 		retryAfter = zap.Duration("retry_after", explanation.RetryAfter)
 	}
+	limit, limitVersion := zap.Skip(), zap.Skip()
+	if explanation.LimitVersion > 0 {
+		limit, limitVersion = zap.Float64("limit", explanation.Limit), zap.Uint64("limit_version", explanation.LimitVersion)
+	}
 	s.log.Log(level, event, zap.String("request_id", explanation.RequestID), zap.String("service", explanation.Service), zap.Uint64("revision", explanation.Revision),
 		zap.String("route", explanation.Route), zap.String("caller", explanation.Caller), zap.Int("status", explanation.Status),
 		zap.String("kind", explanation.Kind), zap.String("run", explanation.Run), zap.Int("attempts", len(explanation.Attempts)),
-		zap.String("tries", admin.FormatAttempts(explanation.Attempts)), zap.Duration("queued", explanation.Queued), zap.Duration("total", explanation.Total), retryAfter)
+		zap.String("tries", admin.FormatAttempts(explanation.Attempts)), zap.Duration("queued", explanation.Queued), zap.Duration("total", explanation.Total), retryAfter, limit, limitVersion)
 }
--- a/internal/instance/entry/run.go
+++ b/internal/instance/entry/run.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,7 +40,12 @@
 	tidyCtx, stopTidying := context.WithCancel(ctx)
 	go func() {
 		defer close(tidied)
+		var exchange sync.WaitGroup
+		if s.quota != nil {
+			exchange.Go(func() { s.quota.run(tidyCtx) })
+		}
 		s.tidy(tidyCtx)
+		exchange.Wait()
 	}()
 	defer func() {
 		stopTidying()
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -171,6 +171,30 @@
 	}
 }
 
+// Unsent gives back the token of a request that used it up by Sent, but of which
+// nothing was sent.
+func (l *Limiter) Unsent(account string, t Token, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.buckets[account]
+	if b == nil {
+		return
+	}
+	l.sync(b, now)
+	if t.run == b.run {
+		b.held += t.own
+		b.giveBack(&l.cfg, t, now)
+	}
+}
+
+// Lacking reports whether an account lacks tokens, so that Requests should be
+// called soon.
+func (l *Limiter) Lacking() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.short) > 0
+}
+
 // bucket returns the refilled bucket of an account, creating it if necessary.
 func (l *Limiter) bucket(account string, limit Limit, version uint64, now time.Duration) *bucket {
 	b := l.buckets[account]
@@ -266,3 +290,10 @@
 	defer l.mu.Unlock()
 	return len(l.buckets)
 }
+
+// Members returns the number of instances that serve callers.
+func (l *Limiter) Members() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.ring.members)
+}
