settings: tolerances of the limits of accounts, and quotas on the platform

An overage or slack of 0 is sound and kept; a renderer that omits sections for 0 would turn it into the default.

Instances on a platform enforce the limits of accounts and exchange tokens over the evidence socket.

--- a/internal/instance/onplatform.go
+++ b/internal/instance/onplatform.go
@@ -22,6 +22,7 @@
 	"knapweedreel/internal/instance/follower"
 	"knapweedreel/internal/instance/relay"
 	"knapweedreel/internal/placement"
+	"knapweedreel/internal/quota"
 	"knapweedreel/internal/settings"
 	"knapweedreel/internal/supervisor"
 	"knapweedreel/internal/telemetry"
@@ -109,8 +110,10 @@
 	}, p.Source)
 	c.evidence = evidence.New(evidence.Config{
 		Address: s.PeerListenAddress, Incarnation: rand.Uint64(), Peers: c.follower.Peers, Keys: c.follower.Keys,
-		Deliver: func(sender uint64, records []evidence.Record) { c.entry.ApplyEvidence(sender, records) },
-		Log:     log, Scope: c.metrics.Scope,
+		ReplyTo:      s.PeerAddress,
+		Deliver:      func(sender uint64, records []evidence.Record) { c.entry.ApplyEvidence(sender, records) },
+		DeliverQuota: func(m evidence.QuotaMessage) { c.entry.ApplyQuota(m) },
+		Log:          log, Scope: c.metrics.Scope,
 	})
 	c.relay = &relay.Server{
 		Address: s.PeerListenAddress, ChangeLog: c.follower.ChangeLog(), Keys: c.follower.Keys, Logger: log, Scope: c.metrics.Scope,
@@ -120,6 +123,7 @@
 	limits.CallerConnections = min(limits.CallerConnections, s.Platform.Descriptors/2)
 	c.entry = entry.New(entry.Config{
 		Instance: s.Instance, Address: s.EntryAddress, Limits: limits, Times: s.Times, Log: log, Scope: c.metrics.Scope,
+		Quota:     c.quotaConfig(),
 		Placement: placementConfig(s.Platform), Share: c.evidence.Share,
 		Upstreams: upstream.Config{Protocol: p.Protocol, Dial: newDialer(s.Times).DialContext},
 	}, c.follower)
@@ -149,6 +153,14 @@
 	}
 }
 
+func (c *platformComponents) quotaConfig() *entry.Quota {
+	p := c.settings.Platform
+	return &entry.Quota{
+		Limiter: quota.Config{Window: p.QuotaWindowTime(), Overage: *p.QuotaOverage, Slack: *p.QuotaSlack, Seed: rand.Uint64()},
+		Members: c.follower.QuotaMembers, Send: c.evidence.SendQuota,
+	}
+}
+
 // unacknowledgedTimeout is the time without an acknowledgment of sent bytes after
 // which a connection to an upstream counts as lost.
 const unacknowledgedTimeout = 2 * time.Second
--- a/internal/settings/normalize.go
+++ b/internal/settings/normalize.go
@@ -21,6 +21,9 @@
 	DefaultDescriptors         = 4_096
 	DefaultRetryShare          = 0.1
 	DefaultRetryReserve        = 10
+	DefaultQuotaWindow         = "5s"
+	DefaultQuotaOverage        = 0.1
+	DefaultQuotaSlack          = 20
 
 	// drainMarginMS is the default of DrainMS minus KeepMS: a caller whose cached
 	// address has just expired needs time to resolve it again.
@@ -46,6 +49,10 @@
 	setDefault(&p.Descriptors, DefaultDescriptors)
 	setDefault(&p.RetryShare, DefaultRetryShare)
 	setDefault(&p.RetryReserve, DefaultRetryReserve)
+	setDefault(&p.QuotaWindow, DefaultQuotaWindow)
+	// 0 is a sound value here.
+	setDefault(&p.QuotaOverage, new(float64(DefaultQuotaOverage)))
+	setDefault(&p.QuotaSlack, new(float64(DefaultQuotaSlack)))
 }
 
 func (l *Limits) normalize() {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -75,12 +75,26 @@
 	// RetryReserve is the number of requests that the fleet may send to a second
 	// upstream at once beyond RetryShare. Default 10.
 	RetryReserve int `json:"retry_reserve"`
+	// QuotaWindow, QuotaOverage and QuotaSlack are the tolerances of the limits of
+	// client accounts: in each window, a number with the unit "ms" or "s", an
+	// account's requests are at most (rate × window + burst) × (1 + overage) + slack.
+	// Defaults 5s, 0.1 and 20.
+	QuotaWindow  string   `json:"quota_window"`
+	QuotaOverage *float64 `json:"quota_overage"`
+	QuotaSlack   *float64 `json:"quota_slack"`
 	// StopTime is the time from SIGTERM until the process is killed, a number with
 	// the unit "ms" or "s". Requests in flight may complete until shortly before. If
 	// it is set, it replaces times.stop_limit_ms. Default none.
 	StopTime string `json:"stop_time"`
 }
 
+// QuotaWindowTime returns QuotaWindow, of which validation has rejected unsound
+// values.
+func (p *Platform) QuotaWindowTime() time.Duration {
+	d, _ := time.ParseDuration(p.QuotaWindow)
+	return d
+}
+
 // stopMargin is the time at the end of StopTime for the last responses and the
 // process's exit.
 const stopMargin = 450 * time.Millisecond
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -20,6 +20,11 @@
 	minMemoryMB     = 32
 	minLinkMbps     = 0.1
 	minDescriptors  = 64
+	maxQuotaOverage = 10
+
+	// Tokens move between instances within fractions of a second.
+	minQuotaWindow = time.Second
+	maxQuotaWindow = time.Hour
 )
 
 // Validate returns the problems of normalized settings. They contain the path of
@@ -78,6 +83,15 @@
 	jsonc.CheckRange(p, "platform.descriptors", platform.Descriptors, minDescriptors, 10*maxConnections)
 	jsonc.CheckRange(p, "platform.retry_share", platform.RetryShare, 0, 1)
 	jsonc.CheckRange(p, "platform.retry_reserve", platform.RetryReserve, 0, maxConnections)
+	if d, err := time.ParseDuration(platform.QuotaWindow); err != nil || d < minQuotaWindow || d > maxQuotaWindow {
+		p.Add("platform.quota_window", "is %q, must be a number with the unit ms or s, %v to %v", platform.QuotaWindow, minQuotaWindow, maxQuotaWindow)
+	}
+	if v := platform.QuotaOverage; v != nil {
+		jsonc.CheckRange(p, "platform.quota_overage", *v, 0, maxQuotaOverage)
+	}
+	if v := platform.QuotaSlack; v != nil {
+		jsonc.CheckRange(p, "platform.quota_slack", *v, 0, maxConnections)
+	}
 	if platform.StopTime != "" {
 		if d, err := time.ParseDuration(platform.StopTime); err != nil || d <= 0 {
 			p.Add("platform.stop_time", "is %q, must be a number with the unit ms or s", platform.StopTime)
