--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -48,6 +48,7 @@
 	timeout      time.Duration     // of each route; its latency objective is half of it
 	lastUpstream int               // number of the last upstream
 	accounts     testAccounts      // nil for none
+	limits       map[string]limit  // of accounts
 	events       []string
 	started      time.Time
 }
@@ -169,7 +170,11 @@
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
 	}
 	if f.accounts != nil {
-		configuration["tenants"] = f.accounts.entries()
+		entries := f.accounts.entries()
+		for name, limit := range f.limits {
+			entries[name].(map[string]any)["ratePerS"], entries[name].(map[string]any)["burst"] = limit.rate, limit.burst
+		}
+		configuration["tenants"] = entries
 	}
 	value, err := json.Marshal(configuration)
 	if err != nil {
