--- a/internal/instance/follower/follower_test.go
+++ b/internal/instance/follower/follower_test.go
@@ -30,7 +30,7 @@
 
 const (
 	configuration = `{"version":%VERSION%,"routes":{"r":{"host":"a.example","prefix":"/a/","kind":"safe","timeout":"1s","service":"s"}},"services":{"s":{}}}`
-	registration  = `{"address":"10.0.0.1:80","born":7,"info":{"service":"s","zone":"z1","slots":6},"status":{"state":"ready"}}`
+	registration  = `{"address":"10.0.0.1:80","born":7,"info":{"service":"s","version":"v1","zone":"z1","slots":6},"status":{"state":"ready","sequence":1,"warmupLeft":"0ms"}}`
 )
 
 func putConfiguration(s *standin.Store, version string) {
--- a/test/soak/odd_test.go
+++ b/test/soak/odd_test.go
@@ -20,8 +20,10 @@
 		entry(address, "1e400", status), entry(address, "9223372036854775807", status), entry(address, "1000000000", status),
 		entry(address, "-6", status), entry(`"127.0.0.1:0"`, "6", status), entry(`"127.0.0.1:70000"`, "6", status),
 		entry(`"[fe80::1%x]:80"`, "6", status), entry(`["127.0.0.1:1"]`, "6", status),
-		entry(address, "6", `{"state":"ready","sequence":1e999}`), entry(address, "6", `{"state":"ready","sequence":1,"warmupLeft":"NaNs"}`),
-		entry(address, "6", `{"state":"resting","sequence":1}`), `{"address":` + strings.Repeat("9", 1<<20) + `}`,
+		entry(address, "6", `{"state":"ready","sequence":1e999,"warmupLeft":"0ms"}`), entry(address, "6", `{"state":"ready","sequence":1,"warmupLeft":"NaNs"}`),
+		entry(address, "6", `{"state":"resting","sequence":1,"warmupLeft":"0ms"}`),
+		entry(address, "6", `{"state":"ready","sequence":1}`), entry(address, "6", `{"state":"ready","warmupLeft":"0ms"}`),
+		`{"address":` + strings.Repeat("9", 1<<20) + `}`,
 	}
 }
 
@@ -44,7 +46,7 @@
 			f.store.Put(fmt.Sprint("fleet/members/odd-", n), []byte(text))
 		}
 		f.store.Put("servers/", []byte(oddEntries()[7]))
-		f.store.Put("servers/a\r\nX: y", []byte(`{"address":"127.0.0.1:1","born":7,"info":{"service":"orders","version":"v1","zone":"south-1","slots":6},"status":{"state":"ready","sequence":1}}`))
+		f.store.Put("servers/a\r\nX: y", []byte(`{"address":"127.0.0.1:1","born":7,"info":{"service":"orders","version":"v1","zone":"south-1","slots":6},"status":{"state":"ready","sequence":1,"warmupLeft":"0ms"}}`))
 		wait(t.Context(), 700*time.Millisecond)
 	}
 	f.store.Compact() // the complete content is read again
