placement: a pause that an upstream asked for outlives its entry

The time was also bound to a start only through the latest choice, so that a late refusal of one start applied to the next one.

Ruled out: keeping the whole state of absent upstreams for ten minutes, as departures are kept. Its evidence is of no use after seconds, and upstreams that are replaced often would fill the memory.

Change: pauses are kept by placement.Incarnation, the ID and the start of an upstream, apart from its other state, and are dropped when they end (after 10 minutes at most, upstream.maxBackoff). A pause can't be looked up for another start. Fleets without a placer keep their times by ID: their documents have no starts.

--- a/internal/instance/entry/outcome.go
+++ b/internal/instance/entry/outcome.go
@@ -46,7 +46,7 @@
 	id := a.choice.upstream.ID
 	switch {
 	case a.refused == upstream.Shed, a.trace.UnverifiedRefusal, a.trace.Backoff > 0:
-		if a.st.markFull(id, a.trace.Backoff) && a.trace.Backoff > 0 {
+		if a.st.markFull(&a.choice.upstream, a.trace.Backoff) && a.trace.Backoff > 0 {
 			a.s.log.Info("upstream_backoff", zap.String("id", id), zap.String("service", a.st.name),
 				zap.Duration("backoff", a.trace.Backoff), zap.String("request_id", a.e.id))
 		}
--- a/internal/instance/entry/placer.go
+++ b/internal/instance/entry/placer.go
@@ -122,7 +122,7 @@
 	p.prunePeerAttempts(now)
 	p.tracker.Forget(func(id string) bool {
 		return svc != nil && slices.ContainsFunc(svc.Upstreams, func(u routing.Upstream) bool { return u.ID == id })
-	})
+	}, now)
 }
 
 // pickByCost chooses the upstream with the lowest expected cost. st.mu is held.
@@ -221,7 +221,7 @@
 		if u.State != health.InService || st.hasAnnouncedLeaving(u) {
 			continue
 		}
-		at := slices.MaxFunc([]time.Time{now, st.avoidUntil[u.ID], st.placer.tracker.RefusedUntil(u.ID, now)}, time.Time.Compare)
+		at := slices.MaxFunc([]time.Time{now, st.avoidUntil[u.ID], st.placer.tracker.RefusedUntil(incarnationOf(u))}, time.Time.Compare)
 		if first.IsZero() || at.Before(first) {
 			first = at
 		}
@@ -319,18 +319,24 @@
 	st.placer.tracker.SetLoad(a.choice.upstream.ID, load.Running+load.Waiting, time.Now())
 }
 
+// incarnationOf returns the start of an upstream to which an attempt was sent, or
+// that is in the snapshot.
+func incarnationOf(u *routing.Upstream) placement.Incarnation {
+	return placement.Incarnation{ID: u.ID, Number: u.Incarnation}
+}
+
 // markFull keeps new requests away from an upstream that has no free slot, for at
-// least the backoff that it asks for. It reports whether the upstream took
-// requests before.
-func (st *serviceState) markFull(id string, backoff time.Duration) bool {
+// least the backoff that it asks for, until it restarts. It reports whether the
+// upstream took requests before.
+func (st *serviceState) markFull(u *routing.Upstream, backoff time.Duration) bool {
 	if st.placer == nil {
-		st.avoidFor(id, max(avoidAfterShed, backoff))
+		st.avoidFor(u.ID, max(avoidAfterShed, backoff))
 		return true
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	now := time.Now()
-	first := !now.Before(st.placer.tracker.RefusedUntil(id, now))
-	st.placer.tracker.RecordRefusal(id, backoff, now)
+	first := !now.Before(st.placer.tracker.RefusedUntil(incarnationOf(u)))
+	st.placer.tracker.RecordRefusal(incarnationOf(u), backoff, now)
 	return first
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -159,11 +159,8 @@
 			continue
 		}
 		s := t.upstreamState(c.ID, now)
-		if s.incarnation != c.Incarnation {
-			s.incarnation, s.refusedUntil = c.Incarnation, time.Time{}
-		}
 		load := s.load(now)
-		if !s.hasCapacity(c, load, now) {
+		if t.pauses.isActive(Incarnation{c.ID, c.Incarnation}, now) || !s.hasCapacity(c, load) {
 			continue
 		}
 		failure := s.failureProbability(&t.model, now)
@@ -222,8 +219,8 @@
 	return s.inFlight + peers
 }
 
-func (s *upstreamState) hasCapacity(c *Candidate, load int, now time.Time) bool {
-	if now.Before(s.refusedUntil) || s.inFlight >= max(1, c.Connections) {
+func (s *upstreamState) hasCapacity(c *Candidate, load int) bool {
+	if s.inFlight >= max(1, c.Connections) {
 		return false
 	}
 	return load < c.Slots+int(math.Ceil(overcommit*float64(c.Slots)))
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -122,7 +122,7 @@
 		tr.Start("a", times, atMS(0))
 	}
 	tr = NewTracker(DefaultModel())
-	tr.RecordRefusal("a", 0, atMS(0))
+	tr.RecordRefusal(Incarnation{ID: "a"}, 0, atMS(0))
 	if _, ok := tr.Choose(c, nil, Request{}, atMS(100)); ok {
 		t.Error("an upstream that has just refused a request is chosen")
 	}
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -11,6 +11,7 @@
 	model            Model
 	priorFailure     float64 // failure probability without any evidence
 	upstreams        map[string]*upstreamState
+	pauses           pauses
 	times            map[string]*ResponseTimes // by route
 	firstSeen        time.Time                 // when the first upstream was seen
 	failing          bool                      // a notable share of requests fails, see isFailing
@@ -25,19 +26,17 @@
 // upstreamState holds what a Tracker knows about one upstream.
 type upstreamState struct {
 	filter
-	firstSeen    time.Time // when it was first a candidate
-	tried        bool      // received a request from this instance
-	lastStart    time.Time // start of the latest attempt of any instance
-	inFlight     int       // requests of this instance
-	peerLoad     int       // requests of other instances, as last reported
-	peerLoadAt   time.Time // when peerLoad was reported
-	refusedUntil time.Time // gets no requests until then
-	incarnation  int64     // when it was last a candidate
+	firstSeen  time.Time // when it was first a candidate
+	tried      bool      // received a request from this instance
+	lastStart  time.Time // start of the latest attempt of any instance
+	inFlight   int       // requests of this instance
+	peerLoad   int       // requests of other instances, as last reported
+	peerLoadAt time.Time // when peerLoad was reported
 }
 
 // NewTracker returns a tracker without upstreams.
 func NewTracker(m Model) *Tracker {
-	t := &Tracker{model: m, upstreams: make(map[string]*upstreamState), times: make(map[string]*ResponseTimes)}
+	t := &Tracker{model: m, upstreams: make(map[string]*upstreamState), pauses: make(pauses), times: make(map[string]*ResponseTimes)}
 	t.priorFailure = t.model.failureProbability(t.model.prior())
 	return t
 }
@@ -144,28 +143,10 @@
 	s.peerLoadAt = now
 }
 
-// refusalBackoff is the minimum time for which an upstream gets no requests after
-// it has refused one.
-const refusalBackoff = 150 * time.Millisecond
-
-// RecordRefusal records that an upstream has refused a request for lack of
-// capacity, and for how long it wants no others, 0 if it hasn't said so.
-func (t *Tracker) RecordRefusal(id string, backoff time.Duration, now time.Time) {
-	s := t.upstreamState(id, now)
-	if until := now.Add(max(backoff, refusalBackoff)); until.After(s.refusedUntil) {
-		s.refusedUntil = until
-	}
-}
-
-// RefusedUntil returns the time before which the upstream gets no requests because
-// it has refused one. It may be in the past.
-func (t *Tracker) RefusedUntil(id string, now time.Time) time.Time {
-	return t.upstreamState(id, now).refusedUntil
-}
-
 // Forget drops the upstreams for which keep returns false and which have no
-// request in flight.
-func (t *Tracker) Forget(keep func(id string) bool) {
+// request in flight. Their pauses stay until they end.
+func (t *Tracker) Forget(keep func(id string) bool, now time.Time) {
+	t.pauses.dropEnded(now)
 	for id, s := range t.upstreams {
 		if s.inFlight == 0 && !keep(id) {
 			delete(t.upstreams, id)
