upstream: a failed write no longer turns a reset into a complete response

Cause: the operating system reports a reset once, to the first call that sees it. When an upstream responds to an upload at once and without a length, sends part of its response and resets the connection, a Write of the upload can be that call. The Read of the response then returns io.EOF, as at an orderly end, and the caller got the part as a complete response. The status of a response was checked downwards only (below 200).

Ruled out: refusing responses without a length while the upload is still being written, since a response that ends in order is complete; taking every end of a stream with a failed Write as truncation, since a Write also fails (EPIPE) when the upstream resets the connection after it has ended its response in order.

Change: the connection keeps the error of a Write, except EPIPE, and Read returns it in place of io.EOF. While a Write is in progress, TCP_INFO tells whether the connection is closed; only then Read waits for that Write.

--- a/internal/instance/entry/upstream/attempt.go
+++ b/internal/instance/entry/upstream/attempt.go
@@ -177,6 +177,9 @@
 	return false
 }
 
+// maxStatus is the highest status that HTTP defines a class for.
+const maxStatus = 599
+
 // checkResponse rejects a response that cannot be forwarded as the complete
 // response to the request, and sets Refused for a refusal.
 func (x *exchange) checkResponse(resp *Response) error {
@@ -186,7 +189,7 @@
 	if echoed && (len(echo) != 1 || echo[0] != id) {
 		return errkind.New(errkind.CrossedAnswer, "the response belongs to request %q", echo)
 	}
-	if resp.StatusCode < http.StatusOK {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
 		return errkind.New(errkind.BadAnswer, "unexpected status %d", resp.StatusCode)
 	}
 	if !x.pool.protocol.Unframed && !framed(x.attempt.Request, resp.Response) {
--- a/internal/instance/entry/upstream/conn.go
+++ b/internal/instance/entry/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -34,6 +35,8 @@
 	mu            sync.Mutex
 	written       int64         // bytes accepted by the operating system
 	writing       bool          // a Write is in progress
+	writeEnded    chan struct{} // closed when the Write in progress ends, nil if nobody waits for that
+	broken        error         // error of a Write that the peer's orderly end does not cause, nil for none
 	writesStopped bool          // further Writes fail
 	received      int64         // bytes received
 	readEnded     bool          // a Read failed or returned EOF
@@ -56,6 +59,7 @@
 	c.mu.Lock()
 	c.writing = false
 	c.written += int64(n)
+	c.recordWriteErrorLocked(err)
 	c.mu.Unlock()
 	if err != nil {
 		c.waitDone()
@@ -92,6 +96,9 @@
 	}
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
+	if err == io.EOF {
+		err = c.endOfStream()
+	}
 	c.mu.Lock()
 	c.reading = false
 	c.received += int64(n)
