--- /dev/null
+++ b/internal/admission/demand.go
@@ -0,0 +1,143 @@
+package admission
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// demandMemory is the time constant with which past requests are forgotten. It
+	// is a few times the work of a request, so that a class of a few requests a
+	// second doesn't seem idle between two of them, and short enough to follow a
+	// burst.
+	demandMemory = 2 * time.Second
+	// demandRecent is the time since its latest request for which a class counts as
+	// in use.
+	demandRecent = 5 * time.Second
+)
+
+// Demand estimates the recent demand of each class: the mean number of slots that
+// its requests need, which is their rate times their work. The zero value is ready
+// for use.
+type Demand struct {
+	classes []classDemand // by urgency
+	routes  map[string]*routeDemand
+}
+
+type classDemand struct {
+	Class
+	own, all average
+	last     time.Time // latest request
+}
+
+// routeDemand is the recent demand of a route by class. It tells the classes of
+// requests that other instances have reported without them.
+type routeDemand struct {
+	classes []classDemand
+	last    time.Time
+}
+
+// average is an exponentially decaying average.
+type average struct {
+	value float64
+	at    time.Time
+}
+
+func (a *average) decayed(now time.Time) float64 {
+	return a.value * math.Exp(-max(0, now.Sub(a.at)).Seconds()/demandMemory.Seconds())
+}
+
+func (a *average) add(amount float64, now time.Time) {
+	a.value, a.at = a.decayed(now)+amount/demandMemory.Seconds(), now
+}
+
+func find(classes []classDemand, k Class) (int, bool) {
+	return slices.BinarySearchFunc(classes, k, func(d classDemand, k Class) int { return d.Compare(k) })
+}
+
+func at(classes *[]classDemand, k Class) *classDemand {
+	i, ok := find(*classes, k)
+	if !ok {
+		*classes = slices.Insert(*classes, i, classDemand{Class: k})
+	}
+	return &(*classes)[i]
+}
+
+// Add records an attempt of this instance.
+func (d *Demand) Add(k Class, route string, work time.Duration, now time.Time) {
+	c := at(&d.classes, k)
+	c.own.add(work.Seconds(), now)
+	c.all.add(work.Seconds(), now)
+	c.last = now
+	r := d.routes[route]
+	if r == nil {
+		if d.routes == nil {
+			d.routes = make(map[string]*routeDemand)
+		}
+		r = new(routeDemand)
+		d.routes[route] = r
+	}
+	r.last = now
+	at(&r.classes, k).own.add(1, now)
+}
+
+// AddPeer records an attempt of another instance that serves the same callers. Its
+// class is assumed to be distributed as for this instance's requests of the route.
+// Without any, it is not counted.
+func (d *Demand) AddPeer(route string, work time.Duration, now time.Time) {
+	r := d.routes[route]
+	if r == nil {
+		return
+	}
+	total := 0.0
+	for i := range r.classes {
+		total += r.classes[i].own.decayed(now)
+	}
+	if total <= 0 {
+		return
+	}
+	for i := range r.classes {
+		share := r.classes[i].own.decayed(now) / total
+		c := at(&d.classes, r.classes[i].Class)
+		c.all.add(share*work.Seconds(), now)
+		c.last = now
+	}
+}
+
+// Urgent is the demand of the classes that are more urgent than some class, as the
+// mean number of slots.
+type Urgent struct {
+	Own  float64 // of this instance
+	All  float64 // of this instance and those that share their attempts with it
+	Seen bool    // there was a request recently
+}
+
+// UrgentThan returns the demand of the classes that are more urgent than k.
+func (d *Demand) UrgentThan(k Class, now time.Time) Urgent {
+	var u Urgent
+	for i := range d.classes {
+		c := &d.classes[i]
+		if c.Compare(k) >= 0 {
+			break
+		}
+		if now.Sub(c.last) > demandRecent {
+			continue
+		}
+		u.Seen = true
+		u.Own += c.own.decayed(now)
+		u.All += c.all.decayed(now)
+	}
+	return u
+}
+
+// Prune forgets classes and routes without recent requests.
+func (d *Demand) Prune(now time.Time) {
+	old := func(c classDemand) bool { return now.Sub(c.last) > demandRecent }
+	d.classes = slices.DeleteFunc(d.classes, old)
+	for name, r := range d.routes {
+		if now.Sub(r.last) > 12*demandRecent {
+			delete(d.routes, name)
+		}
+	}
+}
