entry, admission, placement: waiting by class, refusal at once, slots kept free

Cause: the expected wait of a request was the number of waiting requests divided by the slots of the whole service, although all serving instances share them, so that requests waited until they were late although that was known. A wait lasted until the mean response would just meet the objective, which half of the responses exceed, and could outlast the deadline. Retries and hedges passed more urgent requests that waited. The queue held 64 requests, 16 of a caller, whatever time they had.

Ruled out: a longer queue alone, which makes more responses late; the Deadline-Ms of the caller as a sign of how long it has been trying, since a caller may also choose a shorter deadline.

Change: the placer path uses admission.Queue, Decide and Demand. The expected wait counts the work ahead by class, what is known to wait at upstreams, the recent demand of more urgent classes and the minimum share, against this instance's part of the slots without what hangs. Retry-After follows from the same state. Less urgent requests leave slots to more urgent ones; a less urgent hedge or retry doesn't pass an urgent request that waits. The end of a peer's attempt dispatches the queue. The other path keeps its turns, queue length and timeouts in RoundRobin, with two differences: an urgent request of a caller passes its own less urgent ones, and retries wait in the order of their arrival. Requests carry an admission.Class.

--- a/internal/admission/decide.go
+++ b/internal/admission/decide.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Request describes a request that finds no free slot.
 type Request struct {
@@ -17,8 +20,8 @@
 	// Running is the number of requests of this instance that the service runs at a
 	// time, without those that hang.
 	Running float64
-	// Urgent is how many of them are of more urgent classes, on average.
-	Urgent float64
+	// Urgent is the demand of the more urgent classes.
+	Urgent Urgent
 	// AtUpstreams is the time until upstreams have begun what is known to wait there.
 	AtUpstreams time.Duration
 	// Response is the mean response time of the route. Slow is one that one response
@@ -48,11 +51,6 @@
 	Refused  Reason        // None if it may wait
 }
 
-// maxUrgentShare is the largest share of the slots that more urgent requests are
-// expected to take. The rest is what the minimum share of the other classes leaves
-// them at least.
-const maxUrgentShare = 1 - 1.0/minimumShareDivisor
-
 // Decide returns whether a request may wait for a slot, and for how long.
 //
 // A first attempt that can still meet the latency objective waits only as long as
@@ -68,6 +66,7 @@
 	} else if left <= 0 {
 		left = r.Arrived.Add(r.Objective).Sub(now) - s.Response
 	}
+	left = min(left, r.Deadline.Sub(now)-s.Slow)
 	d := Decision{Expected: s.expectedWait()}
 	switch {
 	case left <= 0:
@@ -82,20 +81,31 @@
 	return d
 }
 
-// expectedWait returns the expected time until a slot is free for the request.
+// expectedWait returns the expected time until a slot is free for the request: until
+// those ahead have got theirs while more urgent ones keep arriving, or, if that is
+// sooner, until the minimum share of the class has served those of the class.
 func (s *State) expectedWait() time.Duration {
-	return s.AtUpstreams + time.Duration(float64(s.Ahead.Work)/s.available())
+	minimum, rest := s.available()
+	wait := math.Min(float64(s.Ahead.Work)/max(minimum, rest), float64(s.Ahead.Same)/minimum)
+	return s.AtUpstreams + time.Duration(wait)
 }
 
 // Interval returns the mean time between two slots that become free for requests
 // of the class.
 func (s *State) Interval() time.Duration {
-	return time.Duration(float64(s.Response) / s.available())
+	minimum, rest := s.available()
+	return time.Duration(float64(s.Response) / max(minimum, rest))
+}
+
+// Position returns the number of slots that become free for the class before one is
+// free for the request.
+func (s *State) Position() int {
+	return int(math.Ceil(float64(s.expectedWait()) / float64(max(1, s.Interval()))))
 }
 
-// available returns the number of requests of the class and of those ahead that the
-// service runs at a time, if as many more urgent ones arrive as did recently.
-func (s *State) available() float64 {
+// available returns the number of requests of the class that the service runs at a
+// time: by its minimum share, and if it gets what the more urgent classes leave.
+func (s *State) available() (minimum, rest float64) {
 	running := max(1, s.Running)
-	return running - min(s.Urgent, maxUrgentShare*running)
+	return running / float64(minimumShareDivisor*(s.Urgent.Classes+1)), running - s.Urgent.Own
 }
--- a/internal/admission/decide_test.go
+++ b/internal/admission/decide_test.go
@@ -10,7 +10,7 @@
 
 func stateOf(running, urgent float64, ahead int, each time.Duration) State {
 	return State{
-		Ahead: Ahead{Requests: ahead, Work: time.Duration(ahead) * each}, Running: running, Urgent: urgent,
+		Ahead: Ahead{Requests: ahead, Work: time.Duration(ahead) * each, Same: time.Duration(ahead) * each}, Running: running, Urgent: Urgent{Own: urgent, Classes: 1},
 		Response: 600 * time.Millisecond, Slow: 750 * time.Millisecond,
 	}
 }
@@ -32,7 +32,9 @@
 	}{
 		"urgent requests pass":               {roster, stateOf(20, 10, 40, 600*time.Millisecond), None, 3250 * time.Millisecond},
 		"too many urgent requests pass":      {roster, stateOf(20, 15, 40, 600*time.Millisecond), TooManyAhead, 0},
-		"a minimum share is left":            {roster, stateOf(20, 200, 20, 600*time.Millisecond), None, 3250 * time.Millisecond},
+		"a minimum share is left":            {roster, stateOf(20, 200, 13, 600*time.Millisecond), None, 3250 * time.Millisecond},
+		"not more than it":                   {roster, stateOf(20, 200, 14, 600*time.Millisecond), TooManyAhead, 0},
+		"the deadline is nearer":             {Request{Arrived: epoch, Objective: 4 * time.Second, Deadline: epoch.Add(2 * time.Second)}, stateOf(20, 0, 10, 600*time.Millisecond), None, 1250 * time.Millisecond},
 		"short objective":                    {short, stateOf(20, 0, 14, 600*time.Millisecond), None, 450 * time.Millisecond},
 		"short objective, too many ahead":    {short, stateOf(20, 0, 16, 600*time.Millisecond), TooManyAhead, 0},
 		"short work ahead":                   {short, stateOf(20, 0, 16, 96*time.Millisecond), None, 450 * time.Millisecond},
@@ -68,6 +70,19 @@
 	}
 }
 
+// Guards against refusing a class all of whose requests are behind many urgent ones:
+// it gets its minimum share all the same, and would have no demand otherwise.
+func TestMinimumShareShortensTheWait(t *testing.T) {
+	s := stateOf(24, 24, 100, 600*time.Millisecond)
+	s.Ahead.Same = 5 * 600 * time.Millisecond
+	if got := Decide(roster, s, epoch); got.Refused != None || got.Expected != time.Second {
+		t.Errorf("%+v, want a wait of 5 requests at an eighth of 24 slots", got)
+	}
+	if got := s.Position(); got != 5 {
+		t.Errorf("position %d", got)
+	}
+}
+
 // Guards against a return that is told as if urgent requests took no slots.
 func TestInterval(t *testing.T) {
 	s := stateOf(20, 10, 0, 0)
@@ -90,7 +105,7 @@
 		d.AddPeer("unknown", time.Second, now)
 	}
 	u := d.UrgentThan(other, now)
-	if u.Own < 9 || u.Own > 10.2 || u.All < 18 || u.All > 20.4 || !u.Seen {
+	if u.Own < 9 || u.Own > 10.2 || u.All < 18 || u.All > 20.4 || u.Classes != 1 {
 		t.Errorf("demand %+v, want 9.6 and 19.2 slots", u)
 	}
 	if u := d.UrgentThan(urgent, now); u != (Urgent{}) {
--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -108,9 +108,9 @@
 // Urgent is the demand of the classes that are more urgent than some class, as the
 // mean number of slots.
 type Urgent struct {
-	Own  float64 // of this instance
-	All  float64 // of this instance and those that share their attempts with it
-	Seen bool    // there was a request recently
+	Own     float64 // of this instance
+	All     float64 // of this instance and those that share their attempts with it
+	Classes int     // classes with a recent request
 }
 
 // UrgentThan returns the demand of the classes that are more urgent than k.
@@ -124,7 +124,7 @@
 		if now.Sub(c.last) > demandRecent {
 			continue
 		}
-		u.Seen = true
+		u.Classes++
 		u.Own += c.own.decayed(now)
 		u.All += c.all.decayed(now)
 	}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -269,6 +269,7 @@
 type Ahead struct {
 	Requests int
 	Work     time.Duration
+	Same     time.Duration // the part of Work that is of the same class
 }
 
 // AheadOf estimates what is served before a new first attempt of an account: all
@@ -303,7 +304,8 @@
 		}
 		n := min(c.waiting, c.retries.Len()+(own+1)*flows)
 		ahead.Requests += n
-		ahead.Work += c.work * time.Duration(n) / time.Duration(c.waiting)
+		ahead.Same = c.work * time.Duration(n) / time.Duration(c.waiting)
+		ahead.Work += ahead.Same
 	}
 	return ahead
 }
--- a/internal/instance/entry/admission.go
+++ b/internal/instance/entry/admission.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"knapweedreel/internal/admission"
 	"knapweedreel/internal/document"
 	"knapweedreel/internal/errkind"
 	"knapweedreel/internal/routing"
@@ -29,9 +30,12 @@
 		st.mu.Unlock()
 		return choice{}, err
 	}
-	if st.queue.length == 0 || req.retry {
-		if c, ok := st.pick(snap, svc, req, time.Now()); ok {
-			c = st.take(c, req, time.Now())
+	now := time.Now()
+	st.countDemand(req, now)
+	if st.mayPass(req) {
+		if c, ok := st.pick(snap, svc, req, now); ok {
+			c = st.take(c, req, now)
+			st.queue.Charge(req.class, req.caller, st.work(req), now)
 			st.mu.Unlock()
 			return c, nil
 		}
@@ -39,26 +43,26 @@
 	timeout := queueTimeout(svc.Document)
 	if st.placer != nil {
 		var err error
-		if timeout, err = st.placer.maxQueueWait(st, svc, req, time.Now()); err != nil {
+		if timeout, err = st.maxQueueWait(snap, svc, req, now); err != nil {
 			st.mu.Unlock()
 			return choice{}, err
 		}
 	}
-	w := &waiter{req: req, grant: make(chan choice, 1), until: time.Now().Add(timeout)}
-	if req.retry {
-		st.queue.pushFront(w)
-	} else if st.queue.admits(req.caller, queueLength(svc.Document)) {
-		st.queue.push(w)
+	w := &waiter{req: req, grant: make(chan choice, 1), until: now.Add(timeout)}
+	it := st.newItem(w)
+	if req.retry || st.hasRoom(req, svc.Document) {
+		st.queue.Push(it, now)
 	} else {
 		st.mu.Unlock()
 		return choice{}, errkind.New(errkind.QueueFull, "the queue of service %s is full for caller %s", st.name, req.caller)
 	}
 	st.dispatchLocked()
 	st.mu.Unlock()
-	return st.wait(ctx, w, timeout)
+	return st.wait(ctx, it, timeout)
 }
 
-// tryAcquire takes a slot if one is free, without waiting.
+// tryAcquire takes a slot if one is free, without waiting. With a placer, more
+// urgent requests that wait go first.
 func (st *serviceState) tryAcquire(req *slotRequest) (choice, bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -66,10 +70,15 @@
 	if err != nil {
 		return choice{}, false
 	}
+	if st.placer != nil && st.queue.Urgent(req.class) {
+		return choice{}, false
+	}
 	now := time.Now()
 	c, ok := st.pick(snap, svc, req, now)
 	if ok {
+		st.countDemand(req, now)
 		c = st.take(c, req, now)
+		st.queue.Charge(req.class, req.caller, st.work(req), now)
 	}
 	return c, ok
 }
@@ -98,7 +107,8 @@
 }
 
 // wait blocks until the request gets a slot, the timeout passes or ctx is done.
-func (st *serviceState) wait(ctx context.Context, w *waiter, timeout time.Duration) (choice, error) {
+func (st *serviceState) wait(ctx context.Context, it *admission.Item[*waiter], timeout time.Duration) (choice, error) {
+	w := it.Value
 	t := time.NewTimer(timeout)
 	defer t.Stop()
 	var err error
@@ -111,7 +121,7 @@
 		err = errkind.Wrap(errkind.DeadlineBeforeSend, ctx.Err(), "wait for a slot of service %s", st.name)
 	}
 	st.mu.Lock()
-	waiting := st.queue.remove(w)
+	waiting := st.queue.Remove(it, time.Now())
 	st.mu.Unlock()
 	if waiting {
 		return choice{}, err
@@ -120,50 +130,58 @@
 	return c, c.err
 }
 
-// dispatchLocked assigns free slots to waiting requests, round-robin by caller.
+// dispatchLocked assigns free slots to waiting requests in the order of the queue.
 // st.mu is held.
 func (st *serviceState) dispatchLocked() {
-	if st.queue.length == 0 {
+	if st.queue.Len() == 0 {
 		return
 	}
 	now := time.Now()
-	noFreeSlot := map[bool]bool{} // for first attempts, by idempotence
 	earliest := now
 	if svc := st.control.Snapshot().Services[st.name]; st.placer != nil && svc != nil {
 		earliest = st.earliest(svc, now)
 	}
-	st.queue.sortTurns()
-	for i := 0; i < len(st.queue.turns); {
-		caller := st.queue.turns[i]
-		w := st.queue.byCaller[caller][0]
+	pass := st.queue.Pass()
+	for it, due := pass.Next(); it != nil; it, due = pass.Next() {
+		w := it.Value
 		if err := st.turnedAwayUntil(earliest, w.until, now); err != nil {
-			st.queue.remove(w)
+			st.queue.Remove(it, now)
 			w.grant <- choice{err: err}
 			continue
 		}
-		first := !w.req.retry
-		if first && noFreeSlot[w.req.idempotent] {
-			i++
+		c, ok := st.decide(w, due, now)
+		switch {
+		case !ok:
+			st.skip(pass, it, due, now)
 			continue
+		case c.err != nil:
+			st.queue.Remove(it, now)
+		default:
+			st.queue.Serve(it, now)
 		}
-		c, ok := st.decide(w, now)
-		if !ok {
-			if first {
-				noFreeSlot[w.req.idempotent] = true
-			}
-			i++
-			continue
-		}
-		st.queue.remove(w)
-		st.queue.endTurn(caller)
 		w.grant <- c
 	}
 	st.scheduleLocked()
 }
 
+// skip leaves out a request that has to keep waiting, and those that would not get
+// a slot either. Each retry has upstreams of its own that it avoids.
+func (st *serviceState) skip(pass *admission.Pass[*waiter], it *admission.Item[*waiter], due bool, now time.Time) {
+	switch {
+	case it.Retry:
+		pass.Skip(it)
+	case st.placer == nil:
+		pass.SkipKind(it.Kind)
+	case due, st.placer.mayWait(it.Value.req, now):
+		pass.SkipLevel(it) // less urgent requests may find a slot
+	default:
+		pass.SkipFrom(it.Class)
+	}
+}
+
 // decide returns a slot for a waiting request or an error that ends its wait,
 // and false if the request has to keep waiting.
-func (st *serviceState) decide(w *waiter, now time.Time) (choice, bool) {
+func (st *serviceState) decide(w *waiter, due bool, now time.Time) (choice, bool) {
 	snap, svc, err := st.current(w.req)
 	if err != nil {
 		return choice{err: err}, true
@@ -172,7 +190,13 @@
 		// The response would miss the deadline and waste the slot.
 		return choice{err: errkind.New(errkind.DeadlineBeforeSend, "the deadline leaves less than the %v that route %s usually takes", need, w.req.route)}, true
 	}
-	c, ok := st.pick(snap, svc, w.req, now)
+	var c choice
+	var ok bool
+	if st.placer != nil {
+		c, ok = st.pickByCost(snap, svc, w.req, due, now)
+	} else {
+		c, ok = st.pick(snap, svc, w.req, now)
+	}
 	if ok {
 		c = st.take(c, w.req, now)
 	}
@@ -181,7 +205,7 @@
 
 // scheduleLocked starts the timer for the next dispatch if requests are waiting.
 func (st *serviceState) scheduleLocked() {
-	if st.queue.length == 0 || st.recheck != nil {
+	if st.queue.Len() == 0 || st.recheck != nil {
 		return
 	}
 	interval := recheckInterval
--- a/internal/instance/entry/admission_test.go
+++ b/internal/instance/entry/admission_test.go
@@ -53,7 +53,7 @@
 		eventually(t, "request in the queue", func() bool {
 			st.mu.Lock()
 			defer st.mu.Unlock()
-			return st.queue.length == queued
+			return st.queue.Len() == queued
 		})
 	}
 	for _, caller := range []string{"a", "a", "b", "b", "c", "c", "d", "d"} {
@@ -98,8 +98,8 @@
 	if _, err := st.acquire(t.Context(), testSlotRequest("x")); err != nil {
 		t.Error(err)
 	}
-	if st.queue.length != 0 || len(st.queue.turns) != 0 {
-		t.Errorf("queue %+v", st.queue)
+	if st.queue.Len() != 0 || len(st.queue.Classes()) != 0 {
+		t.Errorf("queue %+v", st.queue.Classes())
 	}
 }
 
--- a/internal/instance/entry/drain_test.go
+++ b/internal/instance/entry/drain_test.go
@@ -222,7 +222,7 @@
 		st := s.service("svc")
 		st.mu.Lock()
 		defer st.mu.Unlock()
-		return st.queue.length == 1 && s.Requests() == 3
+		return st.queue.Len() == 1 && s.Requests() == 3
 	})
 	if err := awaitResult(t, drainAsync(t.Context(), s)); !errors.Is(err, errDrainLimit) {
 		t.Errorf("error %v", err)
--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"knapweedreel/internal/admission"
 	"knapweedreel/internal/errkind"
 	"knapweedreel/internal/instance/admin"
 )
@@ -146,7 +147,7 @@
 	e.st.requestArrived()
 	e.slotReq = &slotRequest{
 		caller: e.caller, route: routeName(e.route), idempotent: e.route.Idempotent, deadline: e.deadline,
-		priority: e.route.Priority, started: e.started, repeatable: e.route.Idempotent && e.body == nil && e.retryLimit() > 0, objective: milliseconds(e.route.ObjectiveMS), bodyBytes: e.r.ContentLength,
+		class: admission.Class{Route: e.route.Priority}, started: e.started, repeatable: e.route.Idempotent && e.body == nil && e.retryLimit() > 0, objective: milliseconds(e.route.ObjectiveMS), bodyBytes: e.r.ContentLength,
 	}
 	return e.acquire()
 }
--- a/internal/instance/entry/metrics_test.go
+++ b/internal/instance/entry/metrics_test.go
@@ -30,7 +30,7 @@
 	name := testDocument().Service
 	st := s.service(name)
 	st.inFlight["u1"] = 1
-	st.queue.push(&waiter{req: &slotRequest{caller: "c"}})
+	st.queue.Push(st.newItem(&waiter{req: &slotRequest{caller: "c"}}), time.Now())
 	s.tidyOnce(control.snap, time.Now())
 	for gauge, want := range map[string]float64{"requests_waiting": 1, "requests_in_flight": 1, "region_slots": 1} {
 		g := scope.Snapshot().Gauges()[gauge+"+service="+name]
--- a/internal/instance/entry/pick.go
+++ b/internal/instance/entry/pick.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"knapweedreel/internal/admission"
 	"knapweedreel/internal/health"
 	"knapweedreel/internal/routing"
 )
@@ -27,7 +28,7 @@
 	retry      bool     // not the first attempt
 	repeatable bool     // idempotent, and may be retried
 
-	priority  int           // 0 is served first
+	class     admission.Class
 	started   time.Time     // when the request arrived
 	objective time.Duration // latency objective of the route
 	bodyBytes int64         // size of the request body, -1 if unknown
@@ -106,7 +107,7 @@
 // pick chooses an upstream with a free slot. st.mu is held.
 func (st *serviceState) pick(snap *routing.Snapshot, svc *routing.Service, req *slotRequest, now time.Time) (choice, bool) {
 	if st.placer != nil {
-		return st.pickByCost(snap, svc, req, now)
+		return st.pickByCost(snap, svc, req, false, now)
 	}
 	if c, ok := st.pickProbation(svc, req, now); ok {
 		return c, true
--- a/internal/instance/entry/placer.go
+++ b/internal/instance/entry/placer.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"knapweedreel/internal/admission"
 	"knapweedreel/internal/errkind"
 	"knapweedreel/internal/health"
 	"knapweedreel/internal/instance/evidence"
@@ -59,6 +60,9 @@
 	responseKB map[string]float64    // mean size of successful responses in KiB, by route
 	returns    placement.Returns     // of callers whose requests were refused
 	candidates []placement.Candidate // of the latest choice; reused to avoid allocations
+	demand     admission.Demand      // of the instances that serve the same callers
+	usable     placement.Usable      // as of usableAt
+	usableAt   time.Time
 }
 
 // trackedAttempt is an attempt with its state in the tracker.
@@ -120,13 +124,14 @@
 // removed.
 func (p *placer) prune(svc *routing.Service, now time.Time) {
 	p.prunePeerAttempts(now)
+	p.demand.Prune(now)
 	p.tracker.Forget(func(id string) bool {
 		return svc != nil && slices.ContainsFunc(svc.Upstreams, func(u routing.Upstream) bool { return u.ID == id })
 	})
 }
 
-// pickByCost chooses the upstream with the lowest expected cost. st.mu is held.
-func (st *serviceState) pickByCost(snap *routing.Snapshot, svc *routing.Service, req *slotRequest, now time.Time) (choice, bool) {
+// listCandidates returns the upstreams as candidates for a request. st.mu is held.
+func (st *serviceState) listCandidates(snap *routing.Snapshot, svc *routing.Service, req *slotRequest) []placement.Candidate {
 	p := st.placer
 	cands := p.candidates[:0]
 	for i := range svc.Upstreams {
@@ -137,12 +142,21 @@
 		})
 	}
 	p.candidates = cands
+	return cands
+}
+
+// pickByCost chooses the upstream with the lowest expected cost. due is set for a
+// request that is due for its minimum share. st.mu is held.
+func (st *serviceState) pickByCost(snap *routing.Snapshot, svc *routing.Service, req *slotRequest, due bool, now time.Time) (choice, bool) {
+	p := st.placer
+	cands := st.listCandidates(snap, svc, req)
 	allTried := st.triedAll(svc, req)
 	c, ok := p.tracker.Choose(cands, func(id string) bool {
 		return st.avoided(id, now) || !allTried && slices.Contains(req.tried, id) || st.unreachable[id] && st.inFlight[id] > 0
 	}, placement.Request{
-		MayWait:    now.Before(req.started.Add(p.times(req).MaxWait())),
+		MayWait:    p.mayWait(req, now),
 		Repeatable: req.repeatable && !req.retry && st.retryBudget.tokens >= 1,
+		Headroom:   p.headroom(req.class, due, now),
 	}, now)
 	if !ok {
 		return choice{}, false
@@ -150,6 +164,11 @@
 	return choice{upstream: svc.Upstreams[c.Index], home: true, tracked: trackedAttempt{fails: c.FailureProbability, load: c.Load}}, true
 }
 
+// mayWait reports whether a request may wait for a better upstream.
+func (p *placer) mayWait(req *slotRequest, now time.Time) bool {
+	return now.Before(req.started.Add(p.times(req).MaxWait()))
+}
+
 // transferCost returns the additional cost of an upstream outside this
 // instance's failure domain.
 func (p *placer) transferCost(snap *routing.Snapshot, u *routing.Upstream, req *slotRequest) float64 {
@@ -186,31 +205,6 @@
 	st.placer.responseKB[route] = old + responseSizeGain*(float64(bytes)/1024-old)
 }
 
-// maxQueueWait returns how long a request may wait for a slot. It returns an
-// error if the queue is so long that the response would miss the latency
-// objective, or the deadline if the request is a retry or can no longer meet
-// the objective. st.mu is held.
-func (p *placer) maxQueueWait(st *serviceState, svc *routing.Service, req *slotRequest, now time.Time) (time.Duration, error) {
-	times := p.times(req)
-	left := req.started.Add(req.objective).Sub(now) - times.Mean()
-	if untilDeadline := req.deadline.Sub(now) - times.AtDeviations(1); req.retry || left <= 0 {
-		left = untilDeadline
-	}
-	ahead := st.queue.ahead(req.priority)
-	slots := 0
-	for i := range svc.Upstreams {
-		slots += svc.Upstreams[i].Slots
-	}
-	expected := time.Duration(float64(ahead) / float64(max(1, slots)) * float64(times.Mean()))
-	if left <= 0 || expected > left {
-		return 0, errkind.New(errkind.QueueFull, "%d requests are queued for service %s, an estimated wait of %v with %v left", ahead, st.name, expected, left)
-	}
-	if err := st.turnedAwayUntil(st.earliest(svc, now), now.Add(left), now); err != nil {
-		return 0, err
-	}
-	return left, nil
-}
-
 // earliest returns the time from which some upstream of the service takes
 // requests again, as far as known: now, unless all have asked for none. st.mu is
 // held.
@@ -232,42 +226,6 @@
 	return first
 }
 
-// returnDelay returns how long the caller of a refused request should wait before
-// it sends the request again, 0 if that is not known.
-func (st *serviceState) returnDelay(req *slotRequest) time.Duration {
-	if st.placer == nil {
-		return 0
-	}
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	snap, now := st.control.Snapshot(), time.Now()
-	svc := snap.Services[st.name]
-	if svc == nil || !st.usable(svc, req) {
-		return 0
-	}
-	times := st.placer.times(req)
-	return st.placer.returns.Schedule(placement.Refused{
-		Priority: req.priority, Ahead: st.queue.ahead(req.priority), Earliest: st.earliest(svc, now),
-		Interval: times.Mean() / time.Duration(st.concurrency(snap, svc)), Latest: req.deadline.Add(-times.Mean()),
-	}, now)
-}
-
-// concurrency returns the number of requests of this instance that the service
-// runs at a time: those in flight or, if that is more, its part of the slots. st.mu
-// is held.
-func (st *serviceState) concurrency(snap *routing.Snapshot, svc *routing.Service) int {
-	inFlight, slots := 0, 0
-	for _, n := range st.inFlight {
-		inFlight += n
-	}
-	for i := range svc.Upstreams {
-		if u := &svc.Upstreams[i]; !st.hasAnnouncedLeaving(u) {
-			slots += u.Slots
-		}
-	}
-	return max(1, inFlight, slots/max(1, snap.ServingInstances))
-}
-
 // turnedAwayUntil returns an error if no upstream takes requests before the time
 // until which a request can wait.
 func (st *serviceState) turnedAwayUntil(earliest, until, now time.Time) error {
--- a/internal/instance/entry/placer_test.go
+++ b/internal/instance/entry/placer_test.go
@@ -5,12 +5,12 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"knapweedreel/internal/admission"
 	"knapweedreel/internal/document"
 	"knapweedreel/internal/errkind"
 	"knapweedreel/internal/health"
@@ -263,18 +263,26 @@
 	t.Logf("outcomes %v, slowest refusal %v", kinds, slowest)
 }
 
-// Guards against requests that are queued behind ones of lower priority.
+// Guards against requests that are queued behind ones of lower priority, with and
+// without a placer.
 func TestQueueServesByPriority(t *testing.T) {
-	var q fairQueue
-	for i, caller := range []string{"a", "b", "c"} {
-		q.push(&waiter{req: &slotRequest{caller: caller, priority: 2 - i}})
-	}
-	q.sortTurns()
-	if got := strings.Join(q.turns, ""); got != "cba" {
-		t.Errorf("turns %s", got)
-	}
-	if n := q.ahead(1); n != 2 {
-		t.Errorf("%d requests are ahead of one of priority 1", n)
+	for _, placer := range []bool{false, true} {
+		st := &serviceState{queue: newRequestQueue(placer)}
+		for i, caller := range []string{"a", "b", "c"} {
+			st.queue.Push(st.newItem(&waiter{req: &slotRequest{caller: caller, class: admission.Class{Route: 2 - i}}}), time.Now())
+		}
+		if n := st.queue.AheadOf(admission.Class{Route: 1}, "d").Requests; n != 2 {
+			t.Errorf("%d requests are ahead of one of priority 1", n)
+		}
+		got := ""
+		for st.queue.Len() > 0 {
+			it, _ := st.queue.Pass().Next()
+			got += it.Account
+			st.queue.Serve(it, time.Now())
+		}
+		if got != "cba" {
+			t.Errorf("served in the order %s", got)
+		}
 	}
 }
 
--- a/internal/instance/entry/queue.go
+++ b/internal/instance/entry/queue.go
@@ -1,9 +1,10 @@
 package entry
 
 import (
-	"cmp"
-	"slices"
 	"time"
+
+	"knapweedreel/internal/admission"
+	"knapweedreel/internal/document"
 )
 
 // waiter is a queued request.
@@ -13,95 +14,64 @@
 	until time.Time   // end of the wait
 }
 
-// fairQueue holds the waiting requests of a service. It is round-robin across
-// callers and FIFO within a caller.
-type fairQueue struct {
-	byCaller map[string][]*waiter
-	turns    []string // callers with waiting requests, next one first
-	length   int
-}
-
-// callerQuotaDivisor limits each caller to 1/callerQuotaDivisor of the maximum
-// queue length, but to no less than one request.
-const callerQuotaDivisor = 4
+// requestQueue holds the waiting requests of a service.
+type requestQueue = admission.Queue[*waiter]
 
-// admits reports whether another request of caller may wait in a queue of the
-// given maximum length.
-func (q *fairQueue) admits(caller string, length int) bool {
-	return q.length < length && len(q.byCaller[caller]) < max(1, length/callerQuotaDivisor)
-}
-
-// push adds w after the other requests of its caller.
-func (q *fairQueue) push(w *waiter) {
-	c := w.req.caller
-	if len(q.byCaller[c]) == 0 {
-		q.turns = append(q.turns, c)
+// newRequestQueue returns the queue of a service. With a placer, callers of the
+// same class share by recent service, otherwise in turn.
+func newRequestQueue(placer bool) *requestQueue {
+	if placer {
+		return admission.NewQueue[*waiter](admission.LeastService)
 	}
-	q.add(c, append(q.byCaller[c], w))
+	return admission.NewQueue[*waiter](admission.RoundRobin)
 }
 
-// pushFront adds w ahead of all others. It is used for retries, which have held
-// a slot before.
-func (q *fairQueue) pushFront(w *waiter) {
-	c := w.req.caller
-	if i := slices.Index(q.turns, c); i >= 0 {
-		q.turns = slices.Delete(q.turns, i, i+1)
-	}
-	q.turns = slices.Insert(q.turns, 0, c)
-	q.add(c, slices.Insert(q.byCaller[c], 0, w))
-}
+// Kinds of waiting requests. An upstream in probation takes idempotent ones only.
+const (
+	kindNonIdempotent admission.Kind = iota
+	kindIdempotent
+)
 
-func (q *fairQueue) add(caller string, waiting []*waiter) {
-	if q.byCaller == nil {
-		q.byCaller = make(map[string][]*waiter)
+// newItem returns a request as an item of the queue.
+func (st *serviceState) newItem(w *waiter) *admission.Item[*waiter] {
+	it := &admission.Item[*waiter]{Value: w, Class: w.req.class, Account: w.req.caller, Kind: kindNonIdempotent, Retry: w.req.retry, Work: st.work(w.req)}
+	if w.req.idempotent {
+		it.Kind = kindIdempotent
 	}
-	q.byCaller[caller] = waiting
-	q.length++
+	return it
 }
 
-// remove removes w and reports whether it was queued.
-func (q *fairQueue) remove(w *waiter) bool {
-	c := w.req.caller
-	i := slices.Index(q.byCaller[c], w)
-	if i < 0 {
-		return false
-	}
-	q.byCaller[c] = slices.Delete(q.byCaller[c], i, i+1)
-	q.length--
-	if len(q.byCaller[c]) == 0 {
-		delete(q.byCaller, c)
-		if t := slices.Index(q.turns, c); t >= 0 {
-			q.turns = slices.Delete(q.turns, t, t+1)
-		}
+// work returns the expected service of a request.
+func (st *serviceState) work(req *slotRequest) time.Duration {
+	if st.placer == nil {
+		return time.Second // only the turns matter
 	}
-	return true
+	return st.placer.times(req).Mean()
 }
 
-// ahead returns the number of waiting requests that are served before a new one
-// of the given priority.
-func (q *fairQueue) ahead(priority int) int {
-	n := 0
-	for _, waiting := range q.byCaller {
-		for _, w := range waiting {
-			if w.req.priority <= priority {
-				n++
-			}
-		}
-	}
-	return n
-}
+const (
+	// callerQuotaDivisor limits each caller to 1/callerQuotaDivisor of the maximum
+	// queue length, but to no less than one request.
+	callerQuotaDivisor = 4
+	// maxPlacerQueue bounds the memory for the waiting requests of a service with a
+	// placer. Their number is usually limited by their expected wait.
+	maxPlacerQueue = 4096
+)
 
-// sortTurns orders callers by the priority of their next request, lowest number
-// first. Callers of equal priority keep their order.
-func (q *fairQueue) sortTurns() {
-	slices.SortStableFunc(q.turns, func(a, b string) int {
-		return cmp.Compare(q.byCaller[a][0].req.priority, q.byCaller[b][0].req.priority)
-	})
+// hasRoom reports whether a request may be added to the queue.
+func (st *serviceState) hasRoom(req *slotRequest, doc *document.Document) bool {
+	if st.placer != nil {
+		return st.queue.Len() < maxPlacerQueue
+	}
+	length := queueLength(doc)
+	return st.queue.Len() < length && st.queue.Waiting(req.caller) < max(1, length/callerQuotaDivisor)
 }
 
-// endTurn moves caller to the end of the turns.
-func (q *fairQueue) endTurn(caller string) {
-	if i := slices.Index(q.turns, caller); i >= 0 {
-		q.turns = append(slices.Delete(q.turns, i, i+1), caller)
+// mayPass reports whether a request may take a free slot before the waiting ones. A
+// retry may, unless a more urgent request waits.
+func (st *serviceState) mayPass(req *slotRequest) bool {
+	if st.queue.Len() == 0 {
+		return true
 	}
+	return req.retry && (st.placer == nil || !st.queue.Urgent(req.class))
 }
--- a/internal/instance/entry/reassign_test.go
+++ b/internal/instance/entry/reassign_test.go
@@ -102,7 +102,7 @@
 		st := r.server.service(service)
 		st.mu.Lock()
 		defer st.mu.Unlock()
-		return st.queue.length == n
+		return st.queue.Len() == n
 	})
 }
 
--- a/internal/instance/entry/service.go
+++ b/internal/instance/entry/service.go
@@ -29,7 +29,7 @@
 	departures    map[string]departure     // by upstream; announced in a response
 	failures      map[string]failureStreak // by upstream
 	borrow        borrowPause
-	queue         fairQueue
+	queue         *requestQueue
 	recheck       *time.Timer // runs while requests are queued
 	retryBudget   tokenBucket
 	refusalBudget tokenBucket
@@ -60,6 +60,7 @@
 			probeBudget:   newTokenBucket(probeShare, 0, 1),
 			latencies:     make(map[string]*latencyEstimate),
 			placer:        newPlacer(name, s.cfg),
+			queue:         newRequestQueue(s.cfg.Placement != nil),
 		}
 		if p := s.cfg.Placement; p != nil {
 			// One budget covers all retries.
@@ -196,7 +197,7 @@
 			}
 		}
 	}
-	st.metrics.waiting.Update(float64(st.queue.length))
+	st.metrics.waiting.Update(float64(st.queue.Len()))
 	st.metrics.inFlight.Update(float64(inFlight))
 	st.metrics.slots.Update(float64(slots))
 }
--- a/internal/instance/entry/sharing.go
+++ b/internal/instance/entry/sharing.go
@@ -46,6 +46,7 @@
 		times := p.tracker.ResponseTimes(r.Route, milliseconds(int(r.ExpectedMS)))
 		started := r.Started(now)
 		known = peerAttempt{r.Upstream, p.tracker.PeerStart(r.Upstream, times, started, now), started}
+		p.demand.AddPeer(r.Route, times.Mean(), now)
 	}
 	if r.Outcome == placement.Pending {
 		p.peerAttempts[key] = known
@@ -59,6 +60,7 @@
 // by its incarnation. Records of unknown services and upstreams are ignored.
 func (s *Server) ApplyEvidence(incarnation uint64, records []evidence.Record) {
 	snap, now := s.control.Snapshot(), time.Now()
+	var ended []*serviceState // with a slot that has become free
 	for i := range records {
 		r := &records[i]
 		svc := snap.Services[r.Service]
@@ -73,9 +75,17 @@
 		st.mu.Lock()
 		if st.placer != nil {
 			st.placer.applyPeerRecord(incarnation, r, now)
+			if r.Outcome != placement.Pending && !slices.Contains(ended, st) {
+				ended = append(ended, st)
+			}
 		}
 		st.mu.Unlock()
 	}
+	for _, st := range ended {
+		st.mu.Lock()
+		st.dispatchLocked()
+		st.mu.Unlock()
+	}
 }
 
 // prunePeerAttempts drops attempts of other instances whose end was never
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -97,8 +97,12 @@
 	if base == 0 {
 		base = total[1]
 	}
-	share := min(maxReserveShare, reserveFactor*h.Slots/float64(max(1, base)))
-	return [2]int{int(math.Ceil(share * float64(total[0]))), int(math.Ceil(share * float64(total[1])))}
+	share := reserveFactor * h.Slots / float64(max(1, base))
+	var reserved [2]int
+	for i, slots := range total {
+		reserved[i] = min(int(math.Ceil(share*float64(slots))), int(maxReserveShare*float64(slots)))
+	}
+	return reserved
 }
 
 // Reserved returns the number of slots of the local region that requests with the
--- a/internal/placement/reserve_test.go
+++ b/internal/placement/reserve_test.go
@@ -82,6 +82,7 @@
 		"no urgent traffic": {Headroom{}, 10 * 5},
 		"hardly any":        {Headroom{Urgent: true, Slots: 0.01}, 40 - 1},
 		"too much":          {Headroom{Urgent: true, Slots: 1000}, 10},
+		"no upstream kept":  {Headroom{Urgent: true}, 40},
 		"due":               {Headroom{Urgent: true, Slots: 1000, Due: true}, 40},
 	} {
 		tr, now := used(c)
@@ -89,6 +90,11 @@
 			t.Errorf("%s: %d requests, want %d", name, n, tc.want)
 		}
 	}
+	one := manyCandidates(1, 3) // a share rounded up would be all
+	tr, now := used(one)
+	if n := sent(fill(tr, one, Headroom{Urgent: true, Slots: 1000}, now)); n != 1 {
+		t.Errorf("%d requests at the only upstream, want 1", n)
+	}
 }
 
 // Guards against slots that are kept free at upstreams that are probably faulty,
--- a/internal/placement/returns.go
+++ b/internal/placement/returns.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"knapweedreel/internal/admission"
 )
 
 // Bounds of the time after which a caller is told to return.
@@ -18,7 +20,7 @@
 
 // Refused describes a refused request whose caller may return.
 type Refused struct {
-	Priority int       // 0 is served first
+	Class    admission.Class
 	Ahead    int       // waiting requests that are served before it
 	Earliest time.Time // from which some upstream takes requests, possibly in the past
 	// Interval is the mean time between two slots that become free.
@@ -34,8 +36,8 @@
 type Returns struct{ pending []pendingReturn }
 
 type pendingReturn struct {
-	at       time.Time
-	priority int
+	at    time.Time
+	class admission.Class
 }
 
 // Schedule returns the time after which the caller of a refused request should
@@ -44,7 +46,7 @@
 	r.pending = slices.DeleteFunc(r.pending, func(p pendingReturn) bool { return !p.at.After(now) })
 	before := q.Ahead
 	for _, p := range r.pending {
-		if p.priority <= q.Priority {
+		if p.class.Compare(q.Class) <= 0 {
 			before++
 		}
 	}
@@ -60,6 +62,6 @@
 	if len(r.pending) >= maxPendingReturns {
 		r.pending = slices.Delete(r.pending, 0, 1)
 	}
-	r.pending = append(r.pending, pendingReturn{now.Add(delay), q.Priority})
+	r.pending = append(r.pending, pendingReturn{now.Add(delay), q.Class})
 	return delay
 }
--- a/internal/placement/returns_test.go
+++ b/internal/placement/returns_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"knapweedreel/internal/admission"
 )
 
 // returningCaller is a caller that returns after a refusal.
@@ -70,7 +72,7 @@
 		out.refusals++
 		left := c.arrived + l.deadline - c.at
 		q := Refused{
-			Priority: c.priority, Ahead: int((start - c.at) / interval), Interval: interval,
+			Class: admission.Class{Route: c.priority}, Ahead: int((start - c.at) / interval), Interval: interval,
 			Latest: epoch.Add(c.arrived + l.deadline - l.work),
 		}
 		c.at += min(retryAfter(q, epoch.Add(c.at)), left/3)
@@ -114,14 +116,14 @@
 // the last time that helps, or at once with others of the same priority.
 func TestReturnsAreSpreadAndBounded(t *testing.T) {
 	var r Returns
-	q := Refused{Priority: 1, Ahead: 2, Interval: 100 * time.Millisecond, Earliest: atMS(400), Latest: atMS(5_000)}
+	q := Refused{Class: admission.Class{Route: 1}, Ahead: 2, Interval: 100 * time.Millisecond, Earliest: atMS(400), Latest: atMS(5_000)}
 	for i, want := range []time.Duration{700, 800, 900} {
 		if got := r.Schedule(q, atMS(0)); got != want*time.Millisecond {
 			t.Errorf("return %d after %v, want %v", i, got, want*time.Millisecond)
 		}
 	}
 	urgent := q
-	urgent.Priority = 0
+	urgent.Class = admission.Class{}
 	if got := r.Schedule(urgent, atMS(0)); got != 700*time.Millisecond {
 		t.Errorf("urgent return after %v", got)
 	}
