--- a/internal/instance/entry/pick.go
+++ b/internal/instance/entry/pick.go
@@ -19,16 +19,17 @@
 // slotRequest holds the properties of a request on which the choice of its
 // upstream depends.
 type slotRequest struct {
-	caller     string
-	route      string
-	idempotent bool
-	deadline   time.Time
-	tried      []string // upstreams that failed or refused this request
-	borrowed   int      // previous attempts with borrowed slots
-	retry      bool     // not the first attempt
-	repeatable bool     // idempotent, and may be retried
-
-	class     admission.Class
+	caller      string
+	class       admission.Class
+	credentials *credentials // nil if the request needs no account
+	route       string
+	idempotent  bool
+	deadline    time.Time
+	tried       []string // upstreams that failed or refused this request
+	borrowed    int      // previous attempts with borrowed slots
+	retry       bool     // not the first attempt
+	repeatable  bool     // idempotent, and may be retried
+
 	started   time.Time     // when the request arrived
 	objective time.Duration // latency objective of the route
 	bodyBytes int64         // size of the request body, -1 if unknown
