--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -148,7 +148,7 @@
 	e.st.requestArrived()
 	e.slotReq = &slotRequest{
 		caller: e.caller, credentials: e.credentials, class: e.class(), route: routeName(e.route), idempotent: e.route.Idempotent, deadline: e.deadline,
-		priority: e.route.Priority, started: e.started, repeatable: e.route.Idempotent && e.body == nil && e.retryLimit() > 0, objective: milliseconds(e.route.ObjectiveMS), bodyBytes: e.r.ContentLength,
+		started: e.started, repeatable: e.route.Idempotent && e.body == nil && e.retryLimit() > 0, objective: milliseconds(e.route.ObjectiveMS), bodyBytes: e.r.ContentLength,
 	}
 	return e.acquireWithToken()
 }
