--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -275,8 +275,8 @@
 	if explanation.RetryAfter > 0 {
 		retryAfter = zap.Duration("retry_after", explanation.RetryAfter)
 	}
-	s.log.Log(level, event, reason, zap.String("request_id", explanation.RequestID), zap.String("service", explanation.Service), zap.Uint64("revision", explanation.Revision),
-		zap.String("route", explanation.Route), zap.String("caller", explanation.Caller), zap.Int("status", explanation.Status),
+	s.log.Log(level, event, zap.String("request_id", explanation.RequestID), zap.String("service", explanation.Service), zap.Uint64("revision", explanation.Revision),
+		zap.String("route", explanation.Route), zap.String("caller", explanation.Caller), zap.Int("status", explanation.Status), reason,
 		zap.String("kind", explanation.Kind), zap.String("run", explanation.Run), zap.Int("attempts", len(explanation.Attempts)),
 		zap.String("tries", admin.FormatAttempts(explanation.Attempts)), zap.Duration("queued", explanation.Queued), zap.Duration("total", explanation.Total), retryAfter)
 }
