quota: less memory for an account and fewer requests that bring nothing

A bucket had arrays of 640 bytes for grants and pending requests, also at accounts that never exchange tokens, which is 44 MB for 69,000 accounts. They are allocated with the first exchange now. After a round that brought nothing, six instead of twelve requests are sent in the next one, since an account over its limit everywhere finds no tokens.

--- a/internal/quota/asking.go
+++ b/internal/quota/asking.go
@@ -18,13 +18,14 @@
 	started    bool // a round was started
 	stage      int  // number of times that holders were asked in the round
 	asks       int  // requests sent in the round
+	mayAsk     int  // requests that the round may send
 	stageAt    time.Duration
 	got        float64 // tokens received in the round
 	open       int     // requests of the last stage without an answer
 
-	offset  int     // of the holder that is asked next
-	pending [16]ask // latest requests
-	next    int     // in pending
+	offset  int   // of the holder that is asked next
+	pending []ask // latest requests, at most maxPending
+	next    int   // in pending
 }
 
 // ask is a request for tokens that may be answered.
@@ -37,6 +38,10 @@
 
 func (a *asking) endWait() { a.waiting = max(0, a.waiting-1) }
 
+// maxPending is the number of requests of an account that may be answered. It
+// covers a round and the late answers to the one before.
+const maxPending = maxAsks + 4
+
 // askHorizon is the time for which tokens are requested in advance: until the
 // tokens of the next round arrive.
 const askHorizon = 250 * time.Millisecond
@@ -103,7 +108,7 @@
 	if !a.started || now >= a.roundStart+a.interval-stageDelay {
 		return true
 	}
-	return a.asks < maxAsks || now < a.stageAt+stageDelay
+	return a.asks < a.mayAsk || now < a.stageAt+stageDelay
 }
 
 // Requests returns the requests for tokens to send now. It is called whenever a
@@ -144,7 +149,7 @@
 	switch {
 	case !a.started || now >= a.roundStart+a.interval:
 		a.startRound(now)
-	case a.asks >= maxAsks || a.open > 0 && now < a.stageAt+stageDelay:
+	case a.asks >= a.mayAsk || a.open > 0 && now < a.stageAt+stageDelay:
 		return out
 	}
 	return l.askHolders(out, b, lacking, now)
@@ -153,9 +158,9 @@
 // startRound starts a round. The interval grows while rounds bring nothing.
 func (a *asking) startRound(now time.Duration) {
 	if a.started && a.got == 0 && now-a.roundStart < 2*maxAskInterval {
-		a.interval = min(a.interval*3/2, maxAskInterval)
+		a.interval, a.mayAsk = min(a.interval*3/2, maxAskInterval), minAsks
 	} else {
-		a.interval = askInterval
+		a.interval, a.mayAsk = askInterval, maxAsks
 	}
 	a.started, a.roundStart, a.stage, a.asks, a.got = true, now, 0, 0, 0
 }
@@ -177,7 +182,7 @@
 	if remote && count > 1 {
 		count = min(2*count, maxFanout)
 	}
-	count = min(count, maxAsks-a.asks)
+	count = min(count, a.mayAsk-a.asks)
 	l.chosen, a.offset = l.ring.choose(l.chosen[:0], b.account, k, count, a.offset, remote)
 	if len(l.chosen) == 0 {
 		l.chosen, a.offset = l.ring.choose(l.chosen, b.account, k, count, a.offset, !remote)
@@ -194,13 +199,22 @@
 	}
 	for i := range l.chosen {
 		l.number++
-		a.pending[a.next] = ask{number: l.number, at: now, tokens: each, expects: true}
-		a.next = (a.next + 1) % len(a.pending)
+		a.expect(ask{number: l.number, at: now, tokens: each, expects: true})
 		out = append(out, Outgoing{To: l.chosen[i].Address, Request: Request{Account: b.account, Version: b.version, Number: l.number, Tokens: each}})
 	}
 	return out
 }
 
+// expect remembers a request, in place of the oldest one.
+func (a *asking) expect(p ask) {
+	if len(a.pending) < maxPending {
+		a.pending = append(a.pending, p)
+		return
+	}
+	a.pending[a.next] = p
+	a.next = (a.next + 1) % maxPending
+}
+
 // Receive adds transferred tokens and reports whether a request that waits should
 // try again or Requests should be called. A transfer
 // that was not requested, was received before, has lapsed or is of another version
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -32,8 +33,7 @@
 	lent      []grant // in the order in which they lapse
 	lentTotal float64
 
-	borrowed  [8]grant // in the order in which they lapse
-	nBorrowed int
+	borrowed []grant // in the order in which they lapse, at most maxBorrowed
 
 	demand   movingRate // requests that ask for a token
 	admitted movingRate // requests that got one
@@ -65,12 +65,16 @@
 	}
 	b.gain(c, now)
 	n = 0
-	for n < b.nBorrowed && b.borrowed[n].lapses <= now {
+	for n < len(b.borrowed) && b.borrowed[n].lapses <= now {
 		n++
 	}
+	b.dropBorrowed(n)
+}
+
+// dropBorrowed removes the first n grants.
+func (b *bucket) dropBorrowed(n int) {
 	if n > 0 {
-		copy(b.borrowed[:], b.borrowed[n:b.nBorrowed])
-		b.nBorrowed -= n
+		b.borrowed = append(b.borrowed[:0], b.borrowed[n:]...)
 	}
 }
 
@@ -87,7 +91,7 @@
 // available returns the number of tokens. The bucket was refilled.
 func (b *bucket) available() float64 {
 	sum := b.tokens
-	for i := range b.nBorrowed {
+	for i := range b.borrowed {
 		sum += b.borrowed[i].tokens
 	}
 	return sum
@@ -104,7 +108,7 @@
 	}
 	t := Token{lapses: math.MaxInt64, run: b.run}
 	used := 0
-	for used < b.nBorrowed && t.lent < amount {
+	for used < len(b.borrowed) && t.lent < amount {
 		g := &b.borrowed[used]
 		x := min(g.tokens, amount-t.lent)
 		t.lent += x
@@ -114,8 +118,7 @@
 		}
 		used++
 	}
-	copy(b.borrowed[:], b.borrowed[used:b.nBorrowed])
-	b.nBorrowed -= used
+	b.dropBorrowed(used)
 	t.own = max(0, min(amount-t.lent, b.tokens))
 	b.tokens -= t.own
 	b.held += t.own
@@ -134,23 +137,24 @@
 	}
 }
 
+// maxBorrowed bounds the transfers of an account that are told apart.
+const maxBorrowed = 8
+
 // addBorrowed adds transferred tokens. If there is no room, they lapse together
-// with those that lapse last before them.
+// with those that lapse last before them, or the first ones with them.
 func (b *bucket) addBorrowed(g grant) {
-	i := b.nBorrowed
+	i := len(b.borrowed)
 	for i > 0 && b.borrowed[i-1].lapses > g.lapses {
 		i--
 	}
 	switch {
-	case i > 0 && (b.borrowed[i-1].lapses == g.lapses || b.nBorrowed == len(b.borrowed)):
+	case i > 0 && (b.borrowed[i-1].lapses == g.lapses || len(b.borrowed) == maxBorrowed):
 		b.borrowed[i-1].tokens += g.tokens
-	case b.nBorrowed == len(b.borrowed):
+	case len(b.borrowed) == maxBorrowed:
 		b.borrowed[0].tokens += g.tokens
 		b.borrowed[0].lapses = g.lapses
 	default:
-		copy(b.borrowed[i+1:], b.borrowed[i:b.nBorrowed])
-		b.borrowed[i] = g
-		b.nBorrowed++
+		b.borrowed = slices.Insert(b.borrowed, i, g)
 	}
 }
 
@@ -168,7 +172,7 @@
 
 // idle reports whether the bucket holds nothing that differs from a new one.
 func (b *bucket) idle(c *Config) bool {
-	return len(b.lent) == 0 && b.held == 0 && b.nBorrowed == 0 && b.tokens >= b.capacity(c)-roundingTolerance
+	return len(b.lent) == 0 && b.held == 0 && len(b.borrowed) == 0 && b.tokens >= b.capacity(c)-roundingTolerance
 }
 
 // movingRate estimates the rate of events, weighted by an exponential window.
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -242,7 +242,7 @@
 	if b.run != l.run {
 		b.run = l.run
 		b.refill(&l.cfg, l.runAt)
-		b.nBorrowed, b.held = 0, 0
+		b.borrowed, b.held = nil, 0
 		b.tokens = min(b.tokens, l.cfg.start(b.limit)*b.share)
 		b.updated = max(b.updated, l.runAt)
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -103,6 +103,9 @@
 	// maxAsks bounds the requests for an account in a round. Holders without tokens
 	// say so at once, and a request asks for no more than it lacks.
 	maxAsks = 12
+	// minAsks replaces maxAsks after a round that brought nothing: at an account over
+	// its limit everywhere, nobody has tokens to spare.
+	minAsks = 6
 	// maxFanout bounds the number of holders asked at once.
 	maxFanout = 6
 	// MaxWait is the longest time for which a request waits for a transfer.
