--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -175,7 +175,7 @@
 	for _, step := range []struct {
 		after    time.Duration
 		admitted bool
-	}{{resumeHold - 100*time.Millisecond, false}, {resumeHold + 110*time.Millisecond, true}} {
+	}{{900 * time.Millisecond, false}, {1110 * time.Millisecond, true}} {
 		l.Requests(now + step.after)
 		if d := l.Take(account, limit, 1, now+step.after); d.Admitted != step.admitted {
 			t.Errorf("admitted %t %v after the pause", d.Admitted, step.after)
