cli: configuration check reports mistakes before a configuration is sent

Cause: the users' operators had no way to see mistakes in a configuration, or what it changes, before instances used it.

Ruled out: findings on the standard error as in document check, from where scripts can't take JSON; exit code 1 for warnings, which commands that failed have.

Exit code 6 is new and means warnings; 2 errors; 5 a store that could not be read.

Result: go test -race ./internal/cli passes.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -22,6 +22,7 @@
 	ExitConflict    = 3 // the change conflicts with another or was not accepted
 	ExitUnknown     = 4 // the result of the change is unknown
 	ExitUnreachable = 5
+	ExitWarnings    = 6 // a configuration has warnings, but no errors
 	ExitInternal    = 70
 )
 
--- a/internal/cli/table.go
+++ b/internal/cli/table.go
@@ -21,10 +21,11 @@
 // groupDescriptions describes the groups of commands, by the first word of the
 // commands' names.
 var groupDescriptions = map[string]string{
-	"settings": "Check and print an instance's settings",
-	"document": "Read and change the documents of services",
-	"explain":  "Explain the states of upstreams and the responses to requests",
-	"keys":     "Create keys and certificates for mutual TLS authentication",
+	"settings":      "Check and print an instance's settings",
+	"document":      "Read and change the documents of services",
+	"configuration": "Check a configuration of the platform",
+	"explain":       "Explain the states of upstreams and the responses to requests",
+	"keys":          "Create keys and certificates for mutual TLS authentication",
 }
 
 // commands returns the command table. Each call creates new flag variables.
@@ -39,6 +40,7 @@
 		documentDiffCommand(),
 		documentHistoryCommand(),
 		documentStatusCommand(),
+		configurationCheckCommand(),
 		locateCommand(),
 		explainUpstreamCommand(),
 		explainRequestCommand(),
