--- a/internal/admission/decide.go
+++ b/internal/admission/decide.go
@@ -83,10 +83,14 @@
 
 // expectedWait returns the expected time until a slot is free for the request: until
 // those ahead have got theirs while more urgent ones keep arriving, or, if that is
-// sooner, until the minimum share of the class has served those of the class.
+// sooner, until the minimum share of the class has served those of the class. It is
+// no sooner than the account can expect: requests of accounts that get less service
+// keep passing it, so it gets what it got before, or an equal part.
 func (s *State) expectedWait() time.Duration {
 	minimum, rest := s.available()
 	wait := math.Min(float64(s.Ahead.Work)/max(minimum, rest), float64(s.Ahead.Same)/minimum)
+	own := max(s.Ahead.Received, max(minimum, rest)/float64(max(1, s.Ahead.Accounts)))
+	wait = math.Max(wait, float64(s.Ahead.Own)/own)
 	return s.AtUpstreams + time.Duration(wait)
 }
 
--- a/internal/admission/decide_test.go
+++ b/internal/admission/decide_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -83,6 +84,21 @@
 	}
 }
 
+// Guards against requests of a large account that wait until they are late, since
+// requests of other accounts keep passing them: the account gets what it got before,
+// or its part of the slots.
+func TestLargeAccountsWaitLonger(t *testing.T) {
+	s := stateOf(24, 0, 20, 600*time.Millisecond)
+	s.Ahead.Own, s.Ahead.Received, s.Ahead.Accounts = 12*600*time.Millisecond, 3, 12
+	if got := Decide(roster, s, epoch); got.Expected != 2400*time.Millisecond {
+		t.Errorf("%+v, want 12 requests at 3 slots", got)
+	}
+	s.Ahead.Received = 1
+	if got := Decide(roster, s, epoch); got.Refused != TooManyAhead || got.Expected != 3600*time.Millisecond {
+		t.Errorf("%+v, want 12 requests at a twelfth of 24 slots", got)
+	}
+}
+
 // Guards against a return that is told as if urgent requests took no slots.
 func TestInterval(t *testing.T) {
 	s := stateOf(20, 10, 0, 0)
@@ -114,6 +130,12 @@
 	if u := d.UrgentThan(other, now.Add(demandRecent+1)); u != (Urgent{}) {
 		t.Errorf("demand without recent traffic %+v", u)
 	}
+	if got := d.Classes(now); !slices.Equal(got, []Class{urgent, other}) {
+		t.Errorf("classes %v", got)
+	}
+	if got := d.Classes(now.Add(demandRecent + 1)); len(got) > 0 {
+		t.Errorf("classes %v without recent traffic", got)
+	}
 	d.Prune(now.Add(time.Hour))
 	if len(d.classes)+len(d.routes) > 0 {
 		t.Errorf("%d classes and %d routes are remembered", len(d.classes), len(d.routes))
--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -131,6 +131,17 @@
 	return u
 }
 
+// Classes returns the classes with a recent request, the most urgent one first.
+func (d *Demand) Classes(now time.Time) []Class {
+	var classes []Class
+	for i := range d.classes {
+		if now.Sub(d.classes[i].last) <= demandRecent {
+			classes = append(classes, d.classes[i].Class)
+		}
+	}
+	return classes
+}
+
 // Prune forgets classes and routes without recent requests.
 func (d *Demand) Prune(now time.Time) {
 	old := func(c classDemand) bool { return now.Sub(c.last) > demandRecent }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"container/list"
+	"math"
 	"slices"
 	"time"
 )
@@ -270,14 +271,21 @@
 	Requests int
 	Work     time.Duration
 	Same     time.Duration // the part of Work that is of the same class
+	Own      time.Duration // the part of Work that is of the same class and account
+	// Received is the mean number of slots that the account has used recently.
+	Received float64
+	Accounts int // with waiting requests of the class, this one included
 }
 
 // AheadOf estimates what is served before a new first attempt of an account: all
 // requests of more urgent classes and, within its class, what the other accounts
 // get until its turn. An account that has nothing waiting thus waits for one
 // request of each account, however many requests a large one has waiting.
-func (q *Queue[T]) AheadOf(k Class, accountName string) Ahead {
-	var ahead Ahead
+func (q *Queue[T]) AheadOf(k Class, accountName string, now time.Time) Ahead {
+	ahead := Ahead{Accounts: 1}
+	if a := q.accounts[accountName]; a != nil {
+		ahead.Received = a.service * math.Exp(-now.Sub(q.base).Seconds()/serviceMemory.Seconds()) / serviceMemory.Seconds()
+	}
 	for _, c := range q.classes {
 		order := c.Compare(k)
 		if order > 0 {
@@ -306,6 +314,11 @@
 		ahead.Requests += n
 		ahead.Same = c.work * time.Duration(n) / time.Duration(c.waiting)
 		ahead.Work += ahead.Same
+		ahead.Own = c.work * time.Duration(own) / time.Duration(c.waiting)
+		ahead.Accounts = flows
+		if own == 0 {
+			ahead.Accounts++
+		}
 	}
 	return ahead
 }
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -44,7 +45,7 @@
 	push(q, "mid1", 1, "b", epoch)
 	push(q, "fast2", 0, "a", epoch)
 	q.Push(&Item[string]{Value: "retry", Class: Class{Route: 1}, Account: "c", Retry: true, Work: work}, epoch)
-	if got := q.AheadOf(Class{Route: 1}, "d"); got.Requests != 4 || got.Work != 4*work {
+	if got := q.AheadOf(Class{Route: 1}, "d", epoch); got.Requests != 4 || got.Work != 4*work {
 		t.Errorf("ahead of a request of class 1: %+v", got)
 	}
 	if !q.Urgent(Class{Route: 1}) || q.Urgent(Class{}) {
@@ -69,11 +70,11 @@
 	for i := range 20 {
 		push(q, "large", 0, "large", atMS(i))
 	}
-	if got := q.AheadOf(Class{}, "small"); got.Requests != 1 {
-		t.Errorf("%d requests are ahead of the first one of a small account", got.Requests)
+	if got := q.AheadOf(Class{}, "small", epoch); got.Requests != 1 || got.Own != 0 || got.Accounts != 2 {
+		t.Errorf("ahead of the first request of a small account: %+v", got)
 	}
-	if got := q.AheadOf(Class{}, "large"); got.Requests != 20 {
-		t.Errorf("%d requests are ahead of another one of the large account", got.Requests)
+	if got := q.AheadOf(Class{}, "large", epoch); got.Requests != 20 || got.Own != 20*work || got.Accounts != 1 || math.Abs(got.Received-0.2) > 1e-9 {
+		t.Errorf("ahead of another request of the large account: %+v, want 20, with 1 s of service in 5 s", got)
 	}
 	push(q, "small", 0, "small", atMS(30))
 	push(q, "small", 0, "small", atMS(30))
--- a/internal/instance/entry/wait_test.go
+++ b/internal/instance/entry/wait_test.go
@@ -181,3 +181,18 @@
 		t.Error(err)
 	}
 }
+
+// BenchmarkDispatchWithoutFreeSlot measures a dispatch of a long queue while 119
+// upstreams have no free slot, the most frequent one under overload.
+func BenchmarkDispatchWithoutFreeSlot(b *testing.B) {
+	_, st := newPlacerService(119)
+	fillSlots(st, 0)
+	for i := range 300 {
+		it := st.newItem(&waiter{req: classRequest(fmt.Sprint(i), i%3), until: time.Now().Add(time.Hour)})
+		st.queue.Push(it, time.Now())
+	}
+	for b.Loop() {
+		st.dispatchLocked()
+	}
+	st.recheck.Stop()
+}
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -29,9 +29,15 @@
 
 const (
 	// reserveFactor is the number of slots kept free for each slot that more urgent
-	// requests have needed recently. Arrivals vary, and a request that finds no free
-	// slot waits for a less urgent one to end, which may take several times its work.
+	// requests have needed recently, up to maxSpareSlots beyond their demand. Arrivals
+	// vary, and a request that finds no free slot waits for a less urgent one to end,
+	// which may take several times its work.
 	reserveFactor = 2
+	// maxSpareSlots bounds what is kept free beyond the demand. The more slots a
+	// service has, the sooner one becomes free. Twice a demand of a third of the slots
+	// would leave too little to the less urgent classes at a load that the slots could
+	// serve: 0.8 of the least urgent class was served in time at 0.8 of the capacity.
+	maxSpareSlots = 8
 	// maxReserveShare is the largest share of the slots that is kept free. The rest
 	// covers the minimum share of the less urgent classes, which together get less
 	// than a quarter of the service (package admission).
@@ -97,7 +103,7 @@
 	if base == 0 {
 		base = total[1]
 	}
-	share := reserveFactor * h.Slots / float64(max(1, base))
+	share := min(reserveFactor*h.Slots, h.Slots+maxSpareSlots) / float64(max(1, base))
 	var reserved [2]int
 	for i, slots := range total {
 		reserved[i] = min(int(math.Ceil(share*float64(slots))), int(maxReserveShare*float64(slots)))
@@ -105,9 +111,12 @@
 	return reserved
 }
 
-// Reserved returns the number of slots of the local region that requests with the
-// given headroom leave free, as of the latest choice.
-func (t *Tracker) Reserved(h Headroom) int { return t.reserved(h)[0] }
+// Reserved returns the number of slots of all regions that requests with the given
+// headroom leave free, as of the latest choice for one with a headroom.
+func (t *Tracker) Reserved(h Headroom) int {
+	reserved := t.reserved(h)
+	return reserved[0] + reserved[1]
+}
 
 // mayUse reports whether an upstream has capacity for a request that leaves slots
 // to more urgent ones. An upstream whose slots are kept free still gets a request
--- a/internal/placement/reserve_test.go
+++ b/internal/placement/reserve_test.go
@@ -71,7 +71,7 @@
 }
 
 // Guards against slots that are kept free without urgent traffic, against keeping
-// more than the less urgent classes can spare, and against a class that is due for
+// more than the less urgent classes can spare or a large demand needs, and against a class that is due for
 // its minimum share and finds nothing free.
 func TestKeptSlotsAreBounded(t *testing.T) {
 	c := manyCandidates(10, 4)
@@ -82,6 +82,7 @@
 		"no urgent traffic": {Headroom{}, 10 * 5},
 		"hardly any":        {Headroom{Urgent: true, Slots: 0.01}, 40 - 1},
 		"too much":          {Headroom{Urgent: true, Slots: 1000}, 10},
+		"large demand":      {Headroom{Urgent: true, Slots: 16}, 40 - 24},
 		"no upstream kept":  {Headroom{Urgent: true}, 40},
 		"due":               {Headroom{Urgent: true, Slots: 1000, Due: true}, 40},
 	} {
