--- a/internal/instance/entry/metrics.go
+++ b/internal/instance/entry/metrics.go
@@ -26,6 +26,7 @@
 	overhead tally.Histogram
 
 	waiting, inFlight, slots tally.Gauge
+	classes                  classMetrics
 }
 
 // noService is the service label of requests without a service, such as locate
@@ -45,6 +46,7 @@
 		waiting:  sc.Gauge("requests_waiting"),
 		inFlight: sc.Gauge("requests_in_flight"),
 		slots:    sc.Gauge("region_slots"),
+		classes:  classMetrics{scope: sc},
 	}
 }
 
