admission: the requests ahead of a retry

The wait of a retry was estimated as that of a first attempt, behind all accounts of its class, although retries go before them, so that one could be refused although it had the time. It now counts more urgent requests and the retries of its class.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -277,11 +277,12 @@
 	Accounts int // with waiting requests of the class, this one included
 }
 
-// AheadOf estimates what is served before a new first attempt of an account: all
-// requests of more urgent classes and, within its class, what the other accounts
-// get until its turn. An account that has nothing waiting thus waits for one
-// request of each account, however many requests a large one has waiting.
-func (q *Queue[T]) AheadOf(k Class, accountName string, now time.Time) Ahead {
+// AheadOf estimates what is served before a new request of an account: all requests
+// of more urgent classes and, within its class, the retries and, for a first attempt,
+// what the other accounts get until its turn. An account that has nothing waiting
+// thus waits for one request of each account, however many requests a large one has
+// waiting.
+func (q *Queue[T]) AheadOf(k Class, accountName string, retry bool, now time.Time) Ahead {
 	ahead := Ahead{Accounts: 1}
 	if a := q.accounts[accountName]; a != nil {
 		ahead.Received = a.service * math.Exp(-now.Sub(q.base).Seconds()/serviceMemory.Seconds()) / serviceMemory.Seconds()
@@ -310,6 +311,9 @@
 				}
 			}
 		}
+		if retry {
+			own, flows = 0, 0
+		}
 		n := min(c.waiting, c.retries.Len()+(own+1)*flows)
 		ahead.Requests += n
 		ahead.Same = c.work * time.Duration(n) / time.Duration(c.waiting)
--- a/internal/instance/entry/wait.go
+++ b/internal/instance/entry/wait.go
@@ -35,7 +35,7 @@
 	}
 	times := p.times(req)
 	return admission.State{
-		Ahead: st.queue.AheadOf(req.class, req.caller, now),
+		Ahead: st.queue.AheadOf(req.class, req.caller, req.retry, now),
 		// The instance has its part of the slots, or more if it uses more.
 		Running:     max(p.usable.Running, p.usable.Slots/float64(max(1, snap.ServingInstances))),
 		Urgent:      p.demand.UrgentThan(req.class, now),
