--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -50,6 +50,7 @@
 		return s
 	}
 	s.CallerIdle = c.configuration.Limits.IdleTimeout
+	s.CallerHeaderBytes, s.CallerHeaderTimeout = c.configuration.Limits.HeaderBytes, c.configuration.Limits.HeaderTimeout
 	s.Accounts = c.configuration.Accounts
 	c.refreshServices(in)
 	for name := range c.configuration.Services {
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -46,6 +46,7 @@
 	HeaderTooLarge     Kind = "header-too-large"
 	BodyTooLarge       Kind = "body-too-large"
 	BodyLimitExceeded  Kind = "body-limit-exceeded"
+	MemoryShort        Kind = "memory-short"
 	QueueFull          Kind = "queue-full"
 	QueueTimeout       Kind = "queue-timeout"
 	DeadlineBeforeSend Kind = "deadline-before-send"
@@ -99,6 +100,7 @@
 	{HeaderTooLarge, http.StatusRequestHeaderFieldsTooLarge, NotRun, 0, "The request header is over the limit."},
 	{BodyTooLarge, http.StatusRequestEntityTooLarge, NotRun, 0, "The announced body is over the route's limit."},
 	{BodyLimitExceeded, http.StatusRequestEntityTooLarge, Unknown, 0, "The body grew over the route's limit after part of it was sent."},
+	{MemoryShort, http.StatusServiceUnavailable, NotRun, time.Second, "The instance has no memory for the body."},
 	{QueueFull, http.StatusServiceUnavailable, NotRun, time.Second, "The service's queue is full."},
 	{QueueTimeout, http.StatusServiceUnavailable, NotRun, time.Second, "No slot became free within the queue's timeout."},
 	{DeadlineBeforeSend, http.StatusGatewayTimeout, NotRun, 0, "The deadline passed before the request was sent to an upstream."},
--- a/internal/instance/entry/attempt.go
+++ b/internal/instance/entry/attempt.go
@@ -61,6 +61,7 @@
 func (a *attempt) run() {
 	a.started = time.Now()
 	a.st.metrics.attempts.Inc(1)
+	a.e.setSending()
 	a.response, a.trace, a.err = a.s.pools.Do(a.ctx, a.upstreamAttempt())
 	if a.late.stop() { // even if the response has arrived in the meantime
 		a.err = errkind.Wrap(errkind.UpstreamSilent, errLateResponse, "upstream %s", a.choice.upstream.ID)
@@ -107,7 +108,7 @@
 		_, _ = io.CopyN(io.Discard, a.response.Body, maxRefusalBody)
 		return
 	}
-	a.prefix = a.s.buffers.get()
+	a.takeBuffer()
 	n, err := io.ReadFull(a.response.Body, a.prefix)
 	a.prefix = a.prefix[:n]
 	a.bodyRead = int64(n)
@@ -138,10 +139,10 @@
 		a.view.Interrupt()
 	}
 	a.cancel(nil)
-	if a.err != nil && a.prefix != nil {
-		a.s.buffers.put(a.prefix)
-		a.prefix = nil
+	if a.err != nil {
+		a.releaseBuffer()
 	}
+	a.e.holdsSlot.Store(false)
 	class, _ := a.class()
 	if class == health.OK {
 		a.st.recordResponseSize(routeName(a.e.route), a.bodyRead)
--- a/internal/instance/entry/body.go
+++ b/internal/instance/entry/body.go
@@ -10,11 +10,19 @@
 	"github.com/cockroachdb/errors"
 
 	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/membudget"
 )
 
-// bodyChunk is the maximum size, in bytes, of one read of a caller's body, and
-// of the buffer of a body that is no longer kept for replay.
-const bodyChunk = 32 << 10
+// Sizes of the buffers of a body, in bytes.
+const (
+	// bodyChunk is the maximum size of one read of a caller's body, and of one
+	// buffer.
+	bodyChunk = 32 << 10
+	// firstChunk is the size of the first buffer of a body without a length.
+	firstChunk = 4 << 10
+	// discardChunk is the size of the buffer of a body that is not needed.
+	discardChunk = 4 << 10
+)
 
 var (
 	errInterrupted = errors.New("the attempt that read the body has ended")
@@ -25,33 +33,47 @@
 // replayLimit bytes are kept so that another attempt can read a body of up to
 // that size from the start. A separate goroutine reads from the caller, because
 // the transport waits for a pending read before it reports a failed attempt.
+// Memory is reserved before it is filled.
 type requestBody struct {
 	src            io.Reader
 	trailer        http.Header // of the caller's request, set at the end of src
 	limit          int64       // maximum size of the body in bytes
 	replayLimit    int         // maximum number of bytes kept for another attempt
-	chunk          int         // size of one read in bytes
+	first          int         // size of the first buffer in bytes
 	expectContinue bool        // the caller waits for 100 Continue before it sends the body
+	holder         *membudget.Holder
+	memoryWait     time.Duration // maximum wait for memory
 
 	mu            sync.Mutex
 	changed       sync.Cond
-	buf           []byte // bytes of the body from offset start
-	start         int64  // above 0 once bytes have been discarded
-	err           error  // io.EOF, or the error that ended the body
-	eof           bool   // the end of the body was reached
-	readerWaiting bool   // a reader waits at the end of buf
-	discard       bool   // the rest is not needed
+	kept          buffers // bytes of the body from offset start
+	scratch       []byte  // for bytes that are not needed
+	start         int64   // above 0 once bytes have been discarded
+	err           error   // io.EOF, or the error that ended the body
+	reading       bool    // a read from the caller is pending
+	sending       bool    // an upstream gets the body
+	eof           bool    // the end of the body was reached
+	readerWaiting bool    // a reader waits at the end of kept
+	attempted     bool    // an attempt has begun to read
+	discard       bool    // the rest is not needed
 	closed        bool
+	abandoned     chan struct{} // closed when no memory is needed any more
 	loopDone      chan struct{} // closed when readLoop has ended, nil before it starts
 }
 
-func newRequestBody(r *http.Request, replayLimit int) *requestBody {
+// newRequestBody returns the body of r. Its memory is reserved by holder, or not at
+// all if that is nil.
+func newRequestBody(r *http.Request, replayLimit int, holder *membudget.Holder, memoryWait time.Duration) *requestBody {
 	b := &requestBody{
-		src: r.Body, trailer: r.Trailer, limit: defaultMaxBody, replayLimit: replayLimit, chunk: bodyChunk,
-		expectContinue: r.Header.Get("Expect") != "",
+		src: r.Body, trailer: r.Trailer, limit: defaultMaxBody, replayLimit: replayLimit, first: bodyChunk,
+		expectContinue: r.Header.Get("Expect") != "", holder: holder, memoryWait: memoryWait,
+		abandoned: make(chan struct{}),
 	}
-	if n := r.ContentLength; n > 0 && n < bodyChunk {
-		b.chunk = int(n) // net/http returns io.EOF together with the last byte
+	switch n := r.ContentLength; {
+	case n < 0:
+		b.first = firstChunk
+	case n > 0 && n < bodyChunk:
+		b.first = int(n) // net/http returns io.EOF together with the last byte
 	}
 	b.changed.L = &b.mu
 	return b
@@ -67,49 +89,174 @@
 // readLoop reads from the caller until the end of the body.
 func (b *requestBody) readLoop() {
 	defer close(b.loopDone)
-	chunk := make([]byte, b.chunk)
 	for {
-		size := b.nextReadSize()
-		if size == 0 {
+		p, kept := b.nextRead()
+		if p == nil {
 			return
 		}
-		n, err := b.src.Read(chunk[:min(size, len(chunk))])
-		if !b.add(chunk[:n], err) {
+		n, err := b.src.Read(p)
+		if !b.add(n, kept, err) {
 			return
 		}
 	}
 }
 
-// nextReadSize waits until bytes may be read and returns how many, 0 to stop
-// reading.
-func (b *requestBody) nextReadSize() int {
+// nextRead waits until bytes may be read and returns where to. The result is nil
+// to stop reading. kept is false if the bytes are not needed.
+func (b *requestBody) nextRead() (p []byte, kept bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p, kept = b.nextReadLocked()
+	b.setReadingLocked(p != nil)
+	return p, kept
+}
+
+// setReadingLocked records whether a read from the caller is pending. While it is,
+// the request depends on its caller, otherwise on the upstream that gets the body.
+// b.mu is held.
+func (b *requestBody) setReadingLocked(reading bool) {
+	b.reading = reading
+	switch {
+	case !b.sending || b.holder == nil:
+	case reading:
+		b.holder.Transition(membudget.Sent, membudget.Streaming)
+	default:
+		b.holder.Transition(membudget.Streaming, membudget.Sent)
+	}
+}
+
+// setSending records that an upstream gets the body.
+func (b *requestBody) setSending() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.sending = true
+	b.holder.SetStage(membudget.Sent)
+	b.setReadingLocked(b.reading)
+}
+
+// nextReadLocked is like nextRead. b.mu is held.
+func (b *requestBody) nextReadLocked() (p []byte, kept bool) {
 	for {
 		switch {
 		case b.closed:
-			return 0
-		case b.err == nil && b.start == 0 && len(b.buf) < b.replayLimit:
-			return min(bodyChunk, b.replayLimit-len(b.buf))
-		case b.err == nil && b.readerWaiting, b.discard:
-			b.start += int64(len(b.buf))
-			b.buf = b.buf[:0]
-			return bodyChunk
+			return nil, false
+		case b.discard:
+			b.dropLocked()
+			if b.scratch == nil {
+				b.scratch = make([]byte, discardChunk)
+			}
+			return b.scratch, false
+		case b.err != nil:
+		case b.start == 0 && b.kept.length < b.replayLimit:
+			if p := b.kept.free(); len(p) > 0 {
+				return p[:min(len(p), b.replayLimit-b.kept.length)], true
+			}
+			if b.growLocked() {
+				continue
+			}
+			// A running attempt goes on without a copy for another one.
+			if b.attempted && b.kept.length > 0 && b.readerWaiting {
+				b.rewindLocked()
+			}
+			continue
+		case b.readerWaiting:
+			b.rewindLocked()
+			return b.kept.free(), true
 		}
 		b.changed.Wait()
 	}
 }
 
-// add appends bytes read from the caller and reports whether to read further.
-func (b *requestBody) add(p []byte, err error) bool {
+// growLocked adds a buffer once its memory is reserved. It reports false if there
+// is none and b's state may have changed meanwhile, or the body has failed. b.mu is
+// held; it is released while waiting.
+func (b *requestBody) growLocked() bool {
+	size := b.first
+	if len(b.kept.chunks) > 0 {
+		size = bodyChunk
+	}
+	if b.holder == nil || b.holder.Reserve(membudget.Body, int64(size)) {
+		b.kept.add(size)
+		return true
+	}
+	if b.attempted && b.kept.length > 0 {
+		// The reader frees the memory it has read, or the body is abandoned.
+		for !b.readerWaiting && b.err == nil && !b.discard && !b.closed {
+			b.changed.Wait()
+		}
+		return false
+	}
+	b.mu.Unlock()
+	granted := b.awaitMemory(size)
+	b.mu.Lock()
+	if granted {
+		b.kept.add(size)
+		return true
+	}
+	if b.err == nil && !b.discard && !b.closed {
+		b.err = errMemoryShort(size)
+	}
+	b.changed.Broadcast()
+	return false
+}
+
+// rewindLocked drops the kept bytes but one buffer, and returns their memory. b.mu
+// is held.
+func (b *requestBody) rewindLocked() {
+	size := b.kept.size()
+	b.start += int64(b.kept.rewind())
+	if b.holder != nil && size > b.kept.size() {
+		b.holder.Return(membudget.Body, int64(size-b.kept.size()))
+	}
+}
+
+// errMemoryShort returns the error of a body for which there is no memory.
+func errMemoryShort(size int) error {
+	return errkind.New(errkind.MemoryShort, "no memory for %d bytes of the body", size)
+}
+
+// awaitMemory reserves size bytes, waiting briefly, and reports whether it did.
+func (b *requestBody) awaitMemory(size int) bool {
+	r, ok := b.holder.ReserveOrWait(membudget.Body, int64(size))
+	if !ok || r == nil {
+		return ok
+	}
+	t := time.NewTimer(b.memoryWait)
+	defer t.Stop()
+	select {
+	case <-r.Granted():
+		return true
+	case <-t.C:
+	case <-b.abandoned:
+	}
+	return !r.Cancel()
+}
+
+// dropLocked drops all kept bytes and returns their memory. b.mu is held.
+func (b *requestBody) dropLocked() {
+	b.start += int64(b.kept.length)
+	b.kept = buffers{}
+	if b.holder != nil {
+		b.holder.ReturnAll(membudget.Body)
+	}
+}
+
+// add adds n bytes read from the caller and reports whether to read further.
+func (b *requestBody) add(n int, kept bool, err error) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.buf = append(b.buf, p...)
+	b.setReadingLocked(false)
+	switch {
+	case !kept || len(b.kept.chunks) == 0:
+		b.start += int64(n)
+	default:
+		b.kept.extend(n)
+	}
 	b.readerWaiting = false
 	b.eof = err == io.EOF
 	switch {
 	case b.err != nil: // the rest is discarded
-	case b.start+int64(len(b.buf)) > b.limit:
+	case b.start+int64(b.kept.length) > b.limit:
 		b.err = errkind.New(errkind.BodyLimitExceeded, "the body exceeds the route's limit of %d bytes", b.limit)
 	case err == io.EOF:
 		b.err = io.EOF
@@ -120,6 +267,46 @@
 	return err == nil
 }
 
+// fail ends the body with an error unless it has ended.
+func (b *requestBody) fail(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.err == nil {
+		b.err = err
+		b.abandonLocked()
+	}
+}
+
+// release returns the memory of a complete body that no attempt needs any more.
+func (b *requestBody) release() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.eof {
+		b.dropLocked()
+	}
+}
+
+// abandonLocked ends a wait for memory. b.mu is held.
+func (b *requestBody) abandonLocked() {
+	select {
+	case <-b.abandoned:
+	default:
+		close(b.abandoned)
+	}
+	b.changed.Broadcast()
+}
+
+// reserveFirst reserves the first buffer, so that a body that is streamed doesn't
+// wait for memory while it occupies a slot.
+func (b *requestBody) reserveFirst() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.kept.chunks) == 0 && b.loopDone == nil && !b.growLocked() {
+		return b.err
+	}
+	return nil
+}
+
 // startLocked starts readLoop if it isn't running. b.mu is held.
 func (b *requestBody) startLocked() {
 	if b.loopDone == nil {
@@ -140,7 +327,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.startLocked()
-	for b.err == nil && b.start == 0 && len(b.buf) < b.replayLimit && ctx.Err() == nil {
+	for b.err == nil && b.start == 0 && b.kept.length < b.replayLimit && ctx.Err() == nil {
 		b.changed.Wait()
 	}
 }
@@ -180,7 +367,7 @@
 	}
 	b.discard = true
 	b.startLocked()
-	b.changed.Broadcast()
+	b.abandonLocked()
 	loopDone := b.loopDone
 	b.mu.Unlock()
 	t := time.NewTimer(limit)
@@ -199,82 +386,10 @@
 func (b *requestBody) close() {
 	b.mu.Lock()
 	b.closed = true
-	b.changed.Broadcast()
+	b.abandonLocked()
 	loopDone := b.loopDone
 	b.mu.Unlock()
 	if loopDone != nil {
 		<-loopDone
 	}
 }
-
-// bodyView is the reader of a requestBody for one attempt.
-type bodyView struct {
-	b           *requestBody
-	trailer     http.Header // set at the end of the body
-	offset      int64
-	interrupted bool // guarded by b.mu
-}
-
-func (b *requestBody) view() *bodyView {
-	v := &bodyView{b: b}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for name := range b.trailer {
-		if v.trailer == nil {
-			v.trailer = make(http.Header, len(b.trailer))
-		}
-		v.trailer[name] = nil
-	}
-	return v
-}
-
-// Read returns bytes of the body, waiting for the caller if necessary.
-func (v *bodyView) Read(p []byte) (int, error) {
-	b := v.b
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for {
-		if v.interrupted {
-			return 0, errInterrupted
-		}
-		if v.offset < b.start {
-			return 0, errConsumed
-		}
-		if rest := b.buf[v.offset-b.start:]; len(rest) > 0 {
-			n := copy(p, rest)
-			v.offset += int64(n)
-			return n, nil
-		}
-		if b.err != nil {
-			v.copyTrailerLocked()
-			return 0, b.err
-		}
-		b.readerWaiting = true
-		b.startLocked()
-		b.changed.Broadcast()
-		b.changed.Wait()
-	}
-}
-
-// copyTrailerLocked copies the values of the trailers that the request
-// announced. v.b.mu is held.
-func (v *bodyView) copyTrailerLocked() {
-	for name := range v.trailer {
-		v.trailer[name] = v.b.trailer[name]
-	}
-}
-
-// Interrupt makes pending and later reads fail.
-func (v *bodyView) Interrupt() {
-	v.b.mu.Lock()
-	defer v.b.mu.Unlock()
-	v.interrupted = true
-	v.b.readerWaiting = false
-	v.b.changed.Broadcast()
-}
-
-// Close does the same as Interrupt.
-func (v *bodyView) Close() error {
-	v.Interrupt()
-	return nil
-}
--- a/internal/instance/entry/drain.go
+++ b/internal/instance/entry/drain.go
@@ -99,6 +99,9 @@
 	}
 	delete(t.active, c)
 	if state == http.StateIdle {
+		if conn, ok := c.(*callerConn); ok {
+			conn.setIdle()
+		}
 		t.idle[c] = t.last
 	}
 }
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -18,6 +18,7 @@
 	"knapweedreel/internal/health"
 	"knapweedreel/internal/instance/entry/upstream"
 	"knapweedreel/internal/instance/evidence"
+	"knapweedreel/internal/membudget"
 	"knapweedreel/internal/routing"
 	"knapweedreel/internal/settings"
 )
@@ -65,7 +66,10 @@
 	explanations *explanationRing
 	metrics      *serviceMetrics // of requests without a service
 
-	buffers *bufferPool
+	buffers       *bufferPool // for whole responses
+	pieces        *bufferPool // for small responses and pieces of others
+	budget        *membudget.Budget
+	memoryMetrics *memoryMetrics
 
 	mu       sync.Mutex
 	services map[string]*serviceState
@@ -88,6 +92,7 @@
 		cfg.Scope = tally.NoopScope
 	}
 	cfg.Limits, cfg.Times = withDefaults(cfg.Limits, cfg.Times)
+	cfg.Limits = limitsWithinMemory(cfg.Limits)
 	if cfg.Rand == nil {
 		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
@@ -105,9 +110,12 @@
 		explanations: newExplanationRing(cfg.Limits.Explanations),
 		metrics:      newServiceMetrics(cfg.Scope, noService),
 		buffers:      &bufferPool{size: cfg.Limits.BufferedAnswerBytes + 1},
+		pieces:       &bufferPool{size: min(smallAnswer, cfg.Limits.BufferedAnswerBytes) + 1},
 		services:     make(map[string]*serviceState),
 		rand:         cfg.Rand,
+		budget:       newBudget(cfg.Limits, cfg.Times),
 	}
+	s.memoryMetrics = newMemoryMetrics(cfg.Scope)
 	s.stopping, s.cancelRequests = context.WithCancel(context.Background())
 	s.callers.active = make(map[net.Conn]struct{})
 	s.callers.idle = make(map[net.Conn]time.Time)
@@ -132,8 +140,11 @@
 	set(&l.HeaderBytes, 32<<10)
 	set(&l.BufferedAnswerBytes, 64<<10)
 	set(&l.BufferedBodyBytes, 64<<10)
+	set(&l.CallerMemoryBytes, 256<<20)
 	set(&l.Explanations, 1024)
 	set(&t.HeaderMS, 30_000)
+	set(&t.StallMS, 1_000)
+	set(&t.MemoryWaitMS, 2_000)
 	set(&t.ConnectMS, 1_000)
 	set(&t.KeepMS, 10_000)
 	set(&t.DrainMS, t.KeepMS+2_000)
--- a/internal/instance/entry/exchange.go
+++ b/internal/instance/entry/exchange.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +15,7 @@
 	"knapweedreel/internal/document"
 	"knapweedreel/internal/errkind"
 	"knapweedreel/internal/instance/admin"
+	"knapweedreel/internal/membudget"
 	"knapweedreel/internal/routing"
 )
 
@@ -43,7 +45,11 @@
 	slotReq  *slotRequest
 	route    *document.Route
 	body     *requestBody // nil without a body
-	aborted  bool
+	holder   *membudget.Holder
+	// holdsSlot is set while the request holds a slot and waits for its caller: for
+	// the rest of the body, or until the caller reads a streamed response.
+	holdsSlot atomic.Bool
+	aborted   bool
 
 	// mu guards the fields below and slotReq, which concurrent attempts share.
 	mu           sync.Mutex
@@ -67,6 +73,17 @@
 	}
 }
 
+// setSending records that an upstream gets the request, and whether the request
+// waits for its caller meanwhile.
+func (e *exchange) setSending() {
+	if e.body == nil {
+		e.holder.SetStage(membudget.Sent)
+		return
+	}
+	e.holdsSlot.Store(true)
+	e.body.setSending()
+}
+
 // acquire takes a slot and records the time spent waiting.
 func (e *exchange) acquire() (choice, error) {
 	began := time.Now()
--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -14,6 +14,7 @@
 
 	"knapweedreel/internal/errkind"
 	"knapweedreel/internal/instance/admin"
+	"knapweedreel/internal/membudget"
 )
 
 // ServeHTTP serves one request.
@@ -23,13 +24,18 @@
 		s: s, w: w, rc: http.NewResponseController(w), r: r,
 		started: time.Now(), caller: callerOf(r),
 	}
+	e.conn = callerConnOf(r)
+	e.openHolder()
+	e.holder.SetStage(membudget.Queued)
 	if r.ContentLength != 0 {
 		// The response may begin before the body has ended.
 		_ = e.rc.EnableFullDuplex()
-		e.body = newRequestBody(r, s.cfg.Limits.BufferedBodyBytes)
+		e.body = newRequestBody(r, s.cfg.Limits.BufferedBodyBytes, e.holder, milliseconds(s.cfg.Times.MemoryWaitMS))
+		e.holder.SetStage(membudget.Receiving)
+	}
+	if e.conn != nil {
+		e.conn.begin(e)
 	}
-	e.conn = callerConnOf(r)
-	e.setServing(true)
 	defer s.record(e)
 	defer e.finishConn()
 	defer s.recoverPanic(e)
@@ -135,14 +141,10 @@
 
 // acquireFirst takes the slot for the first attempt of a request.
 func (s *Server) acquireFirst(e *exchange) (choice, error) {
-	if n := e.r.ContentLength; n > 0 && n <= int64(s.cfg.Limits.BufferedBodyBytes) && !e.body.expectContinue {
-		// The body is read first so that a slow caller doesn't occupy a slot.
-		e.body.awaitBuffered(e.ctx)
-		if err := cmp.Or(e.body.failure(), e.ctx.Err()); err != nil {
-			return choice{}, err
-		}
-	}
 	e.st = s.service(e.svc.Name)
+	if err := e.receiveBody(); err != nil {
+		return choice{}, err
+	}
 	e.st.requestArrived()
 	e.slotReq = &slotRequest{
 		caller: e.caller, route: routeName(e.route), idempotent: e.route.Idempotent, deadline: e.deadline,
@@ -151,6 +153,30 @@
 	return e.acquire()
 }
 
+// receiveBody reads a body that can be kept before the request takes a slot, so
+// that a slow caller doesn't occupy the slot. A body without a length is only read
+// first while requests wait for a slot: its caller may wait for the response
+// before it sends the rest.
+func (e *exchange) receiveBody() error {
+	if e.body == nil {
+		return nil
+	}
+	n := e.r.ContentLength
+	kept := n > 0 && n <= int64(e.s.cfg.Limits.BufferedBodyBytes) || n < 0 && e.st.hasWaiting()
+	if !kept || e.body.expectContinue {
+		if err := e.body.reserveFirst(); err != nil {
+			return err
+		}
+	} else {
+		e.body.awaitBuffered(e.ctx)
+		if err := cmp.Or(e.body.failure(), e.ctx.Err()); err != nil {
+			return err
+		}
+	}
+	e.holder.SetStage(membudget.Queued) // waits for a slot, not for its caller
+	return nil
+}
+
 // isReassigned reports whether the route of the request no longer leads to the
 // service that could not admit it. The service was chosen on arrival, and may have
 // left the configuration or lost its upstreams while the request waited.
@@ -175,6 +201,8 @@
 		e.id = ids[0]
 	}
 	switch {
+	case e.headerTooLarge():
+		return errkind.New(errkind.HeaderTooLarge, "the request header has more than %d bytes", e.s.headerLimits().bytes)
 	case e.r.Method == http.MethodConnect:
 		return errkind.New(errkind.BadRequest, "the method CONNECT is not proxied")
 	case e.r.Header.Get("Upgrade") != "":
--- a/internal/instance/entry/harness_test.go
+++ b/internal/instance/entry/harness_test.go
@@ -129,6 +129,7 @@
 			if err != nil {
 				t.Errorf("Run: %v", err)
 			}
+			checkMemoryReturned(t, s)
 		case <-time.After(waitTimeout):
 			t.Error("Run did not return")
 		}
@@ -136,6 +137,25 @@
 	return s, fmt.Sprintf("http://%s", l.Addr())
 }
 
+// checkMemoryReturned guards against reserved memory that doesn't come back on some
+// path of a request: success, failure, retry, hedge, abort, panic or shutdown. All
+// tests of a server end with it.
+func checkMemoryReturned(t testing.TB, s *Server) {
+	t.Helper()
+	limit := time.Now().Add(waitTimeout)
+	for {
+		used, waiting := s.budget.Used()
+		if used == 0 && waiting == 0 {
+			return
+		}
+		if time.Now().After(limit) {
+			t.Errorf("%d reserved bytes and %d reservations are left", used, waiting)
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // request returns a request to the service of testDocument.
 func request(t *testing.T, method, url string, body []byte) *http.Request {
 	t.Helper()
--- a/internal/instance/entry/listener.go
+++ b/internal/instance/entry/listener.go
@@ -2,51 +2,98 @@
 
 import (
 	"bytes"
-	"context"
 	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 
 	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/membudget"
 )
 
-// listener limits the number of open connections. Further callers wait in the
-// listen backlog of the operating system.
+// listener limits the number of open connections. When the limit is reached, it
+// closes another connection for each new one.
 type listener struct {
 	net.Listener
-	sem    chan struct{}
-	closed chan struct{}
-	once   sync.Once
+	limit        int64
+	open         atomic.Int64
+	budget       *membudget.Budget
+	closed       chan struct{}
+	once         sync.Once
+	headerLimits func() headerLimits
+	evicted      tally.Counter
 }
 
-func newListener(l net.Listener, limit int) *listener {
-	return &listener{Listener: l, sem: make(chan struct{}, limit), closed: make(chan struct{})}
+func newListener(l net.Listener, limit int, budget *membudget.Budget, limits func() headerLimits, evicted tally.Counter) *listener {
+	return &listener{Listener: l, limit: int64(limit), budget: budget, closed: make(chan struct{}), headerLimits: limits, evicted: evicted}
 }
 
-// Accept waits until the number of connections is below the limit, then for a
-// connection.
+// Accept waits for a connection. While there is neither room for it nor another
+// one to close, it waits on; further callers then wait in the listen backlog of the
+// operating system.
 func (l *listener) Accept() (net.Conn, error) {
-	select {
-	case l.sem <- struct{}{}:
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-	c, err := l.Listener.Accept()
+	nc, err := l.Listener.Accept()
 	if err != nil {
-		<-l.sem
 		return nil, err
 	}
-	return &callerConn{Conn: c, l: l}, nil
+	if tc, ok := nc.(*net.TCPConn); ok {
+		_ = tc.SetWriteBuffer(callerSendBuffer)
+	}
+	c := &callerConn{Conn: nc, l: l}
+	c.holder = l.budget.Open(memoryCaller(nc.RemoteAddr()), c, time.Now())
+	c.holder.SetStage(membudget.Sent) // is not closed in favor of itself
+	for !l.admit(c) {
+		select {
+		case <-time.After(admitInterval):
+		case <-l.closed:
+			c.holder.Close()
+			_ = nc.Close()
+			return nil, net.ErrClosed
+		}
+	}
+	c.holder.SetStage(membudget.Header)
+	return c, nil
 }
 
-// nearLimit reports whether the number of connections is at least 90% of the
-// limit. Connections are then closed after their response, so that idle ones
-// don't keep callers out.
-func (l *listener) nearLimit() bool { return 10*len(l.sem) >= 9*cap(l.sem) }
+// admitInterval is the time between attempts to make room for a connection.
+const admitInterval = 10 * time.Millisecond
+
+// admit reserves the memory of a connection and counts it, closing others if
+// necessary. It reports false if there is no room.
+func (l *listener) admit(c *callerConn) bool {
+	now := time.Now()
+	for l.open.Load() >= l.limit {
+		if !l.evictOne(now) {
+			return false
+		}
+	}
+	for !c.holder.Reserve(membudget.Connection, connectionBytes) {
+		if !l.evictOne(now) {
+			return false
+		}
+	}
+	l.open.Add(1)
+	return true
+}
+
+// evictOne closes a connection for a new one and reports whether there was one.
+func (l *listener) evictOne(now time.Time) bool {
+	for {
+		h := l.budget.EvictConnection(now)
+		if h == nil {
+			return false
+		}
+		if c, ok := h.Owner.(*callerConn); ok && c.evictConn() {
+			l.evicted.Inc(1)
+			return true
+		}
+	}
+}
 
 // Close closes the listener and ends Accept.
 func (l *listener) Close() error {
@@ -54,46 +101,10 @@
 	return l.Listener.Close()
 }
 
-// callerConn is a connection accepted by a listener.
-type callerConn struct {
-	net.Conn
-	l       *listener
-	once    sync.Once
-	serving atomic.Bool // a request is being served and its response isn't written yet
-}
-
-// Close closes the connection, which then no longer counts toward the limit.
-func (c *callerConn) Close() error {
-	c.once.Do(func() { <-c.l.sem })
-	return c.Conn.Close()
-}
-
-func (c *callerConn) nearLimit() bool { return c.l.nearLimit() }
-
-// Write replaces the responses that net/http generates for requests that it
-// can't parse, because these carry no error kind. net/http writes them in one
-// call while no request is being served.
-func (c *callerConn) Write(p []byte) (int, error) {
-	if c.serving.Load() || !bytes.HasPrefix(p, []byte("HTTP/1.1 ")) {
-		return c.Conn.Write(p)
-	}
-	kind := errkind.BadRequest
-	if bytes.HasPrefix(p, []byte("HTTP/1.1 431 ")) {
-		kind = errkind.HeaderTooLarge
-	}
-	if _, err := c.Conn.Write(rawErrorResponse(kind)); err != nil {
-		return 0, err
-	}
-	return len(p), nil
-}
-
-// abort makes Close reset the connection. An HTTP/1.0 caller takes any other
-// close for the end of the response.
-func (c *callerConn) abort() {
-	if tc, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tc.SetLinger(0)
-	}
-}
+// nearLimit reports whether the number of connections is at least 90% of the
+// limit. Connections are then closed after their response, so that idle ones
+// don't keep callers out.
+func (l *listener) nearLimit() bool { return 10*l.open.Load() >= 9*l.limit }
 
 // rawErrorResponse returns the serialized response for kind, with
 // Connection: close.
@@ -127,19 +138,6 @@
 func (w *responseRecorder) WriteHeader(status int)      { w.status = status }
 func (w *responseRecorder) Write(p []byte) (int, error) { return w.body.Write(p) }
 
-type callerConnKey struct{}
-
-// withCallerConn adds the connection to the context of its requests.
-func withCallerConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, c)
-}
-
-// callerConnOf returns the connection of a request, nil if Run didn't accept it.
-func callerConnOf(r *http.Request) *callerConn {
-	c, _ := r.Context().Value(callerConnKey{}).(*callerConn)
-	return c
-}
-
 // errDrainLimit means that requests were still in flight when the stop limit of
 // a graceful shutdown had passed.
 var errDrainLimit = errors.New("requests in flight were canceled at the stop limit")
--- /dev/null
+++ b/internal/instance/entry/memory.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"knapweedreel/internal/membudget"
+	"knapweedreel/internal/settings"
+)
+
+const (
+	// connectionBytes is the memory reserved for a caller's connection: the stacks
+	// of its goroutines, the buffers of net/http and a small request header.
+	connectionBytes = 16 << 10
+	// headerFactor is the memory for a byte of a request header beyond the first
+	// buffer: the header is copied for the upstream.
+	headerFactor = 2
+	// waitingBytes is the memory that a caller may fill in a socket buffer while its
+	// body waits for memory, the default receive window of the operating system.
+	waitingBytes = 64 << 10
+	// scansPerStall is the number of scans for callers without progress in the
+	// stall time.
+	scansPerStall = 4
+)
+
+// Shares of the callers' memory, as divisors.
+const (
+	connectionDivisor = 2 // for connections
+	waitingDivisor    = 8 // equivalent of the socket buffers of waiting bodies
+	bodyDivisor       = 8 // for the body of one request
+)
+
+// limitsWithinMemory lowers the limits that the memory for callers doesn't allow.
+func limitsWithinMemory(l settings.Limits) settings.Limits {
+	l.CallerConnections = max(1, min(l.CallerConnections, l.CallerMemoryBytes/connectionDivisor/connectionBytes))
+	l.BufferedBodyBytes = min(l.BufferedBodyBytes, l.CallerMemoryBytes/bodyDivisor)
+	return l
+}
+
+func newBudget(l settings.Limits, t settings.Times) *membudget.Budget {
+	return membudget.New(membudget.Config{
+		Limit: int64(l.CallerMemoryBytes), Stall: milliseconds(t.StallMS),
+		MaxWaiting: l.CallerMemoryBytes / waitingDivisor / waitingBytes,
+	})
+}
+
+// addressPrefix is the number of bits of an IPv6 address that identify a caller. A
+// site usually has all addresses of such a prefix.
+const addressPrefix = 64
+
+// memoryCaller returns the caller to whom a connection's memory is charged. It
+// isn't the account that a request names, because a client can name any.
+func memoryCaller(a net.Addr) string {
+	address, err := netip.ParseAddrPort(a.String())
+	if err != nil {
+		return a.String()
+	}
+	ip := address.Addr().Unmap()
+	if ip.Is6() {
+		if prefix, err := ip.Prefix(addressPrefix); err == nil {
+			return prefix.String()
+		}
+	}
+	return ip.String()
+}
+
+// watchMemory ends requests of callers without progress while others need their
+// memory or their upstream.
+func (s *Server) watchMemory(ctx context.Context) {
+	t := time.NewTicker(max(time.Millisecond, milliseconds(s.cfg.Times.StallMS)/scansPerStall))
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			s.scanMemory(now)
+		}
+	}
+}
+
+func (s *Server) scanMemory(now time.Time) {
+	evicted := 0
+	for _, h := range s.budget.Scan(now) {
+		if c, ok := h.Owner.(*callerConn); ok && c.evict() {
+			evicted++
+		}
+	}
+	stalled := 0
+	for _, h := range s.budget.Stalled(now, membudget.Streaming, membudget.Writing) {
+		if c, ok := h.Owner.(*callerConn); ok && c.blocksSlot() && c.evict() {
+			stalled++
+		}
+	}
+	for _, h := range s.budget.Holding(membudget.Socket, membudget.Idle) {
+		if c, ok := h.Owner.(*callerConn); ok {
+			c.drainSocket()
+		}
+	}
+	used, waiting := s.budget.Used()
+	s.memoryMetrics.used.Update(float64(used))
+	s.memoryMetrics.waiting.Update(float64(waiting))
+	s.memoryMetrics.evicted.Inc(int64(evicted))
+	s.memoryMetrics.stalled.Inc(int64(stalled))
+	if evicted+stalled > 0 {
+		s.log.Warn("callers_evicted", zap.Int("for_memory", evicted), zap.Int("for_slots", stalled),
+			zap.Int64("reserved_bytes", used), zap.Int("waiting", waiting))
+	}
+}
+
+// hasWaiting reports whether requests wait for a slot.
+func (st *serviceState) hasWaiting() bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.queue.length > 0
+}
+
+// openHolder sets the holder of the memory of a request.
+func (e *exchange) openHolder() {
+	if e.conn != nil {
+		e.holder = e.conn.holder
+		return
+	}
+	e.holder = e.s.budget.Open(e.caller, nil, e.started)
+}
+
+// closeHolder returns the memory of the request.
+func (e *exchange) closeHolder() {
+	if e.conn != nil {
+		e.conn.end()
+		return
+	}
+	e.holder.Close()
+}
--- a/internal/instance/entry/metrics.go
+++ b/internal/instance/entry/metrics.go
@@ -28,6 +28,22 @@
 	waiting, inFlight, slots tally.Gauge
 }
 
+// memoryMetrics are the metrics of the memory for callers.
+type memoryMetrics struct {
+	used, waiting               tally.Gauge
+	evicted, stalled, displaced tally.Counter
+}
+
+func newMemoryMetrics(scope tally.Scope) *memoryMetrics {
+	evictions := func(reason string) tally.Counter {
+		return scope.Tagged(map[string]string{"reason": reason}).Counter("caller_evictions")
+	}
+	return &memoryMetrics{
+		used: scope.Gauge("caller_memory_bytes"), waiting: scope.Gauge("caller_memory_waiting"),
+		evicted: evictions("memory"), stalled: evictions("slot"), displaced: evictions("connection"),
+	}
+}
+
 // noService is the service label of requests without a service, such as locate
 // requests. All counters of a name need the same labels.
 const noService = "none"
--- a/internal/instance/entry/pick_test.go
+++ b/internal/instance/entry/pick_test.go
@@ -109,3 +109,28 @@
 		t.Errorf("chosen %s after a success, want the upstream of the local region", c.upstream.ID)
 	}
 }
+
+// Guards against refusing a caller because of the many requests of another one,
+// which don't delay it: callers take turns.
+func TestQueueAheadCountsTurns(t *testing.T) {
+	var q fairQueue
+	push := func(caller string, priority int) {
+		q.push(&waiter{req: &slotRequest{caller: caller, priority: priority}})
+	}
+	for range 10 {
+		push("many", 1)
+	}
+	push("few", 1)
+	push("few", 2)
+	for _, c := range []struct {
+		caller   string
+		priority int
+		want     int
+	}{
+		{"new", 1, 2}, {"few", 1, 1 + 2}, {"few", 2, 2 + 3}, {"many", 1, 10 + 1}, {"many", 2, 10 + 2}, {"new", 0, 0},
+	} {
+		if got := q.ahead(c.caller, c.priority); got != c.want {
+			t.Errorf("%s with priority %d: %d ahead, want %d", c.caller, c.priority, got, c.want)
+		}
+	}
+}
--- a/internal/instance/entry/placer.go
+++ b/internal/instance/entry/placer.go
@@ -196,7 +196,7 @@
 	if untilDeadline := req.deadline.Sub(now) - times.AtDeviations(1); req.retry || left <= 0 {
 		left = untilDeadline
 	}
-	ahead := st.queue.ahead(req.priority)
+	ahead := st.queue.ahead(req.caller, req.priority)
 	slots := 0
 	for i := range svc.Upstreams {
 		slots += svc.Upstreams[i].Slots
@@ -247,7 +247,7 @@
 	}
 	times := st.placer.times(req)
 	return st.placer.returns.Schedule(placement.Refused{
-		Priority: req.priority, Ahead: st.queue.ahead(req.priority), Earliest: st.earliest(svc, now),
+		Priority: req.priority, Ahead: st.queue.ahead(req.caller, req.priority), Earliest: st.earliest(svc, now),
 		Interval: times.Mean() / time.Duration(st.concurrency(snap, svc)), Latest: req.deadline.Add(-times.Mean()),
 	}, now)
 }
--- a/internal/instance/entry/queue.go
+++ b/internal/instance/entry/queue.go
@@ -78,15 +78,24 @@
 }
 
 // ahead returns the number of waiting requests that are served before a new one
-// of the given priority.
-func (q *fairQueue) ahead(priority int) int {
-	n := 0
-	for _, waiting := range q.byCaller {
+// of a caller with the given priority: the caller's own, and of each other caller
+// as many and one more, because callers take turns.
+func (q *fairQueue) ahead(caller string, priority int) int {
+	count := func(waiting []*waiter) int {
+		n := 0
 		for _, w := range waiting {
 			if w.req.priority <= priority {
 				n++
 			}
 		}
+		return n
+	}
+	own := count(q.byCaller[caller])
+	n := own
+	for c, waiting := range q.byCaller {
+		if c != caller {
+			n += min(count(waiting), own+1)
+		}
 	}
 	return n
 }
--- a/internal/instance/entry/response.go
+++ b/internal/instance/entry/response.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/membudget"
 )
 
 // errCallerWrite marks failed writes to the caller.
@@ -61,6 +62,13 @@
 	e.explanation.Status = resp.StatusCode
 	e.prepareHeader(!a.complete)
 	e.w.WriteHeader(resp.StatusCode)
+	e.holdsSlot.Store(!a.complete)
+	if n := resp.ContentLength; e.conn != nil && (n < 0 || n > smallAnswer) && !(a.complete && len(a.prefix) <= smallAnswer) {
+		e.conn.reserveSocket(n)
+	}
+	if a.complete && e.body != nil {
+		e.body.release()
+	}
 	err := s.writeBody(e, a)
 	if err != nil {
 		a.err = err
@@ -78,6 +86,36 @@
 	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
+// smallAnswer is the size up to which the memory of a response isn't reserved but
+// is part of the connection's.
+const smallAnswer = 4 << 10
+
+// takeBuffer takes a buffer for the response of a. If memory is short, the buffer
+// is a small one, and the response is streamed.
+func (a *attempt) takeBuffer() {
+	n := a.response.ContentLength
+	if (n < 0 || n > smallAnswer) && a.e.holder.Reserve(membudget.Answer, int64(a.s.buffers.size)) {
+		a.prefix = a.s.buffers.get()
+	} else {
+		a.prefix = a.s.pieces.get()
+	}
+}
+
+// releaseBuffer returns the buffer of the attempt's response to its pool. a may be
+// nil.
+func (a *attempt) releaseBuffer() {
+	if a == nil || a.prefix == nil {
+		return
+	}
+	if cap(a.prefix) >= a.s.buffers.size {
+		a.s.buffers.put(a.prefix)
+		a.e.holder.Return(membudget.Answer, int64(a.s.buffers.size))
+	} else {
+		a.s.pieces.put(a.prefix)
+	}
+	a.prefix = nil
+}
+
 // writeBody writes the buffered prefix and streams the rest, if any.
 func (s *Server) writeBody(e *exchange, a *attempt) error {
 	if err := e.write(a.prefix); err != nil || a.complete {
@@ -111,6 +149,8 @@
 	if len(p) == 0 || e.r.Method == http.MethodHead {
 		return nil
 	}
+	e.holder.SetStage(membudget.Writing)
+	defer e.holder.SetStage(membudget.Sent)
 	if _, err := e.w.Write(p); err != nil {
 		return errors.Mark(errkind.Wrap(errkind.CallerGone, err, "write the response"), errCallerWrite)
 	}
@@ -174,8 +214,14 @@
 
 // finishConn reads the rest of the caller's body once the response is written.
 func (e *exchange) finishConn() {
+	defer e.closeHolder()
 	if !e.aborted {
+		e.holder.SetStage(membudget.Writing)
 		_ = e.rc.Flush()
+		if e.conn != nil && !e.conn.settleSocket() {
+			e.conn.abort()
+			_ = e.conn.Close()
+		}
 		e.setServing(false)
 	}
 	if e.body == nil {
--- a/internal/instance/entry/retry.go
+++ b/internal/instance/entry/retry.go
@@ -78,15 +78,6 @@
 	return e.callerError(last.err)
 }
 
-// releaseBuffer returns the buffer of the attempt's response to the pool. a may
-// be nil.
-func (a *attempt) releaseBuffer() {
-	if a != nil && a.prefix != nil {
-		a.s.buffers.put(a.prefix)
-		a.prefix = nil
-	}
-}
-
 // retryLimit returns the maximum number of retries.
 func (e *exchange) retryLimit() int {
 	if e.route.Retries != nil {
--- a/internal/instance/entry/run.go
+++ b/internal/instance/entry/run.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,16 +35,16 @@
 	s.http = server
 	s.mu.Unlock()
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(newListener(l, s.cfg.Limits.CallerConnections)) }()
-	tidied := make(chan struct{})
-	tidyCtx, stopTidying := context.WithCancel(ctx)
 	go func() {
-		defer close(tidied)
-		s.tidy(tidyCtx)
+		served <- server.Serve(newListener(l, s.cfg.Limits.CallerConnections, s.budget, s.headerLimits, s.memoryMetrics.displaced))
 	}()
+	var background sync.WaitGroup
+	backgroundCtx, stopBackground := context.WithCancel(ctx)
+	background.Go(func() { s.tidy(backgroundCtx) })
+	background.Go(func() { s.watchMemory(backgroundCtx) })
 	defer func() {
-		stopTidying()
-		<-tidied
+		stopBackground()
+		background.Wait()
 		s.pools.Close()
 	}()
 	select {
@@ -86,6 +87,12 @@
 	}
 }
 
+// headerLimits returns the limits of the configuration for request headers.
+func (s *Server) headerLimits() headerLimits {
+	snap := s.control.Snapshot()
+	return headerLimits{bytes: snap.CallerHeaderBytes, timeout: snap.CallerHeaderTimeout}
+}
+
 // maxIdleTimeout bounds the idle time of callers' connections. The settings or
 // the configuration set a lower limit, which tidy enforces.
 const maxIdleTimeout = 10 * time.Minute
--- a/internal/membudget/evict.go
+++ b/internal/membudget/evict.go
@@ -55,6 +55,19 @@
 	return out
 }
 
+// Holding returns the holders at a stage that have reserved bytes for a use.
+func (b *Budget) Holding(use Use, stage Stage) []*Holder {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []*Holder
+	for h := range b.holders {
+		if h.used[use] > 0 && h.Stage() == stage {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // EvictConnection returns the holder whose connection is to be closed for a new
 // one, nil if there is none: the one that has been idle longest, else the one
 // with the least recent progress of the caller that has the most.
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -20,6 +20,7 @@
 	Connection Use = "connection" // a connection with its buffers and request header
 	Body       Use = "body"       // of a caller's request, kept for a retry
 	Answer     Use = "answer"     // a buffer for a response
+	Socket     Use = "socket"     // bytes of a response that its caller hasn't received
 )
 
 // Stage is how far the request of a holder has got. It determines whether the
@@ -87,6 +88,7 @@
 	b        *Budget
 	progress atomic.Int64
 	stage    atomic.Int32
+	extra    atomic.Bool // bytes other than Connection's may be reserved
 
 	// Guarded by b.mu.
 	caller  *caller
@@ -131,8 +133,19 @@
 // Advance counts bytes received or written as progress.
 func (h *Holder) Advance(n int) { h.progress.Add(int64(n)) }
 
-// SetStage sets the stage.
-func (h *Holder) SetStage(s Stage) { h.stage.Store(int32(s)) }
+// SetStage sets the stage. Another stage counts as progress.
+func (h *Holder) SetStage(s Stage) {
+	if h.stage.Swap(int32(s)) != int32(s) {
+		h.progress.Add(1)
+	}
+}
+
+// Transition sets the stage to another one if it is from.
+func (h *Holder) Transition(from, to Stage) {
+	if h.stage.CompareAndSwap(int32(from), int32(to)) {
+		h.progress.Add(1)
+	}
+}
 
 // Stage returns the stage.
 func (h *Holder) Stage() Stage { return Stage(h.stage.Load()) }
@@ -197,14 +210,30 @@
 	h.b.grant()
 }
 
-// ReturnAll returns all bytes reserved by h for a use.
-func (h *Holder) ReturnAll(use Use) {
+// ReturnAll returns all bytes reserved by h for some uses.
+func (h *Holder) ReturnAll(uses ...Use) {
+	if !h.extra.Load() {
+		return
+	}
 	h.b.mu.Lock()
 	defer h.b.mu.Unlock()
-	if n := h.used[use]; n > 0 {
-		h.b.take(h, use, -n)
-		h.b.grant()
+	for _, use := range uses {
+		if n := h.used[use]; n > 0 {
+			h.b.take(h, use, -n)
+		}
 	}
+	h.extra.Store(h.total != h.used[Connection])
+	h.b.grant()
+}
+
+// Reserved returns the bytes reserved by h for a use.
+func (h *Holder) Reserved(use Use) int64 {
+	if use != Connection && !h.extra.Load() {
+		return 0
+	}
+	h.b.mu.Lock()
+	defer h.b.mu.Unlock()
+	return h.used[use]
 }
 
 // Close returns all bytes of h and ends its waiting reservations. Later
@@ -270,6 +299,9 @@
 
 // take adds n bytes, which may be negative, to the use of h. b.mu is held.
 func (b *Budget) take(h *Holder, use Use, n int64) {
+	if use != Connection && n > 0 {
+		h.extra.Store(true)
+	}
 	h.used[use] += n
 	h.total += n
 	h.caller.used += n
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -24,6 +24,11 @@
 	// CallerIdle is the idle timeout of a caller's connection, 0 for that of the
 	// settings.
 	CallerIdle time.Duration
+	// CallerHeaderBytes is the maximum size of a request header in bytes, and
+	// CallerHeaderTimeout the maximum time for receiving it; 0 for those of the
+	// settings.
+	CallerHeaderBytes   int
+	CallerHeaderTimeout time.Duration
 	// Accounts are the client accounts, nil if the configuration has none. Requests
 	// then need no key.
 	Accounts *account.Set
--- a/internal/settings/normalize.go
+++ b/internal/settings/normalize.go
@@ -7,8 +7,11 @@
 	DefaultHeaderBytes         = 32 << 10
 	DefaultBufferedAnswerBytes = 64 << 10
 	DefaultBufferedBodyBytes   = 64 << 10
+	DefaultCallerMemoryBytes   = 256 << 20 // without a platform
 	DefaultExplanations        = 1_024
 	DefaultHeaderMS            = 30_000
+	DefaultStallMS             = 1_000
+	DefaultMemoryWaitMS        = 2_000
 	DefaultConnectMS           = 1_000
 	DefaultStoreMS             = 2_000
 	DefaultHeartbeatMS         = 1_000
@@ -25,6 +28,12 @@
 	// drainMarginMS is the default of DrainMS minus KeepMS: a caller whose cached
 	// address has just expired needs time to resolve it again.
 	drainMarginMS = 2_000
+
+	// callerMemoryShare is the share of an instance's memory for callers. The Go
+	// runtime's limit is 0.7 of the memory; the difference is for the program's own
+	// state and for garbage. The other 0.3 are for the program's code and for
+	// socket buffers.
+	callerMemoryShare = 0.35
 )
 
 // Normalize sets absent fields to their defaults. It is idempotent.
@@ -32,11 +41,12 @@
 	setDefault(&s.ListAddress, s.StoreAddress)
 	setDefault(&s.PeerListenAddress, s.PeerAddress)
 	setDefault(&s.LogLevel, DefaultLogLevel)
-	s.Limits.normalize()
-	s.Times.normalize()
 	if s.Platform != nil {
 		s.Platform.normalize()
+		setDefault(&s.Limits.CallerMemoryBytes, int(callerMemoryShare*float64(s.Platform.MemoryMB)*(1<<20)))
 	}
+	s.Limits.normalize()
+	s.Times.normalize()
 }
 
 func (p *Platform) normalize() {
@@ -53,11 +63,14 @@
 	setDefault(&l.HeaderBytes, DefaultHeaderBytes)
 	setDefault(&l.BufferedAnswerBytes, DefaultBufferedAnswerBytes)
 	setDefault(&l.BufferedBodyBytes, DefaultBufferedBodyBytes)
+	setDefault(&l.CallerMemoryBytes, DefaultCallerMemoryBytes)
 	setDefault(&l.Explanations, DefaultExplanations)
 }
 
 func (t *Times) normalize() {
 	setDefault(&t.HeaderMS, DefaultHeaderMS)
+	setDefault(&t.StallMS, DefaultStallMS)
+	setDefault(&t.MemoryWaitMS, DefaultMemoryWaitMS)
 	setDefault(&t.ConnectMS, DefaultConnectMS)
 	setDefault(&t.StoreMS, DefaultStoreMS)
 	setDefault(&t.HeartbeatMS, DefaultHeartbeatMS)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -136,6 +136,10 @@
 	// BufferedBodyBytes is the size up to which a request body is buffered for a
 	// retry. Default 64 KiB.
 	BufferedBodyBytes int `json:"buffered_body_bytes"`
+	// CallerMemoryBytes is the memory for callers' connections, request bodies and
+	// responses. When it is short, requests wait for it and are then refused.
+	// Default 0.35 of Platform.MemoryMB, 256 MiB without a platform.
+	CallerMemoryBytes int `json:"caller_memory_bytes"`
 	// Explanations is the number of requests and the number of decisions that
 	// are stored for the explain command. Default 1,024.
 	Explanations int `json:"explanations"`
@@ -146,6 +150,12 @@
 	// HeaderMS is the timeout for receiving a caller's request header, and for
 	// idle caller connections. Default 30,000.
 	HeaderMS int `json:"header_ms"`
+	// StallMS is the time without progress after which a caller's request may be
+	// ended if others need its memory or its upstream. Default 1,000.
+	StallMS int `json:"stall_ms"`
+	// MemoryWaitMS is the maximum time for which a request body waits for memory.
+	// Default 2,000.
+	MemoryWaitMS int `json:"memory_wait_ms"`
 	// ConnectMS is the timeout for connecting to an upstream. Default 1,000.
 	ConnectMS int `json:"connect_ms"`
 	// StoreMS is the timeout of a call to the store. Default 2,000.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -13,6 +13,8 @@
 	minHeaderBytes  = 1 << 10
 	maxHeaderBytes  = 1 << 20
 	maxBufferBytes  = 16 << 20
+	minCallerMemory = 1 << 20
+	maxCallerMemory = 1 << 40
 	maxConnections  = 1_000_000
 	maxExplanations = 1_000_000
 	minCores        = 0.01
@@ -96,6 +98,7 @@
 	jsonc.CheckRange(p, "limits.header_bytes", l.HeaderBytes, minHeaderBytes, maxHeaderBytes)
 	jsonc.CheckRange(p, "limits.buffered_answer_bytes", l.BufferedAnswerBytes, 1, maxBufferBytes)
 	jsonc.CheckRange(p, "limits.buffered_body_bytes", l.BufferedBodyBytes, 1, maxBufferBytes)
+	jsonc.CheckRange(p, "limits.caller_memory_bytes", l.CallerMemoryBytes, minCallerMemory, maxCallerMemory)
 	jsonc.CheckRange(p, "limits.explanations", l.Explanations, 1, maxExplanations)
 }
 
@@ -105,6 +108,8 @@
 		value int
 	}{
 		{"times.header_ms", t.HeaderMS},
+		{"times.stall_ms", t.StallMS},
+		{"times.memory_wait_ms", t.MemoryWaitMS},
 		{"times.connect_ms", t.ConnectMS},
 		{"times.store_ms", t.StoreMS},
 		{"times.heartbeat_ms", t.HeartbeatMS},
