test/crowd: pipelining readers; instance: the runtime's limit leaves room

A seventh crowd: 500 connections send 40 requests each at once and read nothing, so that complete responses of 48 KiB stay in the sockets of connections that look idle.

The limit now also leaves 16 MB for the code and 0.15 of the memory for sockets; nothing changes from 107 MB on. Lowering the share for callers instead was ruled out: garbage fills the heap up to the limit whatever the share is.

--- a/internal/instance/onplatform.go
+++ b/internal/instance/onplatform.go
@@ -51,7 +51,7 @@
 // gracefully. It returns the same errors as Run.
 func RunOnPlatform(ctx context.Context, s settings.Settings, p Platform, log *zap.Logger) error {
 	s.Normalize()
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Platform.MemoryMB) * (1 << 20)))
+	debug.SetMemoryLimit(memoryLimit(s.Platform.MemoryMB))
 	log = log.With(zap.String("instance", s.Instance))
 	defer redirectStandardLog(log)()
 	defer p.Close()
@@ -78,10 +78,26 @@
 	return err
 }
 
-// memoryLimitShare is the Go runtime's memory limit as a share of the instance's
-// memory. The rest is for memory that the runtime does not count, such as socket
-// buffers.
-const memoryLimitShare = 0.7
+// The rest of the instance's memory is for what the Go runtime doesn't count.
+const (
+	// memoryLimitShare bounds the runtime's memory limit as a share of the
+	// instance's memory.
+	memoryLimitShare = 0.7
+	// socketShare is the share for socket buffers.
+	socketShare = 0.15
+	// programBytes is for the program's code and data; 12 MB were resident.
+	programBytes = 16 << 20
+	// minMemoryLimitShare bounds the limit on small machines, so that the garbage
+	// collector doesn't take all of the processor time.
+	minMemoryLimitShare = 0.5
+)
+
+// memoryLimit returns the Go runtime's memory limit in bytes.
+func memoryLimit(memoryMB int) int64 {
+	total := float64(memoryMB) * (1 << 20)
+	limit := min(memoryLimitShare*total, (1-socketShare)*total-programBytes)
+	return int64(max(limit, minMemoryLimitShare*total))
+}
 
 // platformComponents holds the children of an instance on a platform.
 type platformComponents struct {
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -29,6 +30,13 @@
 	headerDescriptors = 256
 	// largeResponse is above the size up to which a response is buffered.
 	largeResponse = 1 << 20
+	// readerCrowd is nearly all of the connections for callers: each keeps only about
+	// 70 KB unread.
+	readerCrowd = 500
+	// pipelined is the number of requests that a member sends at once, and
+	// pipelinedResponse the size of each response, which is buffered completely.
+	pipelined         = 40
+	pipelinedResponse = 48 << 10
 
 	slots    = 6
 	workTime = 20 * time.Millisecond
@@ -95,8 +103,29 @@
 // Guards against responses that pile up in the process and in its sockets while
 // their callers don't read them.
 func TestCrowdOfSlowReaders(t *testing.T) {
+	checkReaders(t, bodyCrowd, largeResponse, func(c net.Conn, id string) error {
+		_, err := io.WriteString(c, header(crowdService, id, "Content-Length: 0"))
+		return err
+	})
+}
+
+// Guards against complete responses that pile up in the sockets of connections that
+// look idle: the callers send many requests at once and read nothing.
+func TestCrowdOfPipeliningReaders(t *testing.T) {
+	checkReaders(t, readerCrowd, pipelinedResponse, func(c net.Conn, id string) error {
+		for n := range pipelined {
+			if _, err := io.WriteString(c, header(crowdService, fmt.Sprint(id, "/", n), "Content-Length: 0")); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// checkReaders checks an instance with a crowd that doesn't read its responses.
+func checkReaders(t *testing.T, size, responseSize int, send func(net.Conn, string) error) {
 	p := startProcess(t, bodyDescriptors)
-	large := &largeUpstream{written: make(map[string]*atomic.Int64)}
+	large := &largeUpstream{size: responseSize, written: make(map[string]*atomic.Int64)}
 	server := httptest.NewServer(large)
 	t.Cleanup(func() {
 		server.CloseClientConnections()
@@ -106,11 +135,8 @@
 	u.SetAddress(server.Listener.Addr().String())
 	p.addUpstream(otherService, slots, workTime)
 	p.checkOrdinary(otherService)
-	c := &crowd{t: t, address: p.entry, slow: true, send: func(c net.Conn, id string) error {
-		_, err := io.WriteString(c, header(crowdService, id, "Content-Length: 0"))
-		return err
-	}}
-	c.gather(bodyCrowd)
+	c := &crowd{t: t, address: p.entry, slow: true, send: send}
+	c.gather(size)
 	// The members have sent their requests; the responses follow.
 	held := int64(0)
 	for began := time.Now(); time.Since(began) < gatherTimeout; time.Sleep(20 * time.Millisecond) {
@@ -123,23 +149,28 @@
 // largeUpstream responds with large bodies and counts the bytes that were taken
 // from it.
 type largeUpstream struct {
+	size    int // of a response in bytes
 	mu      sync.Mutex
-	written map[string]*atomic.Int64 // by request ID
+	written map[string]*atomic.Int64 // by member
 }
 
 func (u *largeUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
-	n := new(atomic.Int64)
+	member, _, _ := strings.Cut(id, "/")
 	u.mu.Lock()
-	u.written[id] = n
+	n := u.written[member]
+	if n == nil {
+		n = new(atomic.Int64)
+		u.written[member] = n
+	}
 	u.mu.Unlock()
 	h := w.Header()
 	h.Set("Request-Id", id)
 	h.Set("Response-Signature", "large")
 	h.Set("Server-Load", fmt.Sprintf("1,0,%d", slots))
-	h.Set("Content-Length", strconv.Itoa(largeResponse))
+	h.Set("Content-Length", strconv.Itoa(u.size))
 	piece := make([]byte, pieceBytes)
-	for rest := largeResponse; rest > 0; rest -= len(piece) {
+	for rest := u.size; rest > 0; rest -= len(piece) {
 		if _, err := w.Write(piece); err != nil {
 			return
 		}
