--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -338,3 +338,16 @@
 		t.Error("a member removed long ago is still kept")
 	}
 }
+
+// Guards against limits of the configuration that don't reach the instances'
+// listeners.
+func TestSnapshotHasCallerLimits(t *testing.T) {
+	change := configuration(1)
+	change.Configuration.Limits = Limits{HeaderBytes: 16384, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+	c := New()
+	c.Reset([]Change{change}, epoch)
+	s := c.Snapshot(SnapshotInput{Self: member.Info{ID: "i"}}, c.Configuration().Table(), epoch)
+	if s.CallerHeaderBytes != 16384 || s.CallerHeaderTimeout != 3*time.Second || s.CallerIdle != 15*time.Second {
+		t.Errorf("%d bytes, %v for a header, %v idle", s.CallerHeaderBytes, s.CallerHeaderTimeout, s.CallerIdle)
+	}
+}
--- /dev/null
+++ b/internal/instance/entry/memory_test.go
@@ -0,0 +1,224 @@
+package entry
+
+import (
+	"bytes"
+	"crypto/rand"
+	"crypto/sha256"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/membudget"
+)
+
+// smallMemory makes a server short of memory soon and its waits brief.
+func smallMemory(cfg *Config) {
+	cfg.Limits.CallerMemoryBytes = 1 << 20
+	cfg.Times.MemoryWaitMS = 50
+	cfg.Times.StallMS = 100
+}
+
+// fillMemory reserves nearly all of a server's memory for callers whose requests
+// are at upstreams, but for small holders. It returns a function that returns it.
+func fillMemory(t *testing.T, s *Server) func() {
+	t.Helper()
+	limit := int64(s.cfg.Limits.CallerMemoryBytes)
+	var holders []*membudget.Holder
+	for _, caller := range []string{"x", "y"} {
+		h := s.budget.Open(caller, nil, time.Now())
+		h.SetStage(membudget.Sent)
+		if !h.Reserve(membudget.Body, limit*7/16-1) {
+			t.Fatal("the memory is in use")
+		}
+		holders = append(holders, h)
+	}
+	return func() {
+		for _, h := range holders {
+			h.Close()
+		}
+	}
+}
+
+// Guards against a body that is read without memory, against a refusal that isn't
+// marked as not run, and against small requests and responses that are refused
+// together with large ones.
+func TestBodyWithoutMemory(t *testing.T) {
+	big := strings.Repeat("x", 200<<10)
+	up := standin(t, "u1", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/read/big" {
+			_, _ = io.WriteString(w, big)
+			return
+		}
+		succeed(w, r)
+	})
+	c := &fakeControl{snap: snapshotOf(testDocument(), up)}
+	s, url := startServer(t, c, smallMemory)
+	free := fillMemory(t, s)
+	defer free()
+	body := bytes.Repeat([]byte("x"), 60<<10)
+	for _, length := range []int64{int64(len(body)), -1} {
+		req := request(t, http.MethodPost, url+"/read/x", body)
+		req.ContentLength = length
+		if resp, _ := roundTrip(t, req); length >= 0 {
+			h := resp.Header
+			if resp.StatusCode != http.StatusServiceUnavailable || h.Get(errkind.HeaderError) != string(errkind.MemoryShort) ||
+				h.Get(errkind.HeaderRun) != string(errkind.NotRun) || h.Get("Retry-After") == "" {
+				t.Errorf("status %d, header %v", resp.StatusCode, h)
+			}
+			if n := len(c.reported()); n != 0 {
+				t.Errorf("%d attempts for a refused request", n)
+			}
+		} else if resp.StatusCode != http.StatusOK {
+			t.Errorf("a streamed body: status %d", resp.StatusCode)
+		}
+	}
+	if resp, got := roundTrip(t, request(t, http.MethodPost, url+"/read/x", []byte("small"))); string(got) != "small" {
+		t.Errorf("a small request: status %d", resp.StatusCode)
+	}
+	if resp, got := roundTrip(t, request(t, http.MethodGet, url+"/read/big", nil)); string(got) != big {
+		t.Errorf("a large response: status %d, %d bytes", resp.StatusCode, len(got))
+	}
+	free()
+	if resp, got := roundTrip(t, request(t, http.MethodPost, url+"/read/x", body)); !bytes.Equal(got, body) {
+		t.Errorf("after the shortage: status %d, %d bytes", resp.StatusCode, len(got))
+	}
+}
+
+// Guards against refusing or damaging a single body far larger than the memory for
+// callers.
+func TestBodyLargerThanMemory(t *testing.T) {
+	sum := make(chan [sha256.Size]byte, 1)
+	up := standin(t, "u1", func(_ http.ResponseWriter, r *http.Request) {
+		h := sha256.New()
+		_, _ = io.Copy(h, r.Body)
+		sum <- [sha256.Size]byte(h.Sum(nil))
+	})
+	c := &fakeControl{snap: snapshotOf(testDocument(), up)}
+	_, url := startServer(t, c, smallMemory)
+	body := make([]byte, 32<<20)
+	_, _ = rand.Read(body)
+	if resp, _ := roundTrip(t, request(t, http.MethodPost, url+"/write/x", body)); resp.StatusCode != http.StatusOK {
+		t.Fatalf("status %d", resp.StatusCode)
+	}
+	if <-sum != sha256.Sum256(body) {
+		t.Error("the body differs")
+	}
+}
+
+// Guards against a body that is being sent and fails for lack of memory, and
+// against taking it for replayable after its start was dropped.
+func TestSentBodyGoesOnWithoutMemory(t *testing.T) {
+	budget := membudget.New(membudget.Config{Limit: 100 << 10, Stall: time.Second})
+	h := budget.Open("a", nil, time.Now())
+	defer h.Close()
+	data := bytes.Repeat([]byte("0123456789"), 100<<10)
+	b := newRequestBody(&http.Request{Body: io.NopCloser(bytes.NewReader(data)), Header: http.Header{}, ContentLength: int64(len(data))}, 1<<20, h, time.Millisecond)
+	defer b.close()
+	if err := b.reserveFirst(); err != nil {
+		t.Fatal(err)
+	}
+	got, err := io.ReadAll(b.view())
+	if err != nil || !bytes.Equal(got, data) {
+		t.Errorf("%d of %d bytes, %v", len(got), len(data), err)
+	}
+	if b.replayable() {
+		t.Error("the body is replayable")
+	}
+}
+
+// Guards against a stalled body that keeps its upstream's slot from other requests,
+// and against ending a slow body that is in nobody's way.
+func TestStalledBodyGivesUpItsSlot(t *testing.T) {
+	up := standin(t, "u1", succeed)
+	up.HomeSlots, up.Slots = 1, 1
+	c := &fakeControl{snap: snapshotOf(testDocument(), up)}
+	s, url := startServer(t, c, smallMemory)
+	send := func() net.Conn {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		_ = conn.SetDeadline(time.Now().Add(waitTimeout))
+		if _, err := io.WriteString(conn, "POST /write/x HTTP/1.1\r\nHost: svc\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n4\r\nbody\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, "the body occupies the slot", func() bool {
+			st := s.service("svc")
+			st.mu.Lock()
+			defer st.mu.Unlock()
+			return st.inFlight["u1"] == 1
+		})
+		return conn
+	}
+	slow := send()
+	time.Sleep(5 * milliseconds(s.cfg.Times.StallMS))
+	_, _ = io.WriteString(slow, "0\r\n\r\n")
+	if got, err := io.ReadAll(slow); err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 200 ") {
+		t.Errorf("a slow body: %q, %v", got, err)
+	}
+	stalled := send()
+	if resp, _ := roundTrip(t, request(t, http.MethodGet, url+"/read/x", nil)); resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d while a stalled body held the slot", resp.StatusCode)
+	}
+	if got, _ := io.ReadAll(stalled); strings.Contains(string(got), string(errkind.NotRun)) {
+		t.Errorf("a request of which a part was sent is marked as not run: %q", got)
+	}
+}
+
+// Guards against a client that evades its share or uses another caller's by naming
+// an account, and against one that does so with the addresses of its IPv6 site.
+func TestMemoryIsChargedToTheAddress(t *testing.T) {
+	for _, tc := range []struct{ address, want string }{
+		{"192.0.2.7:1234", "192.0.2.7"},
+		{"[::ffff:192.0.2.7]:1234", "192.0.2.7"},
+		{"[2001:db8:1:2:3:4:5:6]:1234", "2001:db8:1:2::/64"},
+	} {
+		a, err := net.ResolveTCPAddr("tcp", tc.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := memoryCaller(a); got != tc.want {
+			t.Errorf("%s: %s, want %s", tc.address, got, tc.want)
+		}
+	}
+}
+
+// Guards against memory of a request that only comes back when its connection is
+// closed.
+func TestMemoryReturnsWhileConnectionStaysOpen(t *testing.T) {
+	up := standin(t, "u1", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/read/fails" {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+		succeed(w, r)
+	})
+	c := &fakeControl{snap: snapshotOf(testDocument(), up)}
+	s, url := startServer(t, c, func(cfg *Config) { cfg.Times.HeaderMS = 60_000 }) // idle connections stay open
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	body := bytes.Repeat([]byte("x"), 60<<10)
+	for _, path := range []string{"/read/x", "/write/x", "/read/fails", "/nowhere", "/small"} {
+		for _, length := range []int64{int64(len(body)), -1} {
+			req := request(t, http.MethodPost, url+path, body)
+			req.ContentLength = length
+			resp, err := transport.RoundTrip(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			eventually(t, "the memory of "+path+" is returned", func() bool {
+				s.callers.mu.Lock()
+				connections := len(s.callers.idle) + len(s.callers.active)
+				s.callers.mu.Unlock()
+				used, _ := s.budget.Used()
+				return used == int64(connections)*connectionBytes
+			})
+		}
+	}
+}
