entry: chunks of bodies are reused

Chunks of 32 KiB now go through a pool. They return to it once no read is pending and no attempt can use them.

--- a/internal/instance/entry/body.go
+++ b/internal/instance/entry/body.go
@@ -235,7 +235,7 @@
 // dropLocked drops all kept bytes and returns their memory. b.mu is held.
 func (b *requestBody) dropLocked() {
 	b.start += int64(b.kept.length)
-	b.kept = buffers{}
+	b.kept.clear()
 	if b.holder != nil {
 		b.holder.ReturnAll(membudget.Body)
 	}
@@ -392,4 +392,7 @@
 	if loopDone != nil {
 		<-loopDone
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.dropLocked()
 }
--- a/internal/instance/entry/buffers.go
+++ b/internal/instance/entry/buffers.go
@@ -1,5 +1,7 @@
 package entry
 
+import "sync"
+
 // buffers is a sequence of bytes in chunks. All chunks but the first have
 // bodyChunk bytes, so that no byte is copied when it grows.
 type buffers struct {
@@ -7,8 +9,33 @@
 	length int      // number of bytes filled
 }
 
+// chunkPool holds chunks of bodyChunk bytes. A crowd whose bodies are refused would
+// otherwise produce garbage faster than it is collected within the memory limit.
+var chunkPool = sync.Pool{New: func() any { return new([bodyChunk]byte) }}
+
 // add adds an empty chunk.
-func (b *buffers) add(size int) { b.chunks = append(b.chunks, make([]byte, size)) }
+func (b *buffers) add(size int) {
+	if size == bodyChunk {
+		b.chunks = append(b.chunks, chunkPool.Get().(*[bodyChunk]byte)[:])
+	} else {
+		b.chunks = append(b.chunks, make([]byte, size))
+	}
+}
+
+// recycle returns chunks to the pool. Nothing may use them any more.
+func recycle(chunks [][]byte) {
+	for _, c := range chunks {
+		if len(c) == bodyChunk {
+			chunkPool.Put((*[bodyChunk]byte)(c))
+		}
+	}
+}
+
+// clear drops all chunks.
+func (b *buffers) clear() {
+	recycle(b.chunks)
+	*b = buffers{}
+}
 
 // free returns the rest of the last chunk.
 func (b *buffers) free() []byte {
@@ -51,8 +78,9 @@
 // rewind empties the sequence but keeps its last chunk. It returns the number of
 // bytes dropped.
 func (b *buffers) rewind() int {
-	n := b.length
-	b.chunks = b.chunks[len(b.chunks)-1:]
+	n, last := b.length, len(b.chunks)-1
+	recycle(b.chunks[:last])
+	b.chunks = b.chunks[last:]
 	b.length = 0
 	return n
 }
