entry: bytes that a caller sends ahead are charged

A caller that doesn't read its response can also fill the receive buffer of its connection, which nothing counted: 1,435 connections with 64 KiB each are more than a machine of 136 MB has left. Once such a caller has made no progress for the stall time, the bytes in both buffers are reserved; if that isn't possible, it is evicted. Ruled out: a small receive buffer on the listener, which limits large uploads to 64 KiB per round trip because it also fixes the window scale.

--- a/internal/instance/entry/callerconn.go
+++ b/internal/instance/entry/callerconn.go
@@ -8,11 +8,8 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"knapweedreel/internal/errkind"
 	"knapweedreel/internal/membudget"
 )
@@ -168,66 +165,6 @@
 	c.holder.ReturnAll(membudget.Body, membudget.Answer)
 }
 
-// reserveSocket reserves memory for the bytes of a large response that stay in the
-// send buffer while the caller doesn't read them. If memory is short, the buffer is
-// made smaller.
-func (c *callerConn) reserveSocket(length int64) {
-	if length < 0 || length > callerSendBuffer {
-		length = callerSendBuffer
-	}
-	missing := length - c.holder.Reserved(membudget.Socket)
-	if tc, ok := c.Conn.(*net.TCPConn); ok && missing > 0 && !c.holder.Reserve(membudget.Socket, missing) {
-		_ = tc.SetWriteBuffer(shortSendBuffer)
-	}
-}
-
-// settleSocket reserves memory for the bytes that the caller of the last responses
-// hasn't received, and returns the rest. It reports false if memory is too short.
-func (c *callerConn) settleSocket() bool {
-	if c.written.Load() <= writePiece {
-		return true
-	}
-	unsent := c.unsent()
-	if unsent <= writePiece { // as small as what the connection's memory covers
-		unsent = 0
-	}
-	c.written.Store(unsent)
-	reserved := c.holder.Reserved(membudget.Socket)
-	if reserved >= unsent {
-		c.holder.Return(membudget.Socket, reserved-unsent)
-		return true
-	}
-	return c.holder.Reserve(membudget.Socket, unsent-reserved)
-}
-
-// drainSocket returns the memory of an idle connection's bytes that its caller has
-// received meanwhile.
-func (c *callerConn) drainSocket() {
-	unsent, reserved := c.unsent(), c.holder.Reserved(membudget.Socket)
-	if unsent < reserved && c.holder.Stage() == membudget.Idle {
-		c.holder.Advance(int(reserved - unsent))
-		c.holder.Return(membudget.Socket, reserved-unsent)
-	}
-}
-
-// unsent returns the number of bytes in the send buffer that the caller hasn't
-// acknowledged, 0 if that isn't known.
-func (c *callerConn) unsent() int64 {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	n := 0
-	if raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) }) != nil || err != nil {
-		return 0
-	}
-	return int64(n)
-}
-
 // Close closes the connection, which then no longer counts toward the limit. The
 // memory of a request that is being served is returned when that ends.
 func (c *callerConn) Close() error {
--- a/internal/instance/entry/memory.go
+++ b/internal/instance/entry/memory.go
@@ -96,6 +96,11 @@
 			stalled++
 		}
 	}
+	for _, h := range s.budget.Stalled(now, membudget.Writing) {
+		if c, ok := h.Owner.(*callerConn); ok && !c.chargeSocket() && c.evict() {
+			evicted++
+		}
+	}
 	for _, h := range s.budget.Holding(membudget.Socket, membudget.Idle) {
 		if c, ok := h.Owner.(*callerConn); ok {
 			c.drainSocket()
--- a/internal/instance/entry/memory_test.go
+++ b/internal/instance/entry/memory_test.go
@@ -222,3 +222,46 @@
 		}
 	}
 }
+
+// Guards against bytes that a caller sends ahead while it doesn't read its response:
+// they pile up in the operating system without being counted.
+func TestBytesSentAheadAreCharged(t *testing.T) {
+	const ahead = 40 << 10
+	up := standin(t, "u1", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 4<<20)) })
+	c := &fakeControl{snap: snapshotOf(testDocument(), up)}
+	s, url := startServer(t, c, smallMemory)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	if _, err := io.WriteString(conn, "GET /read/x HTTP/1.1\r\nHost: svc\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	var charged *membudget.Holder
+	eventually(t, "the response is being written", func() bool {
+		for _, h := range s.budget.Holding(membudget.Socket, membudget.Writing) {
+			charged = h
+		}
+		return charged != nil
+	})
+	if _, err := conn.Write(make([]byte, ahead)); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the bytes sent ahead are charged", func() bool {
+		// net/http reads ahead itself, at most its first buffer.
+		return charged.Reserved(membudget.Socket) >= charged.Owner.(*callerConn).unsent()+ahead-firstRead
+	})
+	asking := s.budget.Open("z", nil, time.Now())
+	defer asking.Close()
+	r, ok := asking.ReserveOrWait(membudget.Body, int64(s.cfg.Limits.CallerMemoryBytes)*11/16)
+	if !ok || r == nil {
+		t.Fatalf("the reservation doesn't wait, refused: %t", !ok)
+	}
+	select {
+	case <-r.Granted():
+	case <-time.After(waitTimeout):
+		t.Error("the caller was not evicted")
+	}
+}
--- /dev/null
+++ b/internal/instance/entry/socket.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+
+	"knapweedreel/internal/membudget"
+)
+
+// reserveSocket reserves memory for the bytes of a large response that stay in the
+// send buffer while the caller doesn't read them. If memory is short, the buffer is
+// made smaller.
+func (c *callerConn) reserveSocket(length int64) {
+	if length < 0 || length > callerSendBuffer {
+		length = callerSendBuffer
+	}
+	missing := length - c.holder.Reserved(membudget.Socket)
+	if tc, ok := c.Conn.(*net.TCPConn); ok && missing > 0 && !c.holder.Reserve(membudget.Socket, missing) {
+		_ = tc.SetWriteBuffer(shortSendBuffer)
+	}
+}
+
+// settleSocket reserves memory for the bytes that the caller of the last responses
+// hasn't received, and returns the rest. It reports false if memory is too short.
+func (c *callerConn) settleSocket() bool {
+	if c.written.Load() <= writePiece {
+		return true
+	}
+	unsent := c.unsent()
+	if unsent <= writePiece { // as small as what the connection's memory covers
+		unsent = 0
+	}
+	c.written.Store(unsent)
+	reserved := c.holder.Reserved(membudget.Socket)
+	if reserved >= unsent {
+		c.holder.Return(membudget.Socket, reserved-unsent)
+		return true
+	}
+	return c.holder.Reserve(membudget.Socket, unsent-reserved)
+}
+
+// drainSocket returns the memory of an idle connection's bytes that its caller has
+// received meanwhile.
+func (c *callerConn) drainSocket() {
+	unsent, reserved := c.unsent(), c.holder.Reserved(membudget.Socket)
+	if unsent < reserved && c.holder.Stage() == membudget.Idle {
+		c.holder.Advance(int(reserved - unsent))
+		c.holder.Return(membudget.Socket, reserved-unsent)
+	}
+}
+
+// chargeSocket reserves memory for all bytes in the buffers of a connection whose
+// caller doesn't read its response: those it hasn't received, and those it has sent
+// ahead. It reports false if memory is too short.
+func (c *callerConn) chargeSocket() bool {
+	missing := c.unsent() + c.unread() - c.holder.Reserved(membudget.Socket)
+	return missing <= 0 || c.holder.Reserve(membudget.Socket, missing)
+}
+
+// unsent returns the number of bytes in the send buffer that the caller hasn't
+// acknowledged.
+func (c *callerConn) unsent() int64 { return c.buffered(unix.TIOCOUTQ) }
+
+// unread returns the number of bytes in the receive buffer.
+func (c *callerConn) unread() int64 { return c.buffered(unix.TIOCINQ) }
+
+// buffered returns the number of bytes in one of the operating system's buffers, 0
+// if that isn't known.
+func (c *callerConn) buffered(request uint) int64 {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	if raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), request) }) != nil || err != nil {
+		return 0
+	}
+	return int64(n)
+}
