--- a/internal/admission/replay_instance_test.go
+++ b/internal/admission/replay_instance_test.go
@@ -144,7 +144,7 @@
 func (in *instance) earliest() time.Time {
 	first := in.r.time().Add(time.Hour)
 	for _, c := range in.cands {
-		if at := in.tracker.RefusedUntil(c.ID, in.r.time()); at.Before(first) {
+		if at := in.tracker.RefusedUntil(placement.Incarnation{ID: c.ID, Number: c.Incarnation}); at.Before(first) {
 			first = at
 		}
 	}
@@ -305,7 +305,7 @@
 // shed handles the refusal of an attempt by the upstream.
 func (a *attempt) shed() {
 	p, in := a.p, a.p.in
-	in.tracker.RecordRefusal(a.u.id, shedBackoff, in.r.time())
+	in.tracker.RecordRefusal(placement.Incarnation{ID: a.u.id}, shedBackoff, in.r.time())
 	a.end(placement.Neutral)
 	if p.over || slices.ContainsFunc(p.attempts, func(b *attempt) bool { return !b.over }) {
 		return
--- a/internal/instance/entry/attempt.go
+++ b/internal/instance/entry/attempt.go
@@ -63,6 +63,7 @@
 	a.started = time.Now()
 	a.st.metrics.attempts.Inc(1)
 	if a.holder, a.err = a.e.holder(); a.err == nil {
+		a.e.setSending()
 		a.response, a.trace, a.err = a.s.pools.Do(a.ctx, a.upstreamAttempt())
 	}
 	if a.late.stop() { // even if the response has arrived in the meantime
@@ -111,7 +112,7 @@
 		_, _ = io.CopyN(io.Discard, a.response.Body, maxRefusalBody)
 		return
 	}
-	a.prefix = a.s.buffers.get()
+	a.takeBuffer()
 	n, err := io.ReadFull(a.response.Body, a.prefix)
 	a.prefix = a.prefix[:n]
 	a.bodyRead = int64(n)
@@ -142,10 +143,10 @@
 		a.view.Interrupt()
 	}
 	a.cancel(nil)
-	if a.err != nil && a.prefix != nil {
-		a.s.buffers.put(a.prefix)
-		a.prefix = nil
+	if a.err != nil {
+		a.releaseBuffer()
 	}
+	a.e.holdsSlot.Store(false)
 	class, _ := a.class()
 	if class == health.OK {
 		a.st.recordResponseSize(routeName(a.e.route), a.bodyRead)
--- a/internal/instance/entry/pick_test.go
+++ b/internal/instance/entry/pick_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"knapweedreel/internal/admission"
 	"knapweedreel/internal/health"
 )
 
@@ -109,3 +110,29 @@
 		t.Errorf("chosen %s after a success, want the upstream of the local region", c.upstream.ID)
 	}
 }
+
+// Guards against refusing a caller because of the many requests of another one of
+// its class, which don't delay it: callers take turns. All requests of more urgent
+// classes do.
+func TestQueueAheadCountsTurns(t *testing.T) {
+	st := &serviceState{queue: newRequestQueue(true)}
+	push := func(caller string, priority int) {
+		st.queue.Push(&admission.Item[*waiter]{Class: admission.Class{Route: priority}, Account: caller, Work: time.Second}, time.Now())
+	}
+	for range 10 {
+		push("many", 1)
+	}
+	push("few", 1)
+	push("few", 2)
+	for _, c := range []struct {
+		caller   string
+		priority int
+		want     int
+	}{
+		{"new", 1, 2}, {"few", 1, 2 * 2}, {"few", 2, 11 + 1}, {"many", 1, 10 + 1}, {"many", 2, 11 + 1}, {"new", 0, 0},
+	} {
+		if got := st.queue.AheadOf(admission.Class{Route: c.priority}, c.caller, false, time.Now()).Requests; got != c.want {
+			t.Errorf("%s with priority %d: %d ahead, want %d", c.caller, c.priority, got, c.want)
+		}
+	}
+}
