placement: a replay of the floor of upstreams in use with slots kept free

The users require that most healthy upstreams get requests within 2 s while requests fail. Slots that are kept free for few urgent requests could leave their upstreams unused.

--- a/internal/placement/floor_test.go
+++ b/internal/placement/floor_test.go
@@ -137,3 +137,39 @@
 		floorLoad("few requests, often faulty", 8, 6, 11, 10*time.Second),
 	)
 }
+
+// Guards against upstreams whose slots are kept free for urgent requests and that
+// therefore get none while requests fail. One request in two or in 30 is urgent; the
+// few urgent ones have long work, so that two thirds of the slots are kept free. As
+// in TestReplayFloor every window counts, whatever share of the requests fails in it.
+func TestReplayFloorWithKeptSlots(t *testing.T) {
+	l := floorLoad("many upstreams", 33, 3, 100, 20*time.Second)
+	for _, tc := range []struct {
+		every int     // one request of so many is urgent
+		slots float64 // that these need
+	}{{2, 20}, {30, 60}} {
+		below, windows, failed, all := 0, 0, 0, 0
+		for seed := range uint64(4) {
+			tr := NewTracker(DefaultModel())
+			times := tr.ResponseTimes("r", medianTime)
+			n := 0
+			r := l.replay(seed, tr, func(c []Candidate, waited time.Duration, now time.Time) (int, bool) {
+				req := Request{MayWait: waited < times.MaxWait()}
+				if n%tc.every != 0 {
+					req.Headroom = Headroom{Urgent: true, Slots: tc.slots}
+				}
+				got, ok := tr.Choose(c, nil, req, now)
+				if ok {
+					n++
+				}
+				return got.Index, ok
+			})
+			b, w := belowFloor(r, 0, time.Duration(l.seconds)*time.Second)
+			below, windows, failed, all = below+b, windows+w, failed+r.failed, all+r.failed+r.served
+		}
+		t.Logf("one of %d urgent: below the floor %d of %d windows, failed %.4f", tc.every, below, windows, float64(failed)/float64(all))
+		if below > 0 || windows == 0 {
+			t.Errorf("one of %d urgent: below the floor in %d of %d windows", tc.every, below, windows)
+		}
+	}
+}
