Follow a store that comes back from an older copy

Cause: revisions, leases and the fleet's key were taken as valid for as long as the store exists. A store that comes back from a copy some seconds old issues revisions and lease IDs again: an instance whose revision was reached again missed the lost and the new changes in between, upstreams that were missing from the copy were dropped at once unless a call had failed before, and leases could belong to other instances.

Ruled out: noticing it by 410 or by lower revisions alone, which misses revisions that were reached again; sending the complete content through relays, which exceeds the bounds of their log at 29,000 upstreams.

Change: - catalog.Position carries (era, revision); comparing positions of two eras gives OtherEra. platform.Store reads Store-Era from every response and rejects responses of an era before the latest. A response without the header counts as one of the latest era, so that stores without it stay in era 0, where nothing changes. - Content of a later era replaces the catalog; missing upstreams get the grace of an outage, older configurations are ignored, and starts of upstreams that are known to be over stay unused. Content of an earlier era is ignored. Stale first content of an era waits for its changes. - A relay and its subscribers exchange changes of one era only. In era 0 the frames are those of the former version, which both versions understand; in a later era a frame of the other version is refused or answered with a gap, and the subscriber uses another relay or the store. - Leases are bound to their era. Each instance registers again within 1 s, and the key in use is written again if the copy lacks it, both with jitter; content is read again within 0.5 s, by relays at once. - awaitRelay acts once on a gap at a position, so that a relay that is ahead can't cause calls without a delay between them. - The stand-in store comes back from copies; the random soak does so with a random source of its own. The entry of the follower's tests comes from the stand-in, as its field names belong to the platform (check-names.sh).

The catalog's tests fail without the grace, the departures or the comparison of starts; the follower's without the signal of the era.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -77,7 +77,7 @@
 type Change struct {
 	Kind          Kind
 	ID            string // of the upstream or member
-	Revision      uint64 // of the store
+	Revision      uint64 // of the store, in the era of the content or the changes that it is part of
 	Configuration *Configuration
 	Upstream      *Upstream
 	Member        *Member
@@ -104,6 +104,10 @@
 // so that everything has to be loaded again.
 var ErrHistoryLost = errors.New("catalog: the history after this index is no longer available")
 
+// ErrOtherEra means that the store is in another era than the call or an earlier
+// response, so that everything has to be loaded again.
+var ErrOtherEra = errors.New("catalog: the store is in another era")
+
 // ErrExpired means that a registration has expired.
 var ErrExpired = errors.New("catalog: the registration has expired")
 
@@ -112,17 +116,18 @@
 // the items need not be of one moment.
 type Content struct {
 	Changes []Change // without removed items
-	// Index is the index from which to wait for changes. No item is older.
-	Index uint64
-	// Newest is the index of the newest part. Changes up to it may be older than the
-	// items they concern, and take effect only together.
-	Newest uint64
+	// Index is the position from which to wait for changes. No item is older.
+	Index Position
+	// Newest is the position of the newest part, in the same era. Changes up to it
+	// may be older than the items they concern, and take effect only together.
+	Newest Position
 }
 
 // Registration identifies the entry of a registered member in the store.
 type Registration struct {
 	Lease uint64
 	TTL   time.Duration
+	Era   Era // in which the lease was granted; it is not valid in another one
 }
 
 // Source reads and writes the platform's store. Errors of package store
@@ -130,12 +135,14 @@
 type Source interface {
 	// Load returns all items. With stale they may be some seconds old; such a read
 	// costs the store less and is not refused when many instances read at once. What
-	// is missing follows as changes after the index.
+	// is missing follows as changes after the index. It returns ErrOtherEra if parts
+	// are of different eras, or of an earlier one than a response before.
 	Load(ctx context.Context, stale bool) (Content, error)
-	// Changes waits for changes after an index, for at most the given time, and
-	// returns them with the index to continue from. It may return no changes. It
-	// returns ErrHistoryLost if the changes are no longer available.
-	Changes(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error)
+	// Changes waits for changes after a position, for at most the given time, and
+	// returns them with the position to continue from. It may return no changes. It
+	// returns ErrHistoryLost if the changes are no longer available, and ErrOtherEra
+	// if the store is not in the era of the position.
+	Changes(ctx context.Context, after Position, wait time.Duration) ([]Change, Position, error)
 	// Decode decodes another instance's Change.Raw. It returns false if raw cannot
 	// be decoded or is not a change of one of the fleet's items.
 	Decode(raw []byte) (Change, bool)
@@ -143,7 +150,8 @@
 	// not store the entry, it returns the lease with the error, and Update
 	// completes the registration.
 	Register(ctx context.Context, m Member, ttl time.Duration) (Registration, error)
-	// Renew extends a registration, or returns ErrExpired.
+	// Renew extends a registration, or returns ErrExpired. A registration of an
+	// earlier era has expired.
 	Renew(ctx context.Context, r Registration) error
 	// Update replaces the entry of a registered member, or returns ErrExpired.
 	Update(ctx context.Context, r Registration, m Member) error
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -56,7 +56,7 @@
 
 func loaded(changes ...Change) *Catalog {
 	c := New()
-	c.Reset(append([]Change{configuration(1)}, changes...), epoch)
+	c.Reset(append([]Change{configuration(1)}, changes...), 0, epoch)
 	return c
 }
 
@@ -77,7 +77,7 @@
 	if c.Ready() {
 		t.Error("ready without a configuration")
 	}
-	c.Reset(nil, epoch)
+	c.Reset(nil, 0, epoch)
 	if c.Ready() {
 		t.Error("ready with an empty store")
 	}
@@ -120,7 +120,7 @@
 	removal := removed(KindUpstream, "a")
 	c.Apply(&removal, epoch)
 	wantUsed(t, "vanished", c, epoch, "b")
-	c.Reset([]Change{configuration(1)}, epoch)
+	c.Reset([]Change{configuration(1)}, 0, epoch)
 	wantUsed(t, "missing after a reset", c, epoch)
 }
 
@@ -130,7 +130,7 @@
 	c := loaded(upstreamChange("a", nil), upstreamChange("b", nil), upstreamChange("c", func(u *Upstream) { u.Leaving = true }))
 	c.StoreLost()
 	c.StoreReached(at(10 * time.Second))
-	c.Reset([]Change{configuration(1)}, at(10*time.Second))
+	c.Reset([]Change{configuration(1)}, 0, at(10*time.Second))
 	wantUsed(t, "on return", c, at(10*time.Second), "a", "b")
 	back := upstreamChange("b", nil)
 	c.Apply(&back, at(11*time.Second))
@@ -154,7 +154,7 @@
 	c = loaded(upstreamChange("a", nil), upstreamChange("b", nil))
 	c.StoreLost()
 	c.StoreReached(at(10 * time.Second))
-	c.Reset([]Change{configuration(1)}, at(10*time.Second))
+	c.Reset([]Change{configuration(1)}, 0, at(10*time.Second))
 	c.Resumed()
 	c.Tick(at(10*time.Second + ReconnectGrace - time.Millisecond))
 	wantUsed(t, "within the grace after an outage", c, at(11*time.Second), "a", "b")
@@ -181,7 +181,7 @@
 		revision uint64
 		want     int
 	}{{5, 1}, {5, 0}, {5, 0}, {6, 1}, {6, 0}} {
-		events := c.Reset([]Change{configuration(1), upstreamChange("a", nil), odd(step.revision)}, epoch)
+		events := c.Reset([]Change{configuration(1), upstreamChange("a", nil), odd(step.revision)}, 0, epoch)
 		if len(events) != step.want || step.want == 1 && len(events[0].Detail) > 400 {
 			t.Errorf("read %d: %d events", i, len(events))
 		}
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -114,4 +114,6 @@
 	return &document.Document{Service: name, IdleTimeoutMS: int(upstreamIdleTimeout / time.Millisecond)}
 }
 
+func eras(old, updated Era) string { return fmt.Sprintf("%d -> %d", old, updated) }
+
 func versions(old, updated uint64) string { return fmt.Sprintf("%d -> %d", old, updated) }
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -32,6 +32,9 @@
 	// have changed since the latest snapshot are missing.
 	services      map[string][]routing.Upstream
 	key           []byte
+	keyStored     bool                 // the store has had a key in this era
+	era           Era                  // of the content
+	departures    map[string]departure // of upstreams that have left lately
 	loaded        bool
 	disconnected  bool      // the store cannot be reached
 	reconnectedAt time.Time // end of the latest outage of the store, zero for none
@@ -45,6 +48,7 @@
 
 type upstreamEntry struct {
 	Upstream
+	era          Era       // in which the entry was last read
 	coldUntil    time.Time // end of the time for which it is slow after its start, zero if it is over
 	missingSince time.Time // when its entry disappeared during an outage of the store, zero if it exists
 }
@@ -58,7 +62,7 @@
 func New() *Catalog {
 	return &Catalog{
 		upstreams: make(map[string]*upstreamEntry), members: make(map[string]*memberEntry),
-		unreadable: make(map[entryKey]uint64), services: make(map[string][]routing.Upstream),
+		unreadable: make(map[entryKey]uint64), departures: make(map[string]departure), services: make(map[string][]routing.Upstream),
 	}
 }
 
@@ -99,10 +103,19 @@
 }
 
 // Reset applies all items of the store. Upstreams and members that are not among
-// them count as removed.
-func (c *Catalog) Reset(all []Change, now time.Time) []Event {
-	seen := make(map[Kind]map[string]bool)
+// them count as removed. Items of an earlier era than those applied before are
+// ignored. If the items are of a later era, upstreams that are missing get
+// ReconnectGrace to be written again.
+func (c *Catalog) Reset(all []Change, era Era, now time.Time) []Event {
+	if c.loaded && era < c.era {
+		return []Event{{Name: "content_of_earlier_era", Detail: eras(c.era, era)}}
+	}
 	var events []Event
+	if era != c.era {
+		events = append(events, Event{Name: "store_era_began", Detail: eras(c.era, era)})
+		c.beginEra(era, now)
+	}
+	seen := make(map[Kind]map[string]bool)
 	for i := range all {
 		ch := &all[i]
 		if seen[ch.Kind] == nil {
@@ -194,12 +207,15 @@
 
 func (c *Catalog) putUpstream(ch *Change, now time.Time) []Event {
 	u := ch.Upstream
+	if c.isSuperseded(u) {
+		return c.removeUpstream(ch, now)
+	}
 	old := c.upstreams[u.ID]
 	if old != nil && old.Incarnation == u.Incarnation && old.Leaving && !u.Leaving && old.Address == u.Address {
 		// Leaving is final until the upstream restarts.
 		u.Leaving = true
 	}
-	next := &upstreamEntry{Upstream: *u}
+	next := &upstreamEntry{Upstream: *u, era: c.era}
 	if u.ColdFor > 0 {
 		next.coldUntil = now.Add(u.ColdFor)
 	}
@@ -230,6 +246,7 @@
 		u.missingSince = now
 		return []Event{u.event("upstream_lapsed", ch.Revision)}
 	}
+	c.recordDeparture(u, now)
 	delete(c.upstreams, ch.ID)
 	delete(c.services, u.Service)
 	return []Event{u.event("upstream_gone", ch.Revision)}
@@ -272,7 +289,11 @@
 // putKey sets a new key. A key that is removed from the store stays in use until
 // there is another one.
 func (c *Catalog) putKey(ch *Change) []Event {
-	if ch.Removed || bytes.Equal(ch.Key, c.key) {
+	if ch.Removed {
+		return nil
+	}
+	c.keyStored = true
+	if bytes.Equal(ch.Key, c.key) {
 		return nil
 	}
 	c.key = ch.Key
@@ -285,6 +306,7 @@
 // Tick applies changes that depend only on time: upstreams that are no longer
 // cold, and the end of grace periods. It returns the resulting events.
 func (c *Catalog) Tick(now time.Time) []Event {
+	c.dropDepartures(now)
 	var events []Event
 	grace := c.inGrace(now)
 	for id, u := range c.upstreams {
--- a/internal/instance/follower/follower.go
+++ b/internal/instance/follower/follower.go
@@ -48,9 +48,11 @@
 	usingRelay atomic.Bool // subscribed to a relay that is up to date
 	serves     atomic.Bool // callers are directed to this instance
 	width      chan int
-	ready      chan struct{} // closed once there is a configuration
-	leaving    chan struct{} // closed by Leave
-	promoted   chan struct{} // receives a value when serves becomes true
+	ready      chan struct{}          // closed once there is a configuration
+	leaving    chan struct{}          // closed by Leave
+	promoted   chan struct{}          // receives a value when serves becomes true
+	newEra     chan catalog.Era       // receives the era in which the store has come back
+	missingKey atomic.Pointer[[]byte] // the key in use if the store lacks one in its present era, else nil
 
 	// Owned by the control goroutine.
 	catalog      *catalog.Catalog
@@ -68,10 +70,11 @@
 // event is the result of a read, sent to the control goroutine.
 type event struct {
 	changes   []catalog.Change
-	complete  bool  // changes are the complete content of the store
-	stale     bool  // the content may be some seconds old
-	fromRelay bool  // changes are from a relay, without a gap
-	err       error // the store could not be read
+	at        catalog.Position // up to which the changes are complete
+	complete  bool             // changes are the complete content of the store
+	stale     bool             // the content may be some seconds old
+	fromRelay bool             // changes are from a relay, without a gap
+	err       error            // the store could not be read
 }
 
 // New returns a follower. It does nothing until its loops are run.
@@ -79,7 +82,7 @@
 	f := &Follower{
 		cfg: cfg, source: source, log: cfg.Log,
 		events: make(chan event), width: make(chan int, 1),
-		ready: make(chan struct{}), leaving: make(chan struct{}), promoted: make(chan struct{}, 1),
+		ready: make(chan struct{}), leaving: make(chan struct{}), promoted: make(chan struct{}, 1), newEra: make(chan catalog.Era, 1),
 		catalog: catalog.New(), changeLog: relay.NewLog(),
 	}
 	f.relays.Store(new(relays))
@@ -158,6 +161,8 @@
 	result := "ok"
 	switch {
 	case err == nil:
+	case errors.Is(err, catalog.ErrOtherEra):
+		result = "other-era"
 	case errors.Is(err, catalog.ErrHistoryLost):
 		result = "history-lost"
 	case errors.Is(err, catalog.ErrExpired):
@@ -174,17 +179,18 @@
 
 // hold reports whether an event has to wait: the first content that an instance
 // reads after its start may be stale, and name upstreams that have left and a key
-// that was withdrawn. It is applied together with the first changes after it or,
-// if the store is lost before these arrive, as it is.
+// that was withdrawn. The same holds for the first content of another era. It is
+// applied together with the first changes after it or, if the store is lost before
+// these arrive, as it is.
 func (f *Follower) hold(e event, now time.Time) bool {
-	if e.complete && e.stale && !f.catalog.Loaded() {
+	if e.complete && e.stale && (!f.catalog.Loaded() || e.at.Era > f.catalog.Era()) {
 		f.held = &e
 		return true
 	}
 	held := f.held
 	f.held = nil
 	if held != nil && !e.complete {
-		f.logEvents(f.catalog.Reset(held.changes, now))
+		f.logEvents(f.reset(held, now))
 		if e.err != nil {
 			f.lastResponse = now
 			f.publish(now)
@@ -210,8 +216,8 @@
 	}
 	var events []catalog.Event
 	if e.complete {
-		events = f.catalog.Reset(e.changes, now)
-	} else {
+		events = f.reset(&e, now)
+	} else if e.at.Era == f.catalog.Era() {
 		for i := range e.changes {
 			events = append(events, f.catalog.Apply(&e.changes[i], now)...)
 		}
@@ -221,6 +227,21 @@
 	}
 }
 
+// reset applies a complete content. If it is of another era, the registration and
+// the fleet's key have to be written again.
+func (f *Follower) reset(e *event, now time.Time) []catalog.Event {
+	loaded, era := f.catalog.Loaded(), f.catalog.Era()
+	events := f.catalog.Reset(e.changes, e.at.Era, now)
+	if loaded && f.catalog.Era() != era {
+		select {
+		case <-f.newEra: // MaintainRegistration has not received the previous one yet
+		default:
+		}
+		f.newEra <- f.catalog.Era()
+	}
+	return events
+}
+
 // logEvents logs and counts the events, and reports whether there are any.
 func (f *Follower) logEvents(events []catalog.Event) bool {
 	for _, e := range events {
--- a/internal/instance/follower/follower_test.go
+++ b/internal/instance/follower/follower_test.go
@@ -28,10 +28,10 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-const (
-	configuration = `{"version":%VERSION%,"routes":{"r":{"host":"a.example","prefix":"/a/","kind":"safe","timeout":"1s","service":"s"}},"services":{"s":{}}}`
-	registration  = `{"address":"10.0.0.1:80","born":7,"info":{"service":"s","version":"v1","zone":"z1","slots":6},"status":{"state":"ready","sequence":1,"warmupLeft":"0ms"}}`
-)
+const configuration = `{"version":%VERSION%,"routes":{"r":{"host":"a.example","prefix":"/a/","kind":"safe","timeout":"1s","service":"s"}},"services":{"s":{}}}`
+
+// registration is the entry of an upstream.
+var registration = standin.ReadyEntry("10.0.0.1:80", "s", "z1", 6)
 
 func putConfiguration(s *standin.Store, version string) {
 	text := configuration
@@ -165,7 +165,7 @@
 	called atomic.Bool
 }
 
-func (w *delayedWatches) Changes(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Change, uint64, error) {
+func (w *delayedWatches) Changes(ctx context.Context, after catalog.Position, wait time.Duration) ([]catalog.Change, catalog.Position, error) {
 	w.called.Store(true)
 	t := time.NewTimer(wait)
 	defer t.Stop()
@@ -183,7 +183,7 @@
 	for _, fault := range []standin.Fault{standin.ServiceUnavailable, standin.TooManyRequests, standin.Reset, standin.Silent} {
 		s, c := startStore(t)
 		putConfiguration(s, "3")
-		s.Put("servers/a", []byte(registration))
+		s.Put("servers/a", registration)
 		f := startFollower(t, "i1", c)
 		eventually(t, "registered", func() bool { return upstreamCount(f) == 1 && len(f.Directory().Locate("a.example", "south")) == 1 })
 		s.SetFault(fault)
@@ -205,7 +205,7 @@
 	s, c := startStore(t)
 	putConfiguration(s, "3")
 	for i := range 40 {
-		s.Put(fmt.Sprintf("servers/u-%02d", i), []byte(registration))
+		s.Put(fmt.Sprintf("servers/u-%02d", i), registration)
 	}
 	s.SetFault(standin.RefuseFreshReads)
 	for i := range 4 {
@@ -317,11 +317,11 @@
 	hanging atomic.Bool
 }
 
-func (s *hangingStore) Changes(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Change, uint64, error) {
+func (s *hangingStore) Changes(ctx context.Context, after catalog.Position, wait time.Duration) ([]catalog.Change, catalog.Position, error) {
 	changes, index, err := s.Store.Changes(ctx, after, wait)
 	if s.hanging.Load() {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, after, ctx.Err()
 	}
 	return changes, index, err
 }
@@ -351,16 +351,16 @@
 	longestWait atomic.Int64 // longest wait in a refused call after the first one, in nanoseconds
 }
 
-func (s *refusingStore) Changes(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Change, uint64, error) {
+func (s *refusingStore) Changes(ctx context.Context, after catalog.Position, wait time.Duration) ([]catalog.Change, catalog.Position, error) {
 	if s.refusing.Load() {
 		if s.refusals.Add(1) > 1 {
 			s.longestWait.Store(max(s.longestWait.Load(), int64(wait)))
 		}
-		return nil, 0, store.ErrUnavailable
+		return nil, after, store.ErrUnavailable
 	}
 	changes, index, err := s.Store.Changes(ctx, after, min(wait, 50*time.Millisecond))
 	if s.refusing.Load() {
-		return nil, 0, store.ErrUnavailable
+		return nil, after, store.ErrUnavailable
 	}
 	return changes, index, err
 }
@@ -414,7 +414,7 @@
 	return s.content, nil
 }
 
-func (s *staleStore) Changes(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Change, uint64, error) {
+func (s *staleStore) Changes(ctx context.Context, after catalog.Position, wait time.Duration) ([]catalog.Change, catalog.Position, error) {
 	select {
 	case <-s.release:
 	case <-ctx.Done():
@@ -438,8 +438,8 @@
 func TestRestartedInstanceDoesNotUseStaleContent(t *testing.T) {
 	s, c := startStore(t)
 	putConfiguration(s, "3")
-	s.Put("servers/left", []byte(registration))
-	s.Put("servers/stays", []byte(registration))
+	s.Put("servers/left", registration)
+	s.Put("servers/stays", registration)
 	s.Put("fleet/key", bytes.Repeat([]byte{1}, evidence.KeyBytes))
 	source := record(t, c)
 	s.Delete("servers/left")
@@ -464,7 +464,7 @@
 func TestStaleContentIsUsedWhileStoreIsLost(t *testing.T) {
 	s, c := startStore(t)
 	putConfiguration(s, "3")
-	s.Put("servers/a", []byte(registration))
+	s.Put("servers/a", registration)
 	source := record(t, c)
 	f := startFollower(t, "i1", source)
 	eventually(t, "read of stale content", func() bool { return source.loads.Load() > 0 })
@@ -478,7 +478,7 @@
 func TestStaleContentDoesNotUndoChanges(t *testing.T) {
 	s, c := startStore(t)
 	putConfiguration(s, "3")
-	s.Put("servers/left", []byte(registration))
+	s.Put("servers/left", registration)
 	source := record(t, c)
 	close(source.release)
 	f := startFollower(t, "i1", source)
--- a/internal/instance/follower/membership.go
+++ b/internal/instance/follower/membership.go
@@ -31,6 +31,10 @@
 	// withdrawTimeout bounds the time for marking the entry as leaving at a
 	// graceful shutdown.
 	withdrawTimeout = time.Second
+	// eraWriteSpread is the time over which the instances register again after the
+	// store has come back in another era. It is below the time after which an entry
+	// of the store's copy can expire, the shortest TTL.
+	eraWriteSpread = time.Second
 )
 
 // MaintainRegistration keeps this instance registered from when it is ready until
@@ -59,6 +63,11 @@
 			m.updateWidth(ctx)
 		case <-offerTimer.C:
 			m.offerKey(ctx)
+		case era := <-f.newEra:
+			if m.registration == nil || m.registration.Era < era { // a renewal may have found out before
+				renewTimer.Reset(time.Duration(f.cfg.Jitter() * float64(eraWriteSpread)))
+			}
+			offerTimer.Reset(time.Duration(f.cfg.Jitter() * float64(maxKeyOfferDelay)))
 		case <-m.f.promoted:
 			if m.standby {
 				// Not at once: when a fleet starts, each instance is the only one at first.
@@ -102,14 +111,21 @@
 // only few offer a key: the others receive it with their first batch of changes.
 const maxKeyOfferDelay = 3 * time.Second
 
-// offerKey ensures that the fleet has a key for messages between instances.
+// offerKey ensures that the fleet has a key for messages between instances, and that
+// the store has it. The key in use is kept if the store has lost it.
 func (m *membership) offerKey(ctx context.Context) {
-	if m.f.Keys().Seal != nil {
+	var key []byte
+	switch missing := m.f.missingKey.Load(); {
+	case missing != nil:
+		key = *missing
+	case m.f.Keys().Seal != nil:
 		return
+	default:
+		key = evidence.NewKey()
 	}
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	if err := m.f.source.OfferKey(ctx, evidence.NewKey()); err != nil && !errors.Is(err, store.ErrConflict) {
+	if err := m.f.source.OfferKey(ctx, key); err != nil && !errors.Is(err, store.ErrConflict) {
 		m.f.log.Warn("fleet_key_not_offered", zap.Error(err))
 	}
 }
--- a/internal/instance/follower/partition_test.go
+++ b/internal/instance/follower/partition_test.go
@@ -90,10 +90,10 @@
 	if !supervisor.Sleep(ctx, s.loadTime) {
 		return catalog.Content{}, ctx.Err()
 	}
-	return catalog.Content{Changes: entries, Index: 1, Newest: 1}, nil
+	return catalog.Content{Changes: entries, Index: catalog.Position{Revision: 1}, Newest: catalog.Position{Revision: 1}}, nil
 }
 
-func (s *partitionedSource) Changes(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Change, uint64, error) {
+func (s *partitionedSource) Changes(ctx context.Context, after catalog.Position, wait time.Duration) ([]catalog.Change, catalog.Position, error) {
 	if partitioned, _ := s.state(); partitioned {
 		return nil, after, s.hang(ctx)
 	}
@@ -158,9 +158,9 @@
 	pause          time.Duration
 }
 
-func (s pausedSource) Changes(_ context.Context, after uint64, _ time.Duration) ([]catalog.Change, uint64, error) {
+func (s pausedSource) Changes(_ context.Context, after catalog.Position, _ time.Duration) ([]catalog.Change, catalog.Position, error) {
 	time.Sleep(s.pause)
-	return []catalog.Change{testUpstream()}, after + 1, nil
+	return []catalog.Change{testUpstream()}, catalog.Position{Revision: after.Revision + 1}, nil
 }
 
 // Guards against an instance that was paused while it waited for the store, and
@@ -173,7 +173,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			f, stop := startLoops(t, pausedSource{pause: c.pause}, (*Follower).Run)
 			defer stop()
-			w := watch{f: f, loaded: true, index: 1, asOf: time.Now(), callStart: time.Now(), batched: true}
+			w := watch{f: f, loaded: true, index: catalog.Position{Revision: 1}, asOf: time.Now(), callStart: time.Now(), batched: true}
 			if err := w.poll(t.Context()); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/instance/follower/peers.go
+++ b/internal/instance/follower/peers.go
@@ -85,6 +85,10 @@
 // accepted for oldKeyGrace.
 func (f *Follower) publishKeys() {
 	key := f.catalog.Key()
+	f.missingKey.Store(nil)
+	if key != nil && !f.catalog.KeyStored() {
+		f.missingKey.Store(&key)
+	}
 	if key == nil || bytes.Equal(key, f.key) {
 		return
 	}
--- a/internal/instance/follower/renew_test.go
+++ b/internal/instance/follower/renew_test.go
@@ -33,10 +33,10 @@
 }
 
 func (s *leaseSource) Load(context.Context, bool) (catalog.Content, error) {
-	return catalog.Content{Changes: append([]catalog.Change{testConfiguration()}, s.members...), Index: 1, Newest: 1}, nil
+	return catalog.Content{Changes: append([]catalog.Change{testConfiguration()}, s.members...), Index: catalog.Position{Revision: 1}, Newest: catalog.Position{Revision: 1}}, nil
 }
 
-func (s *leaseSource) Changes(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Change, uint64, error) {
+func (s *leaseSource) Changes(ctx context.Context, after catalog.Position, wait time.Duration) ([]catalog.Change, catalog.Position, error) {
 	supervisor.Sleep(ctx, wait)
 	return nil, after, nil
 }
--- a/internal/instance/follower/stale_test.go
+++ b/internal/instance/follower/stale_test.go
@@ -22,7 +22,7 @@
 // keys of one on the first page and one on the last.
 func putUpstreams(s *standin.Store) (first, last string) {
 	for n := range upstreamsOfPages {
-		s.Put(fmt.Sprintf("servers/i-%02d", n), []byte(registration))
+		s.Put(fmt.Sprintf("servers/i-%02d", n), registration)
 	}
 	return "servers/i-00", fmt.Sprintf("servers/i-%02d", upstreamsOfPages-1)
 }
@@ -82,10 +82,10 @@
 }
 
 func (s *mixedSource) Load(context.Context, bool) (catalog.Content, error) {
-	return catalog.Content{Index: 4, Newest: 6}, nil
+	return catalog.Content{Index: catalog.Position{Revision: 4}, Newest: catalog.Position{Revision: 6}}, nil
 }
 
-func (s *mixedSource) Changes(_ context.Context, after uint64, _ time.Duration) ([]catalog.Change, uint64, error) {
+func (s *mixedSource) Changes(_ context.Context, after catalog.Position, _ time.Duration) ([]catalog.Change, catalog.Position, error) {
 	s.polls.Add(1)
 	return nil, after, nil
 }
@@ -117,8 +117,8 @@
 		<-ended
 	}()
 	w := watch{f: f, allowStale: true}
-	if err := w.step(ctx); err != nil || w.index != 4 {
-		t.Fatalf("index %d, error %v", w.index, err)
+	if err := w.step(ctx); err != nil || w.index.Revision != 4 {
+		t.Fatalf("index %v, error %v", w.index, err)
 	}
 	f.relays.Store(&relays{others: []string{l.Addr().String()}})
 	if err := w.step(ctx); err != nil || source.polls.Load() != 1 || w.relays != nil {
--- a/internal/instance/follower/watch.go
+++ b/internal/instance/follower/watch.go
@@ -61,7 +61,11 @@
 	// redialInterval is the time after which relays are tried again when all of them
 	// have failed. relayResponseTimeout bounds the time until the first batch of a
 	// new subscription.
-	redialInterval       = time.Second
+	redialInterval = time.Second
+	// eraLoadSpread is the time over which the instances read the content after the
+	// store has come back in another era. Together with the time until a relay or a
+	// response names the era, it is below the 2 s for a configuration.
+	eraLoadSpread        = 500 * time.Millisecond
 	relayResponseTimeout = 300 * time.Millisecond
 )
 
@@ -81,13 +85,15 @@
 // watch is the state of the Watch loop.
 type watch struct {
 	f          *Follower
-	batched    bool      // startBatchInterval has been used
-	loaded     bool      // the store can be polled for changes after the index
-	mixed      bool      // parts of the loaded content are newer than the index
-	allowStale bool      // the next load may return stale content
-	index      uint64    // of the last change that was read
-	asOf       time.Time // when there were no changes after the index, zero if unknown
-	callStart  time.Time // start of the latest call to the store
+	batched    bool             // startBatchInterval has been used
+	loaded     bool             // the store can be polled for changes after the index
+	mixed      bool             // parts of the loaded content are newer than the index
+	allowStale bool             // the next load may return stale content
+	otherEra   bool             // the store was found in another era, and the content is to be read
+	index      catalog.Position // of the last change that was read
+	lastGap    catalog.Position // position of the relay that awaitRelay has last found too far ahead
+	asOf       time.Time        // when there were no changes after the index, zero if unknown
+	callStart  time.Time        // start of the latest call to the store
 	backoff    time.Duration
 	lostSince  time.Time // when the store was lost, zero while it can be reached
 
@@ -102,7 +108,7 @@
 func (w *watch) step(ctx context.Context) error {
 	// A relay may be older than parts of mixed content, and its changes would undo
 	// them for a while. The store returns all changes up to now at once.
-	if w.index > 0 && !w.mixed && w.followRelay(ctx) {
+	if !w.index.IsZero() && !w.mixed && w.followRelay(ctx) {
 		w.loaded = true
 		return nil
 	}
@@ -115,20 +121,24 @@
 
 // load reads the complete content.
 func (w *watch) load(ctx context.Context) error {
+	w.awaitTurn(ctx)
 	stale, known := w.allowStale, w.index
 	content, err := w.loadParallel(ctx)
 	// The first load may be stale because all instances may start at once. It may
 	// also be stale after a refused call, which spares the store.
-	w.allowStale = err != nil && errors.Is(err, store.ErrUnavailable)
+	w.allowStale = err != nil && errors.Is(err, store.ErrUnavailable) && !errors.Is(err, catalog.ErrOtherEra)
 	if err != nil {
 		return err
 	}
-	e, index := event{complete: true, stale: stale, changes: content.Changes}, content.Index
-	w.mixed = content.Newest > index
-	if stale && index < known {
+	if content.Index.Era < known.Era {
+		return errors.Wrapf(catalog.ErrOtherEra, "content of era %d after changes of era %d", content.Index.Era, known.Era)
+	}
+	e, index := event{complete: true, stale: stale, changes: content.Changes, at: content.Index}, content.Index
+	w.mixed = content.Newest.Compare(index) == catalog.Newer
+	if stale && index.Compare(known) == catalog.Older {
 		// Older in part than what was applied before, of which nothing may be undone:
 		// the changes since then follow, or the store reports that its history is lost.
-		e, index, w.mixed = event{}, known, false
+		e, index, w.mixed = event{at: known}, known, false
 	}
 	w.loaded, w.index, w.asOf = true, index, time.Time{}
 	w.f.changeLog.Reset(index, w.asOf)
@@ -137,6 +147,17 @@
 	return nil
 }
 
+// awaitTurn spreads the reads of the complete content after the store has come back
+// in another era: all instances find out within moments. Relays read at once, because
+// the others follow them.
+func (w *watch) awaitTurn(ctx context.Context) {
+	r := w.f.relays.Load()
+	if w.otherEra && !r.primary && len(r.others) > 0 {
+		supervisor.Sleep(ctx, time.Duration(w.f.cfg.Jitter()*float64(eraLoadSpread)))
+	}
+	w.otherEra = false
+}
+
 // loadParallel returns the complete content. If the store was lost, it makes
 // several calls in parallel: a call that has been hanging since before the
 // store's return must not hide the return, and a call that reads page by page may
@@ -211,7 +232,7 @@
 		asOf = w.callStart // this process was paused, and the response may be as old
 	}
 	w.f.changeLog.Extend(raw, index, asOf)
-	w.advance(ctx, event{changes: changes}, index, asOf)
+	w.advance(ctx, event{changes: changes, at: index}, index, asOf)
 	if len(changes) > 0 {
 		interval := batchInterval
 		if !w.batched {
@@ -230,6 +251,12 @@
 		return false
 	}
 	b, changes, err := w.receive(ctx, deadline)
+	if errors.Is(err, errLaterEra) {
+		w.f.log.Info("relay_in_later_era", zap.String("relay", w.subscription.Address), zap.Stringer("at", b.Index), zap.Stringer("own", w.index))
+		w.unsubscribe()
+		w.loaded, w.otherEra, w.allowStale = false, true, false
+		return false
+	}
 	if err != nil {
 		w.leaveRelay(ctx, w.subscription.Address, err)
 		return false
@@ -237,7 +264,7 @@
 	// An instance that does not read the store itself does not relay changes.
 	w.f.changeLog.Reset(b.Index, time.Time{})
 	w.f.usingRelay.Store(true)
-	w.advance(ctx, event{changes: changes, fromRelay: true}, b.Index, b.AsOf)
+	w.advance(ctx, event{changes: changes, at: b.Index, fromRelay: true}, b.Index, b.AsOf)
 	return true
 }
 
@@ -267,7 +294,7 @@
 		return time.Time{}, false
 	}
 	w.subscription = s
-	w.f.log.Info("relay_subscribed", zap.String("relay", address), zap.Uint64("revision", w.index))
+	w.f.log.Info("relay_subscribed", zap.String("relay", address), zap.Uint64("revision", w.index.Revision))
 	return time.Now().Add(relayResponseTimeout), true
 }
 
@@ -285,6 +312,8 @@
 	switch {
 	case err != nil:
 		return b, nil, err
+	case b.Gap && b.Index.Era > w.index.Era:
+		return b, nil, errLaterEra
 	case b.Gap:
 		return b, nil, errGap
 	case time.Since(b.AsOf) > maxRelayAge, time.Since(deadline) > pauseSlack: // the batch may have waited while this process was paused
@@ -303,6 +332,7 @@
 
 // Reasons for which a relay is not used.
 var (
+	errLaterEra   = errors.New("the relay has read the store in a later era")
 	errGap        = errors.New("the relay lacks changes that this instance has not read yet")
 	errOutdated   = errors.New("the relay is not up to date with the store")
 	errUnreadable = errors.New("the relay sent a change that cannot be decoded")
@@ -319,7 +349,7 @@
 		w.redialAfter = time.Now().Add(redialInterval)
 	}
 	w.f.cfg.Scope.Counter("relay_left").Inc(1)
-	w.f.log.Info("relay_left", zap.String("relay", address), zap.Uint64("revision", w.index), zap.Error(cause))
+	w.f.log.Info("relay_left", zap.String("relay", address), zap.Uint64("revision", w.index.Revision), zap.Error(cause))
 }
 
 func (w *watch) unsubscribe() {
@@ -331,7 +361,7 @@
 }
 
 // advance sends the changes up to an index.
-func (w *watch) advance(ctx context.Context, e event, index uint64, asOf time.Time) {
+func (w *watch) advance(ctx context.Context, e event, index catalog.Position, asOf time.Time) {
 	w.index, w.asOf = index, asOf
 	w.f.send(ctx, e)
 }
@@ -339,7 +369,7 @@
 func (w *watch) markReachable() {
 	w.backoff = 0
 	if !w.lostSince.IsZero() {
-		w.f.log.Info("store_regained", zap.Duration("after", time.Since(w.lostSince)), zap.Uint64("revision", w.index))
+		w.f.log.Info("store_regained", zap.Duration("after", time.Since(w.lostSince)), zap.Uint64("revision", w.index.Revision))
 		w.lostSince = time.Time{}
 	}
 }
@@ -352,15 +382,23 @@
 	if ctx.Err() != nil {
 		return
 	}
+	wasLoaded := w.loaded
 	w.loaded, w.mixed = false, false
+	if errors.Is(err, catalog.ErrOtherEra) {
+		w.f.log.Info("store_in_other_era", zap.Stringer("own", w.index), zap.Error(err))
+		w.allowStale, w.otherEra = false, true
+		if wasLoaded {
+			return
+		}
+	}
 	if errors.Is(err, catalog.ErrHistoryLost) {
-		w.f.log.Info("store_history_lost", zap.Uint64("revision", w.index))
+		w.f.log.Info("store_history_lost", zap.Uint64("revision", w.index.Revision))
 		w.allowStale = false // stale content may be older than the start of the history
 		return
 	}
 	if w.lostSince.IsZero() {
 		w.lostSince = time.Now()
-		w.f.log.Warn("store_lost", zap.Uint64("revision", w.index), zap.Error(err))
+		w.f.log.Warn("store_lost", zap.Uint64("revision", w.index.Revision), zap.Error(err))
 	}
 	w.f.send(ctx, event{err: err})
 	if w.backoff == maxRetryDelay && w.awaitRelay(ctx) {
@@ -397,8 +435,13 @@
 		switch {
 		case err != nil:
 			return !first && !time.Now().Before(until)
+		case b.Gap && b.Index == w.lastGap: // the content was read since, or could not be
+			return false
 		case b.Gap, time.Since(b.AsOf) <= maxRelayAge:
-			w.f.log.Info("relay_has_news", zap.String("relay", address), zap.Uint64("revision", b.Index))
+			if b.Gap {
+				w.lastGap = b.Index
+			}
+			w.f.log.Info("relay_has_news", zap.String("relay", address), zap.Uint64("revision", b.Index.Revision))
 			return true
 		}
 	}
--- a/internal/instance/relay/relay_test.go
+++ b/internal/instance/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
+	"knapweedreel/internal/catalog"
 	"knapweedreel/internal/instance/evidence"
 )
 
@@ -58,7 +59,7 @@
 }
 
 // subscribe retries until the server accepts connections.
-func subscribe(t *testing.T, address string, keys evidence.Keys, after uint64) *Subscription {
+func subscribe(t *testing.T, address string, keys evidence.Keys, after catalog.Position) *Subscription {
 	t.Helper()
 	deadline := time.Now().Add(waitTimeout)
 	for {
@@ -82,25 +83,28 @@
 	return b
 }
 
+// revision returns a position in era 0.
+func revision(n uint64) catalog.Position { return catalog.Position{Revision: n} }
+
 func change(revision uint64) Change { return Change{Revision: revision, Raw: []byte{byte(revision)}} }
 
 // Guards against changes that a subscriber misses, receives twice or receives out
 // of order, for changes from before and after it subscribed.
 func TestSubscriberReceivesLaterChanges(t *testing.T) {
 	keys, l := newKeys(t), NewLog()
-	l.Reset(10, time.Now())
-	l.Extend([]Change{change(11), change(12)}, 12, time.Now())
-	s := subscribe(t, startServer(t, l, keys), keys, 11)
+	l.Reset(revision(10), time.Now())
+	l.Extend([]Change{change(11), change(12)}, revision(12), time.Now())
+	s := subscribe(t, startServer(t, l, keys), keys, revision(11))
 	b := next(t, s)
-	if b.Gap || b.Index != 12 || len(b.Changes) != 1 || b.Changes[0].Revision != 12 || time.Since(b.AsOf) > waitTimeout {
+	if b.Gap || b.Index != revision(12) || len(b.Changes) != 1 || b.Changes[0].Revision != 12 || time.Since(b.AsOf) > waitTimeout {
 		t.Errorf("first batch %+v", b)
 	}
-	l.Extend([]Change{change(12), change(15), change(15)}, 20, time.Now())
-	if b = next(t, s); b.Gap || b.Index != 20 || len(b.Changes) != 2 || b.Changes[0].Revision != 15 {
+	l.Extend([]Change{change(12), change(15), change(15)}, revision(20), time.Now())
+	if b = next(t, s); b.Gap || b.Index != revision(20) || len(b.Changes) != 2 || b.Changes[0].Revision != 15 {
 		t.Errorf("second batch %+v", b)
 	}
-	l.Extend(nil, 20, time.Now())
-	if b = next(t, s); b.Gap || b.Index != 20 || len(b.Changes) != 0 {
+	l.Extend(nil, revision(20), time.Now())
+	if b = next(t, s); b.Gap || b.Index != revision(20) || len(b.Changes) != 0 {
 		t.Errorf("batch without changes %+v", b)
 	}
 }
@@ -109,16 +113,16 @@
 // relay has dropped them or never had them.
 func TestSubscriberIsNotifiedOfGap(t *testing.T) {
 	keys, l := newKeys(t), NewLog()
-	l.Reset(10, time.Now())
+	l.Reset(revision(10), time.Now())
 	address := startServer(t, l, keys)
-	if b := next(t, subscribe(t, address, keys, 9)); !b.Gap {
+	if b := next(t, subscribe(t, address, keys, revision(9))); !b.Gap {
 		t.Errorf("before the start of the log: %+v", b)
 	}
-	s := subscribe(t, address, keys, 10)
+	s := subscribe(t, address, keys, revision(10))
 	if b := next(t, s); b.Gap {
 		t.Errorf("at the start of the log: %+v", b)
 	}
-	l.Reset(30, time.Now())
+	l.Reset(revision(30), time.Now())
 	if b := next(t, s); !b.Gap {
 		t.Errorf("after a reset of the log: %+v", b)
 	}
@@ -128,13 +132,13 @@
 // not reach the store, its subscribers would stay outdated.
 func TestAgeIsPassedOn(t *testing.T) {
 	keys, l := newKeys(t), NewLog()
-	l.Reset(10, time.Now().Add(-time.Minute))
+	l.Reset(revision(10), time.Now().Add(-time.Minute))
 	address := startServer(t, l, keys)
-	if b := next(t, subscribe(t, address, keys, 10)); time.Since(b.AsOf) < time.Minute {
+	if b := next(t, subscribe(t, address, keys, revision(10))); time.Since(b.AsOf) < time.Minute {
 		t.Errorf("age %v", time.Since(b.AsOf))
 	}
-	l.Reset(10, time.Time{})
-	if b := next(t, subscribe(t, address, keys, 10)); time.Since(b.AsOf) < time.Minute {
+	l.Reset(revision(10), time.Time{})
+	if b := next(t, subscribe(t, address, keys, revision(10))); time.Since(b.AsOf) < time.Minute {
 		t.Errorf("age %v although the age of the log is unknown", time.Since(b.AsOf))
 	}
 }
@@ -142,13 +146,13 @@
 // Guards against frames that are exchanged with instances of another fleet.
 func TestUnknownKeysAreRefused(t *testing.T) {
 	l := NewLog()
-	l.Reset(10, time.Now())
+	l.Reset(revision(10), time.Now())
 	ours := newKeys(t)
-	s := subscribe(t, startServer(t, l, ours), newKeys(t), 10)
+	s := subscribe(t, startServer(t, l, ours), newKeys(t), revision(10))
 	if b, err := s.Next(t.Context(), time.Now().Add(waitTimeout)); err == nil {
 		t.Errorf("a relay responds to a subscriber with an unknown key: %+v", b)
 	}
-	if _, err := Subscribe(t.Context(), startServer(t, l, ours), func() evidence.Keys { return evidence.Keys{} }, 10); err == nil {
+	if _, err := Subscribe(t.Context(), startServer(t, l, ours), func() evidence.Keys { return evidence.Keys{} }, revision(10)); err == nil {
 		t.Error("an instance without a key can subscribe")
 	}
 }
@@ -158,9 +162,9 @@
 	keys := newKeys(t)
 	subscriberConn, relayConn := net.Pipe()
 	defer func() { _ = relayConn.Close() }()
-	s := &Subscription{conn: subscriberConn, reader: bufio.NewReader(subscriberConn), keys: staticKeys(keys), nonce: [16]byte{1}}
+	s := &Subscription{conn: subscriberConn, reader: bufio.NewReader(subscriberConn), keys: staticKeys(keys), nonce: [16]byte{1}, format: withoutEras}
 	defer s.Close()
-	go func() { _ = writeFrame(relayConn, keys.Seal, &update{Nonce: [16]byte{2}, Sequence: 1}) }()
+	go func() { _ = writeFrame(relayConn, keys.Seal, withoutEras, &update{Nonce: [16]byte{2}, Sequence: 1}) }()
 	if _, err := s.Next(t.Context(), time.Now().Add(waitTimeout)); !errors.Is(err, errNotAuthentic) {
 		t.Errorf("error %v", err)
 	}
@@ -174,7 +178,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
-	s := subscribe(t, listener.Addr().String(), newKeys(t), 1)
+	s := subscribe(t, listener.Addr().String(), newKeys(t), revision(1))
 	if _, err := s.Next(t.Context(), time.Now().Add(10*time.Millisecond)); !isTimeout(err) {
 		t.Errorf("error %v", err)
 	}
@@ -190,28 +194,28 @@
 func TestLogIsBoundedAndReportsGaps(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		l := NewLog()
-		l.Reset(1, time.Now())
-		revision := uint64(1)
+		l.Reset(revision(1), time.Now())
+		newest := uint64(1)
 		var all []Change
 		for range rapid.IntRange(1, 30).Draw(rt, "batches") {
 			var batch []Change
 			for range rapid.IntRange(0, 60).Draw(rt, "changes") {
-				revision += uint64(rapid.IntRange(0, 2).Draw(rt, "step"))
-				if revision == 1 {
-					revision++
+				newest += uint64(rapid.IntRange(0, 2).Draw(rt, "step"))
+				if newest == 1 {
+					newest++
 				}
-				batch = append(batch, Change{Revision: revision, Raw: make([]byte, rapid.SampledFrom([]int{10, maxLogBytes / 100, maxLogBytes / 2}).Draw(rt, "bytes"))})
+				batch = append(batch, Change{Revision: newest, Raw: make([]byte, rapid.SampledFrom([]int{10, maxLogBytes / 100, maxLogBytes / 2}).Draw(rt, "bytes"))})
 			}
 			// The store never splits a revision between two responses.
 			all = append(all, batch...)
-			l.Extend(batch, revision, time.Now())
-			revision++
+			l.Extend(batch, revision(newest), time.Now())
+			newest++
 		}
 		if len(l.changes) > maxLogChanges || l.bytes > maxLogBytes {
 			rt.Fatalf("%d changes, %d bytes", len(l.changes), l.bytes)
 		}
-		after := rapid.Uint64Range(1, revision).Draw(rt, "after")
-		b, _ := l.after(after)
+		after := rapid.Uint64Range(1, newest).Draw(rt, "after")
+		b, _ := l.after(revision(after))
 		if b.Gap {
 			return
 		}
@@ -237,7 +241,7 @@
 	f.Add([]byte{0, 0, 0, 3, 1, 2, 3})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var u update
-		if readFrame(bytes.NewReader(data), keys, maxFrameBytes, &u) == nil {
+		if readFrame(bytes.NewReader(data), keys, maxFrameBytes, withoutEras, &u) == nil {
 			t.Error("a frame that is not sealed with the key is accepted")
 		}
 		_ = decMode.Unmarshal(data, &u)
--- a/internal/instance/relay/server.go
+++ b/internal/instance/relay/server.go
@@ -74,6 +74,17 @@
 	}
 }
 
+// frame returns an update of the given version.
+func (b *Batch) frame(f version, nonce [16]byte, sequence uint64) any {
+	age := uint64(time.Since(b.AsOf).Milliseconds())
+	if f == withoutEras {
+		return &update{Nonce: nonce, Sequence: sequence, Gap: b.Gap, Index: b.Index.Revision, Changes: b.Changes, AgeMS: age}
+	}
+	return &eraUpdate{
+		Nonce: nonce, Sequence: sequence, Gap: b.Gap, Era: uint64(b.Index.Era), Index: b.Index.Revision, Changes: b.Changes, AgeMS: age,
+	}
+}
+
 // serve sends the log to one subscriber until the connection fails, the log lacks
 // changes that the subscriber needs, or ctx is canceled.
 func (s *Server) serve(ctx context.Context, conn net.Conn) error {
@@ -82,23 +93,21 @@
 	if err := conn.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return errors.Wrap(err, "set deadline")
 	}
-	var h hello
-	if err := readFrame(conn, s.Keys(), maxHelloBytes, &h); err != nil {
+	nonce, after, err := readHello(conn, s.Keys())
+	if err != nil {
 		return err
 	}
+	format := versionFor(after)
 	s.Scope.Counter("relay_subscribers").Inc(1)
 	for sequence := uint64(1); ; sequence++ {
-		b, updated := s.ChangeLog.after(h.After)
+		b, updated := s.ChangeLog.after(after)
 		if err := conn.SetDeadline(time.Now().Add(writeTimeout)); err != nil {
 			return errors.Wrap(err, "set deadline")
 		}
-		if err := writeFrame(conn, s.Keys().Seal, &update{
-			Nonce: h.Nonce, Sequence: sequence, Gap: b.Gap, Index: b.Index, Changes: b.Changes,
-			AgeMS: uint64(time.Since(b.AsOf).Milliseconds()),
-		}); err != nil || b.Gap {
+		if err := writeFrame(conn, s.Keys().Seal, format, b.frame(format, nonce, sequence)); err != nil || b.Gap {
 			return err
 		}
-		h.After = b.Index
+		after = b.Index
 		select {
 		case <-updated:
 		case <-ctx.Done():
--- a/internal/instance/relay/subscription.go
+++ b/internal/instance/relay/subscription.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"knapweedreel/internal/catalog"
 	"knapweedreel/internal/instance/evidence"
 )
 
@@ -22,6 +23,7 @@
 	keys     func() evidence.Keys
 	nonce    [16]byte
 	sequence uint64
+	format   version
 }
 
 // connectTimeout bounds the time for connecting within a failure domain, and for
@@ -29,20 +31,24 @@
 const connectTimeout = 200 * time.Millisecond
 
 // Subscribe subscribes to the relay at the given address (IP:port) for changes
-// after an index. The caller must close the subscription.
-func Subscribe(ctx context.Context, address string, keys func() evidence.Keys, after uint64) (*Subscription, error) {
+// after a position. The caller must close the subscription.
+func Subscribe(ctx context.Context, address string, keys func() evidence.Keys, after catalog.Position) (*Subscription, error) {
 	dialer := net.Dialer{Timeout: connectTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to relay")
 	}
-	s := &Subscription{Address: address, conn: conn, reader: bufio.NewReader(conn), keys: keys}
+	s := &Subscription{Address: address, conn: conn, reader: bufio.NewReader(conn), keys: keys, format: versionFor(after)}
 	_, _ = rand.Read(s.nonce[:]) // never fails
 	if err := conn.SetWriteDeadline(time.Now().Add(connectTimeout)); err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrap(err, "set deadline")
 	}
-	if err := writeFrame(conn, keys().Seal, &hello{Nonce: s.nonce, After: after}); err != nil {
+	var h any = &hello{Nonce: s.nonce, After: after.Revision}
+	if s.format == withEras {
+		h = &eraHello{Nonce: s.nonce, Era: uint64(after.Era), After: after.Revision}
+	}
+	if err := writeFrame(conn, keys().Seal, s.format, h); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
@@ -56,15 +62,27 @@
 	if err := s.conn.SetReadDeadline(deadline); err != nil {
 		return Batch{}, errors.Wrap(err, "set deadline")
 	}
-	var u update
-	if err := readFrame(s.reader, s.keys(), maxFrameBytes, &u); err != nil {
+	u, err := s.readUpdate()
+	if err != nil {
 		return Batch{}, err
 	}
 	if s.sequence++; u.Nonce != s.nonce || u.Sequence != s.sequence {
 		return Batch{}, errNotAuthentic
 	}
 	age := time.Duration(min(u.AgeMS, uint64(maxReportedAge.Milliseconds()))) * time.Millisecond
-	return Batch{Gap: u.Gap, Changes: u.Changes, Index: u.Index, AsOf: time.Now().Add(-age)}, nil
+	return Batch{Gap: u.Gap, Changes: u.Changes, Index: catalog.Position{Era: catalog.Era(u.Era), Revision: u.Index}, AsOf: time.Now().Add(-age)}, nil
+}
+
+// readUpdate reads an update in the format of the subscription.
+func (s *Subscription) readUpdate() (eraUpdate, error) {
+	if s.format == withEras {
+		var u eraUpdate
+		err := readFrame(s.reader, s.keys(), maxFrameBytes, withEras, &u)
+		return u, err
+	}
+	var u update
+	err := readFrame(s.reader, s.keys(), maxFrameBytes, withoutEras, &u)
+	return eraUpdate{Nonce: u.Nonce, Sequence: u.Sequence, Gap: u.Gap, Index: u.Index, AgeMS: u.AgeMS, Changes: u.Changes}, err
 }
 
 // maxReportedAge caps the age that a relay reports.
--- a/internal/store/httpcall/call.go
+++ b/internal/store/httpcall/call.go
@@ -26,6 +26,9 @@
 	Query  url.Values
 	Body   any  // encoded as JSON, nil for none
 	Write  bool // changes something at the service
+	// HandleHeader is called with the header of each response before
+	// HandleResponse, unless it is nil. An error means that the response is invalid.
+	HandleHeader func(http.Header) error
 	// HandleResponse decodes the response. It returns a non-nil refusal if the
 	// service refused the call, and a non-nil err if the response is invalid,
 	// which leaves the result of a write unknown. It may be called again if the
@@ -93,6 +96,11 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
+	if c.HandleHeader != nil {
+		if err := c.HandleHeader(resp.Header); err != nil {
+			return nil, err
+		}
+	}
 	r, err := responseReader(resp)
 	if err != nil {
 		return nil, err
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -93,6 +93,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), dir: dir, store: standin.NewStore(),
 		routes: map[string]string{"/read/": "lookups", "/write/": "orders"}, maxAttempts: 2, timeout: routeTimeout, started: time.Now(),
 	}
+	f.store.SetEra(1)
 	f.storeServer = httptest.NewServer(f.store)
 	t.Cleanup(f.close)
 	f.putConfiguration(1)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -64,8 +64,14 @@
 		defer close(changesEnded)
 		f.injectChanges(faultCtx, seed)
 	}()
+	returnsEnded := make(chan struct{})
+	go func() {
+		defer close(returnsEnded)
+		f.injectReturns(faultCtx, seed)
+	}()
 	f.injectFaults(faultCtx)
 	<-changesEnded
+	<-returnsEnded
 	f.logEvent("fault injection ends")
 	wait(t.Context(), stableTime)
 	f.waitRecovered(c)
