--- a/internal/admission/replay_instance_test.go
+++ b/internal/admission/replay_instance_test.go
@@ -90,7 +90,7 @@
 		Repeatable: p.c.k.idempotent && !p.retry && in.retries >= 1,
 	}
 	if in.r.current {
-		u := in.demand.UrgentThan(p.class(), now)
+		u := in.demand.BlockedBy(p.class(), now)
 		req.Headroom = placement.Headroom{Urgent: u.Classes > 0, Slots: u.All, Due: due}
 	}
 	return in.tracker.Choose(in.cands, func(id string) bool { return slices.Contains(p.tried, id) }, req, now)
@@ -100,6 +100,7 @@
 func (in *instance) acquire(p *pending) {
 	now, times := in.r.time(), in.times(p.c.k)
 	in.demand.Add(p.class(), p.c.k.name, times.Mean(), now)
+	in.demand.SetTimes(p.class(), p.c.k.objective, times.Mean()/time.Duration(in.cands[0].Slots))
 	direct := in.queue.Len() == 0 || p.retry
 	if in.r.current {
 		direct = in.queue.Len() == 0 || p.retry && !in.queue.Urgent(p.class())
--- a/internal/instance/entry/admission.go
+++ b/internal/instance/entry/admission.go
@@ -31,7 +31,7 @@
 		return choice{}, err
 	}
 	now := time.Now()
-	st.countDemand(req, now)
+	st.countDemand(svc, req, now)
 	if st.mayPass(req) {
 		if c, ok := st.pick(snap, svc, req, now); ok {
 			c = st.take(c, req, now)
@@ -76,7 +76,7 @@
 	now := time.Now()
 	c, ok := st.pick(snap, svc, req, now)
 	if ok {
-		st.countDemand(req, now)
+		st.countDemand(svc, req, now)
 		c = st.take(c, req, now)
 		st.queue.Charge(req.class, req.caller, st.work(req), now)
 	}
