--- a/internal/catalog/accounts_test.go
+++ b/internal/catalog/accounts_test.go
@@ -38,7 +38,7 @@
 	for version, key := range map[uint64]account.Key{1: "k1", 2: "k2"} {
 		c = New()
 		ch := withAccount(t, version, key)
-		c.Reset([]Change{ch}, epoch)
+		c.Reset([]Change{ch}, 0, epoch)
 		first, second := snapshotAt(c, epoch), snapshotAt(c, at(time.Second))
 		if first.Accounts != ch.Configuration.Accounts || second.Accounts != first.Accounts || first.Accounts.Version() != version {
 			t.Errorf("version %d: other accounts", version)
@@ -64,10 +64,10 @@
 		apply func()
 		works bool
 	}{
-		{"version 4 has the key", func() { ch := withAccount(t, 4, "k1"); c.Reset([]Change{ch}, epoch) }, true},
+		{"version 4 has the key", func() { ch := withAccount(t, 4, "k1"); c.Reset([]Change{ch}, 0, epoch) }, true},
 		{"version 5 withdraws it", func() { ch := withAccount(t, 5, "k2"); c.Apply(&ch, epoch) }, false},
 		{"version 4 arrives again", func() { ch := withAccount(t, 4, "k1"); c.Apply(&ch, epoch) }, false},
-		{"version 4 is in a stale copy", func() { ch := withAccount(t, 4, "k1"); c.Reset([]Change{ch}, epoch) }, false},
+		{"version 4 is in a stale copy", func() { ch := withAccount(t, 4, "k1"); c.Reset([]Change{ch}, 0, epoch) }, false},
 		{"version 5 with other content", func() { ch := withAccount(t, 5, "k1"); c.Apply(&ch, epoch) }, false},
 		{"an unreadable entry", func() { c.Apply(&Change{Kind: KindConfiguration, ID: "configuration", Unreadable: ErrExpired}, epoch) }, false},
 		{"the entry is removed", func() { ch := removed(KindConfiguration, "configuration"); c.Apply(&ch, epoch) }, false},
