locality: the share of requests that leaves a region

A region's requests left it whenever its best upstream cost more than a remote one, each instance for itself.

The share is computed for the whole region from its load and those of the others, until waiting here costs as much as leaving. Not used by requests yet.

--- a/internal/locality/locality.go
+++ b/internal/locality/locality.go
@@ -1,26 +1,175 @@
-// Package locality decides when requests leave the failure domain or the region
-// in which they arrived, and what share of them.
+// Package locality decides which share of a service's requests leaves the region
+// in which they arrived.
 //
-// All functions take the time and the random source as arguments, and the package
-// does no I/O.
+// It answers two loads. When one region is short of slots and others are not,
+// requests leave it until waiting here costs callers as much as leaving does. When
+// all regions are short, as in a burst of the whole service, leaving would only
+// exchange requests among full regions: none leave.
+//
+// The instances of a region see the same loads, so they arrive at the same share
+// without agreeing on it, and each applies it to its own requests.
+//
+// All functions take the time as an argument, and the package does no I/O.
 package locality
 
-import "time"
+import (
+	"math"
+	"time"
+)
+
+// Pool is the capacity of one region for the requests of one service.
+type Pool struct {
+	Slots int     // of upstreams that are not probably faulty
+	Load  float64 // requests running and waiting there, as far as known
+}
 
-// Scope is how far a request may travel to its upstream.
-type Scope int
+// Input is the state of a service on which the share depends.
+type Input struct {
+	Local  Pool
+	Remote []Pool // of other regions whose load is known
+	// MeanTime is the mean time of a healthy response.
+	MeanTime time.Duration
+	// Objective is the latency objective of the requests. A wait as long as the
+	// objective counts as much as a failed request.
+	Objective time.Duration
+	// Price is what it costs to send a request to another region, as a failure
+	// probability: for the distance and for the bytes.
+	Price float64
+}
 
-// The scopes, nearest first.
+// Parameters of the share.
 const (
-	Domain Scope = iota // the instance's own failure domain
-	Region              // another failure domain of the same region
-	Remote              // another region
+	// UpdateInterval is the time between two updates. It is shorter than most
+	// requests, so that the share changes before the load has.
+	UpdateInterval = 250 * time.Millisecond
+	// startMargin is the gain, as a failure probability, from which the first
+	// requests leave. Without a margin, random variations of equal loads would move
+	// requests back and forth.
+	startMargin = 0.03
+	// smoothing is the part of the distance to the wanted share that one update
+	// moves. The load follows within a response time, so larger steps overshoot.
+	smoothing = 0.3
+	// maxShare bounds the share, so that the local upstreams stay known.
+	maxShare = 0.8
+	// minShare is the share below which none leaves.
+	minShare = 0.01
+	// bisections is the number of steps in which the wanted share is found. They
+	// give it to within minShare.
+	bisections = 8
 )
 
-// Pool is the capacity for one service's requests within one scope.
-type Pool struct {
-	Slots    int           // of upstreams that are not probably faulty
-	Load     int           // requests running and waiting there, as far as known
-	MeanTime time.Duration // of a healthy response
-	Latency  time.Duration // added by the distance, round trip
+// Planner holds the share of one service. The zero value is ready for use. It is
+// not safe for concurrent use.
+type Planner struct {
+	share     float64
+	updatedAt time.Time
+}
+
+// Share returns the share of requests that leave the region, from 0 to 1.
+func (p *Planner) Share() float64 { return p.share }
+
+// Leaves reports whether a request leaves, for a random number from 0 to 1.
+func (p *Planner) Leaves(random float64) bool { return random < p.share }
+
+// Update moves the share toward the one at which leaving no longer pays. It does
+// nothing if the latest update was less than UpdateInterval ago.
+func (p *Planner) Update(in Input, now time.Time) {
+	if !p.updatedAt.IsZero() && now.Sub(p.updatedAt) < UpdateInterval {
+		return
+	}
+	p.updatedAt = now
+	all := in.withoutShare(p.share)
+	p.share += smoothing * (all.wanted(p.share > 0) - p.share)
+	if p.share < minShare {
+		p.share = 0
+	}
+}
+
+// withoutShare returns the input with the loads that there would be if no request
+// left. The present loads are the result of the present share: judged by them, it
+// would always look needless.
+func (in Input) withoutShare(share float64) Input {
+	all := in.Local.Load / (1 - share)
+	moved := all * share
+	in.Local.Load = all
+	remote := make([]Pool, len(in.Remote))
+	slots := 0
+	for _, pool := range in.Remote {
+		slots += pool.Slots
+	}
+	for i, pool := range in.Remote {
+		remote[i] = pool
+		if slots > 0 {
+			remote[i].Load = max(0, pool.Load-moved*float64(pool.Slots)/float64(slots))
+		}
+	}
+	in.Remote = remote
+	return in
+}
+
+// wanted returns the share at which the cost of waiting here equals that of
+// leaving. leaving is set if requests leave already.
+func (in *Input) wanted(leaving bool) float64 {
+	target, ok := in.target()
+	if !ok {
+		return 0
+	}
+	margin := startMargin
+	if leaving {
+		margin = 0
+	}
+	if in.gain(target, 0) <= margin {
+		return 0
+	}
+	low, high := 0.0, maxShare
+	for range bisections {
+		if middle := (low + high) / 2; in.gain(target, middle) > 0 {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
+// target returns the capacity of the regions to which leaving pays, together.
+func (in *Input) target() (Pool, bool) {
+	var sum Pool
+	for _, pool := range in.Remote {
+		if pool.Slots > 0 && in.gain(pool, 0) > 0 {
+			sum.Slots += pool.Slots
+			sum.Load += pool.Load
+		}
+	}
+	return sum, sum.Slots > 0
+}
+
+// gain returns what the next request that leaves gains, as a failure probability,
+// if the given share of the local load has moved to the target.
+func (in *Input) gain(target Pool, share float64) float64 {
+	moved := share * in.Local.Load
+	here := Pool{in.Local.Slots, in.Local.Load - moved}.wait(in.MeanTime)
+	there := Pool{target.Slots, target.Load + moved}.wait(in.MeanTime)
+	return (here-there).Seconds()/in.Objective.Seconds() - in.Price
+}
+
+// maxUtilization bounds the utilization in the estimate of random waits, which
+// grows without limit toward 1. Beyond it the queue itself is the estimate.
+const maxUtilization = 0.95
+
+// maxWait is the wait at a pool without slots.
+const maxWait = time.Hour
+
+// wait returns the expected wait of a request: for those ahead of it, and for
+// random variations as in a queue with several servers (Sakasegawa's
+// approximation).
+func (p Pool) wait(mean time.Duration) time.Duration {
+	if p.Slots < 1 {
+		return maxWait
+	}
+	slots := float64(p.Slots)
+	ahead := max(0, p.Load-slots) / slots
+	utilization := min(p.Load/slots, maxUtilization)
+	random := math.Pow(utilization, math.Sqrt(2*(slots+1))-1) / (slots * (1 - utilization))
+	return min(maxWait, time.Duration((ahead+random)*float64(mean)))
 }
