--- a/internal/instance/entry/revocation_test.go
+++ b/internal/instance/entry/revocation_test.go
@@ -185,7 +185,7 @@
 				st := r.server.service("svc")
 				st.mu.Lock()
 				defer st.mu.Unlock()
-				return st.queue.length == 1
+				return st.queue.Len() == 1
 			})
 			tc.change(r)
 			if tc.status == http.StatusUnauthorized {
@@ -196,7 +196,7 @@
 					st := r.server.service("svc")
 					st.mu.Lock()
 					defer st.mu.Unlock()
-					return st.queue.length == 0
+					return st.queue.Len() == 0
 				})
 				if d := time.Since(began); d > 5*time.Second {
 					t.Errorf("refused after %v", d)
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -21,6 +21,8 @@
 	sinceRetest int // choices since one of a probably faulty upstream
 	// sinceSafeRetest is the same for the choices for repeatable requests.
 	sinceSafeRetest int
+
+	reservation reservation
 }
 
 // upstreamState holds what a Tracker knows about one upstream.
@@ -32,6 +34,9 @@
 	inFlight   int       // requests of this instance
 	peerLoad   int       // requests of other instances, as last reported
 	peerLoadAt time.Time // when peerLoad was reported
+	// slotsBefore is the number of slots of the region that are kept free before
+	// those of this upstream.
+	slotsBefore int
 }
 
 // NewTracker returns a tracker without upstreams.
