--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -52,14 +52,34 @@
 	s.CallerIdle = c.configuration.Limits.IdleTimeout
 	s.Accounts = c.configuration.Accounts
 	c.refreshServices(in)
+	sharing := c.configuration.loadSharing()
 	for name := range c.configuration.Services {
 		s.Services[name] = &routing.Service{
-			Name: name, Revision: c.configuration.Version, InShard: true, Document: documentOf(name), Upstreams: c.services[name],
+			Name: name, Revision: c.configuration.Version, InShard: true, Document: documentOf(name), Upstreams: c.services[name], ShareLoads: sharing(name),
 		}
 	}
 	return s
 }
 
+// SharesLoads reports whether the regions compare the loads of any service.
+func (c *Configuration) SharesLoads() bool {
+	return c.Accounts != nil || slices.ContainsFunc(c.Routes, func(r Route) bool { return r.Rule.LargeResponses })
+}
+
+// loadSharing returns a function that reports whether the regions compare the loads
+// of a service: if accounts compete for its upstreams, or its responses are large.
+func (c *Configuration) loadSharing() func(service string) bool {
+	large := make(map[string]bool)
+	for i := range c.Routes {
+		if r := &c.Routes[i]; r.Rule.LargeResponses {
+			for _, s := range r.Split {
+				large[s.Service] = true
+			}
+		}
+	}
+	return func(service string) bool { return c.Accounts != nil || large[service] }
+}
+
 // refreshServices computes the upstreams of the services that have changed.
 func (c *Catalog) refreshServices(in SnapshotInput) {
 	changed := make(map[string][]routing.Upstream)
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -106,6 +106,9 @@
 	// Priority orders the requests that wait for a slot; 0 is the highest
 	// priority. Default 0.
 	Priority int `json:"priority"`
+	// LargeResponses states that responses are large, so that the load of regions
+	// decides whether requests leave their region. Default false.
+	LargeResponses bool `json:"large_responses"`
 	// MaxBodyBytes is the maximum size of a request body. Default 16 MiB.
 	MaxBodyBytes int64 `json:"max_body_bytes"`
 }
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -80,6 +80,7 @@
 	stopping       context.Context // done when requests in flight are canceled
 	cancelRequests context.CancelFunc
 	callers        callerTable
+	loads          remoteLoads
 }
 
 // New returns a server that accepts connections once Run is called.
--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"crypto/rand"
 	"maps"
+	mathrand "math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -149,6 +150,7 @@
 	e.slotReq = &slotRequest{
 		caller: e.caller, credentials: e.credentials, class: e.class(), route: routeName(e.route), idempotent: e.route.Idempotent, deadline: e.deadline,
 		started: e.started, repeatable: e.route.Idempotent && e.body == nil && e.retryLimit() > 0, objective: milliseconds(e.route.ObjectiveMS), bodyBytes: e.r.ContentLength,
+		spread: mathrand.Float64(),
 	}
 	return e.acquireWithToken()
 }
--- a/internal/instance/entry/pick.go
+++ b/internal/instance/entry/pick.go
@@ -33,6 +33,9 @@
 	started   time.Time     // when the request arrived
 	objective time.Duration // latency objective of the route
 	bodyBytes int64         // size of the request body, -1 if unknown
+	// spread is a random number from 0 to 1 that decides whether the request is one
+	// of those that leave the failure domain or the region.
+	spread float64
 }
 
 // choice is the upstream chosen for an attempt, or the error that ends the wait
--- a/internal/instance/entry/placer.go
+++ b/internal/instance/entry/placer.go
@@ -63,6 +63,7 @@
 	demand     admission.Demand      // of the instances that serve the same callers
 	usable     placement.Usable      // as of usableAt
 	usableAt   time.Time
+	scopes     scopes
 }
 
 // trackedAttempt is an attempt with its state in the tracker.
@@ -84,6 +85,7 @@
 		cfg: cfg.Placement, name: name, tracker: placement.NewTracker(cfg.Placement.Model),
 		share: cfg.Share, peerAttempts: make(map[peerAttemptKey]peerAttempt),
 		responseKB: make(map[string]float64),
+		scopes:     scopes{routes: make(map[string]*planners)},
 	}
 }
 
@@ -130,15 +132,17 @@
 	}, now)
 }
 
-// listCandidates returns the upstreams as candidates for a request. st.mu is held.
-func (st *serviceState) listCandidates(snap *routing.Snapshot, svc *routing.Service, req *slotRequest) []placement.Candidate {
+// listCandidates returns the upstreams as candidates for a request that travels as
+// far as sc. st.mu is held.
+func (st *serviceState) listCandidates(snap *routing.Snapshot, svc *routing.Service, req *slotRequest, sc scope) []placement.Candidate {
 	p := st.placer
 	cands := p.candidates[:0]
 	for i := range svc.Upstreams {
 		u := &svc.Upstreams[i]
+		remote := u.Region != snap.Self.Region
 		cands = append(cands, placement.Candidate{
 			ID: u.ID, Excluded: st.hasAnnouncedLeaving(u), Incarnation: u.Incarnation, Slots: u.Slots, Connections: u.MaxConnections, Cold: u.Cold,
-			Remote: u.Region != snap.Self.Region, TransferCost: p.transferCost(snap, u, req),
+			Remote: remote, TransferCost: p.transferCost(snap, u, req, sc), OutOfScope: remote && sc.stayLocal || !remote && sc.leave,
 		})
 	}
 	p.candidates = cands
@@ -149,15 +153,21 @@
 // request that is due for its minimum share. st.mu is held.
 func (st *serviceState) pickByCost(snap *routing.Snapshot, svc *routing.Service, req *slotRequest, due bool, now time.Time) (choice, bool) {
 	p := st.placer
-	cands := st.listCandidates(snap, svc, req)
+	sc := st.scopeOf(snap, svc, req, now)
+	cands := st.listCandidates(snap, svc, req, sc)
 	allTried := st.triedAll(svc, req)
-	c, ok := p.tracker.Choose(cands, func(id string) bool {
+	skip := func(id string) bool {
 		return st.avoided(id, now) || !allTried && slices.Contains(req.tried, id) || st.unreachable[id] && st.inFlight[id] > 0
-	}, placement.Request{
+	}
+	request := placement.Request{
 		MayWait:    p.mayWait(req, now),
 		Repeatable: req.repeatable && !req.retry && st.retryBudget.tokens >= 1,
 		Headroom:   p.headroom(req.class, due, now),
-	}, now)
+	}
+	c, ok := p.tracker.Choose(cands, skip, request, now)
+	if !ok && sc.leave {
+		c, ok = p.tracker.Choose(st.listCandidates(snap, svc, req, scope{}), skip, request, now)
+	}
 	if !ok {
 		return choice{}, false
 	}
@@ -171,19 +181,32 @@
 
 // transferCost returns the additional cost of an upstream outside this
 // instance's failure domain.
-func (p *placer) transferCost(snap *routing.Snapshot, u *routing.Upstream, req *slotRequest) float64 {
+func (p *placer) transferCost(snap *routing.Snapshot, u *routing.Upstream, req *slotRequest, sc scope) float64 {
 	if u.FailureDomain == snap.Self.FailureDomain {
 		return 0
 	}
+	kb := p.transferKB(req)
+	if u.Region != snap.Self.Region {
+		return p.remoteCost(kb)
+	}
+	if sc.stayNear {
+		return stayCost + p.cfg.DomainCostPerKB*kb
+	}
+	return p.cfg.DomainCostPerKB * kb
+}
+
+// remoteCost returns the cost of the transfer of kb KiB to another region.
+func (p *placer) remoteCost(kb float64) float64 {
+	return min(maxTransferCost, p.cfg.RemoteCost+p.cfg.RemoteCostPerKB*kb)
+}
+
+// transferKB returns the expected size of a request and its response in KiB.
+func (p *placer) transferKB(req *slotRequest) float64 {
 	kb := float64(req.bodyBytes) / 1024
 	if req.bodyBytes < 0 {
 		kb = assumedBodyKB
 	}
-	kb += p.expectedResponseKB(req.route)
-	if u.Region == snap.Self.Region {
-		return p.cfg.DomainCostPerKB * kb
-	}
-	return min(maxTransferCost, p.cfg.RemoteCost+p.cfg.RemoteCostPerKB*kb)
+	return kb + p.expectedResponseKB(req.route)
 }
 
 func (p *placer) expectedResponseKB(route string) float64 {
--- a/internal/instance/entry/placer_test.go
+++ b/internal/instance/entry/placer_test.go
@@ -397,7 +397,7 @@
 		defer st.mu.Unlock()
 		u := up
 		u.Region, u.FailureDomain = region, "other"
-		return st.placer.transferCost(s.control.Snapshot(), &u, &slotRequest{route: "* /read/*"})
+		return st.placer.transferCost(s.control.Snapshot(), &u, &slotRequest{route: "* /read/*"}, scope{})
 	}
 	before, beforeNear := cost("elsewhere"), cost("south")
 	for range 80 {
--- a/internal/instance/entry/service.go
+++ b/internal/instance/entry/service.go
@@ -67,6 +67,9 @@
 			reserve := p.reserve(s.control.Snapshot().ServingInstances)
 			st.retryBudget = newTokenBucket(p.RetryShare, reserve, max(1, reserve))
 		}
+		if st.placer != nil {
+			st.placer.scopes.loads = &s.loads
+		}
 		s.services[name] = st
 	}
 	return st
--- a/internal/instance/entry/wait.go
+++ b/internal/instance/entry/wait.go
@@ -31,7 +31,7 @@
 func (st *serviceState) admissionState(snap *routing.Snapshot, svc *routing.Service, req *slotRequest, now time.Time) admission.State {
 	p := st.placer
 	if now.Sub(p.usableAt) >= usableInterval {
-		p.usable, p.usableAt = p.tracker.Usable(st.listCandidates(snap, svc, req), now), now
+		p.usable, p.usableAt = p.tracker.Usable(st.listCandidates(snap, svc, req, scope{}), now), now
 	}
 	times := p.times(req)
 	return admission.State{
--- a/internal/instance/evidence/evidence.go
+++ b/internal/instance/evidence/evidence.go
@@ -73,6 +73,9 @@
 	// DeliverQuota receives the requests for tokens and the transfers of another
 	// instance. It must not block. Nil ignores them.
 	DeliverQuota func(QuotaMessage)
+	// DeliverLoads receives the loads of another region. It must not block. Nil
+	// ignores them.
+	DeliverLoads func(LoadMessage)
 	Log          *zap.Logger
 	Scope        tally.Scope
 }
@@ -205,9 +208,15 @@
 // handleDatagram delivers the content of a datagram. It discards datagrams that
 // cannot be authenticated and those received before.
 func (x *Exchange) handleDatagram(datagram []byte) {
-	if len(datagram) > 0 && datagram[0] == quotaVersion {
-		x.handleQuota(datagram)
-		return
+	if len(datagram) > 0 {
+		switch datagram[0] {
+		case quotaVersion:
+			x.handleQuota(datagram)
+			return
+		case loadVersion:
+			x.handleLoads(datagram)
+			return
+		}
 	}
 	m, err := open(x.cfg.Keys().Open, datagram)
 	if err != nil || !x.isNew(m.Incarnation, m.Sequence) {
--- a/internal/instance/follower/follower.go
+++ b/internal/instance/follower/follower.go
@@ -46,6 +46,7 @@
 	keys         atomic.Pointer[evidence.Keys]
 	relays       atomic.Pointer[relays]
 	quotaMembers atomic.Pointer[[]quota.Member]
+	loadPeers    atomic.Pointer[[]netip.AddrPort]
 	changeLog    *relay.Log
 	usingRelay   atomic.Bool // subscribed to a relay that is up to date
 	serves       atomic.Bool // callers are directed to this instance
@@ -86,6 +87,7 @@
 	}
 	f.relays.Store(new(relays))
 	f.quotaMembers.Store(new([]quota.Member))
+	f.loadPeers.Store(new([]netip.AddrPort))
 	f.keys.Store(&evidence.Keys{})
 	f.publish(time.Now())
 	return f
@@ -257,6 +259,7 @@
 		f.serving = d.ServingInstances()
 		f.publishPeers(d)
 		f.publishQuotaMembers(d)
+		f.publishLoadPeers(d)
 		f.publishRelays(d)
 	}
 	snap.ServingInstances = f.serving
--- a/internal/instance/follower/peers.go
+++ b/internal/instance/follower/peers.go
@@ -64,6 +64,35 @@
 	}
 }
 
+// loadReporters is the number of instances of a region that report its load. Two,
+// so that the reports go on when one of them fails.
+const loadReporters = 2
+
+// LoadPeers returns the UDP addresses of the instances of other regions to which
+// this instance reports the load of its region, none if others do that or the
+// configuration doesn't need it.
+func (f *Follower) LoadPeers() []netip.AddrPort { return *f.loadPeers.Load() }
+
+// publishLoadPeers publishes the receivers of this region's load.
+func (f *Follower) publishLoadPeers(d *catalog.Directory) {
+	peers := make([]netip.AddrPort, 0)
+	reporters, reports := 0, false
+	if f.table != nil && f.catalog.Configuration().SharesLoads() {
+		for _, m := range d.AllServingMembers(f.table.Hosts()) { // sorted by ID
+			if m.Region == f.cfg.Self.Region {
+				reporters++
+				reports = reports || m.ID == f.cfg.Self.ID && reporters <= loadReporters
+			} else if address, err := netip.ParseAddrPort(m.PeerAddress); err == nil { // others are logged by publishPeers
+				peers = append(peers, address)
+			}
+		}
+	}
+	if !reports {
+		peers = peers[:0]
+	}
+	f.loadPeers.Store(&peers)
+}
+
 // relays are the instances that read the store for their failure domain.
 type relays struct {
 	primary bool     // this instance reads the store as long as the store serves it
--- a/internal/instance/load.go
+++ b/internal/instance/load.go
@@ -63,3 +63,19 @@
 		}
 	}
 }
+
+// reportLoads sends the load of this region to the instances of other regions.
+func (c *platformComponents) reportLoads(ctx context.Context) error {
+	ticks := time.NewTicker(loadInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks.C:
+		}
+		if peers := c.follower.LoadPeers(); len(peers) > 0 {
+			c.evidence.SendLoads(peers, c.settings.Region, c.entry.LoadReports())
+		}
+	}
+}
--- a/internal/instance/onplatform.go
+++ b/internal/instance/onplatform.go
@@ -113,6 +113,7 @@
 		ReplyTo:      s.PeerAddress,
 		Deliver:      func(sender uint64, records []evidence.Record) { c.entry.ApplyEvidence(sender, records) },
 		DeliverQuota: func(m evidence.QuotaMessage) { c.entry.ApplyQuota(m) },
+		DeliverLoads: func(m evidence.LoadMessage) { c.entry.ApplyLoads(m) },
 		Log:          log, Scope: c.metrics.Scope,
 	})
 	c.relay = &relay.Server{
@@ -130,16 +131,6 @@
 	return c
 }
 
-// Costs of requests to another region or failure domain, expressed as failure
-// probabilities. Links between regions are slow and have little bandwidth. Traffic
-// between regions and between failure domains is billed by volume; between regions
-// it costs eight times as much.
-const (
-	remoteCost      = 0.05
-	remoteCostPerKB = 0.02
-	domainCostPerKB = remoteCostPerKB / 8
-)
-
 // retryShareFraction is the fraction of the fleet's retry share that is used. The
 // margin is needed because requests are counted on arrival, and their retries a
 // little later, when fewer requests may be arriving.
@@ -149,7 +140,7 @@
 	return &entry.Placement{
 		Model:      placement.DefaultModel(),
 		RetryShare: retryShareFraction * p.RetryShare, RetryReserve: float64(p.RetryReserve),
-		RemoteCost: remoteCost, RemoteCostPerKB: remoteCostPerKB, DomainCostPerKB: domainCostPerKB,
+		RemoteCost: *p.RemoteCost, RemoteCostPerKB: *p.RemoteCostPerKB, DomainCostPerKB: *p.DomainCostPerKB,
 	}
 }
 
@@ -196,6 +187,7 @@
 		{Name: "evidence", Run: c.evidence.Run},
 		{Name: "relay", Run: c.relay.Run},
 		{Name: "load", Run: c.watchLoad},
+		{Name: "load-reports", Run: c.reportLoads},
 		{Name: "readiness", Run: endpoint{p.ReadyAddress, ready}.run},
 		{Name: "directory", Run: endpoint{p.DirectoryAddress, resolve}.run},
 	}
--- a/internal/locality/locality.go
+++ b/internal/locality/locality.go
@@ -19,7 +19,7 @@
 
 // Pool is the capacity of one region for the requests of one service.
 type Pool struct {
-	Slots int     // of upstreams that are not probably faulty
+	Slots float64 // each weighted with the probability that a request there succeeds
 	Load  float64 // requests running and waiting there, as far as known
 }
 
@@ -93,14 +93,14 @@
 	moved := all * share
 	in.Local.Load = all
 	remote := make([]Pool, len(in.Remote))
-	slots := 0
+	slots := 0.0
 	for _, pool := range in.Remote {
 		slots += pool.Slots
 	}
 	for i, pool := range in.Remote {
 		remote[i] = pool
 		if slots > 0 {
-			remote[i].Load = max(0, pool.Load-moved*float64(pool.Slots)/float64(slots))
+			remote[i].Load = max(0, pool.Load-moved*pool.Slots/slots)
 		}
 	}
 	in.Remote = remote
@@ -136,7 +136,7 @@
 func (in *Input) target() (Pool, bool) {
 	var sum Pool
 	for _, pool := range in.Remote {
-		if pool.Slots > 0 && in.gain(pool, 0) > 0 {
+		if pool.Slots >= 1 && in.gain(pool, 0) > 0 {
 			sum.Slots += pool.Slots
 			sum.Load += pool.Load
 		}
@@ -167,9 +167,8 @@
 	if p.Slots < 1 {
 		return maxWait
 	}
-	slots := float64(p.Slots)
-	ahead := max(0, p.Load-slots) / slots
-	utilization := min(p.Load/slots, maxUtilization)
-	random := math.Pow(utilization, math.Sqrt(2*(slots+1))-1) / (slots * (1 - utilization))
+	ahead := max(0, p.Load-p.Slots) / p.Slots
+	utilization := min(p.Load/p.Slots, maxUtilization)
+	random := math.Pow(utilization, math.Sqrt(2*(p.Slots+1))-1) / (p.Slots * (1 - utilization))
 	return min(maxWait, time.Duration((ahead+random)*float64(mean)))
 }
--- a/internal/locality/locality_test.go
+++ b/internal/locality/locality_test.go
@@ -10,7 +10,7 @@
 
 // region is a region in a replay of the loads of several regions as flows.
 type region struct {
-	slots   int
+	slots   float64
 	demand  func(at time.Duration) float64 // requests per second
 	planner Planner
 	load    float64 // requests running and waiting
@@ -65,8 +65,8 @@
 			}
 		}
 		for i, r := range regions {
-			o.wait += arrivals[i] * max(0, r.load-float64(r.slots)) / float64(r.slots) * meanTime.Seconds()
-			r.load += arrivals[i] - min(r.load, float64(r.slots))*step.Seconds()/meanTime.Seconds()
+			o.wait += arrivals[i] * max(0, r.load-r.slots) / r.slots * meanTime.Seconds()
+			r.load += arrivals[i] - min(r.load, r.slots)*step.Seconds()/meanTime.Seconds()
 		}
 	}
 	o.wait /= o.all
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -14,6 +14,7 @@
 	TransferCost float64 // cost of the transfer to it, as a failure probability
 	Cold         bool    // started recently and is still slow
 	Excluded     bool    // must get no request
+	OutOfScope   bool    // too far away for this request, or too near
 	Incarnation  int64   // differs after a restart, which ends a refusal
 }
 
@@ -158,7 +159,7 @@
 	reserved := t.reserved(req.Headroom)
 	for i := range cands {
 		c := &cands[i]
-		if c.Remote != remote || c.Excluded {
+		if c.Remote != remote || c.Excluded || c.OutOfScope {
 			continue
 		}
 		if skip != nil && skip(c.ID) {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -42,11 +42,14 @@
 
 // Service is a service with the document in effect.
 type Service struct {
-	Name      string
-	Revision  uint64
-	Document  *document.Document
-	InShard   bool // this instance is in the service's shard
-	Upstreams []Upstream
+	Name     string
+	Revision uint64
+	Document *document.Document
+	InShard  bool // this instance is in the service's shard
+	// ShareLoads makes regions compare their loads, so that requests leave a region
+	// only if that pays.
+	ShareLoads bool
+	Upstreams  []Upstream
 }
 
 // Upstream is an upstream and the limits within which this instance may use it.
--- a/internal/settings/normalize.go
+++ b/internal/settings/normalize.go
@@ -23,6 +23,9 @@
 	DefaultRetryReserve        = 10
 	DefaultQuotaWindow         = "5s"
 	DefaultQuotaOverage        = 0.1
+	DefaultRemoteCost          = 0.05
+	DefaultRemoteCostPerKB     = 0.02
+	DefaultDomainCostPerKB     = DefaultRemoteCostPerKB / 8
 	DefaultQuotaSlack          = 20
 
 	// drainMarginMS is the default of DrainMS minus KeepMS: a caller whose cached
@@ -52,6 +55,9 @@
 	setDefault(&p.QuotaWindow, DefaultQuotaWindow)
 	// 0 is a sound value here.
 	setDefault(&p.QuotaOverage, new(float64(DefaultQuotaOverage)))
+	setDefault(&p.RemoteCost, new(float64(DefaultRemoteCost)))
+	setDefault(&p.RemoteCostPerKB, new(float64(DefaultRemoteCostPerKB)))
+	setDefault(&p.DomainCostPerKB, new(float64(DefaultDomainCostPerKB)))
 	setDefault(&p.QuotaSlack, new(float64(DefaultQuotaSlack)))
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -82,6 +82,16 @@
 	QuotaWindow  string   `json:"quota_window"`
 	QuotaOverage *float64 `json:"quota_overage"`
 	QuotaSlack   *float64 `json:"quota_slack"`
+	// RemoteCost is the cost of a request to another region, and RemoteCostPerKB that
+	// of each KiB of the request and the response, as a probability of failure:
+	// requests leave their region if that lowers the risk to fail, or the wait as a
+	// share of the latency objective, by more. Links between regions are slow and
+	// billed by volume. Defaults 0.05 and 0.02.
+	RemoteCost      *float64 `json:"remote_cost"`
+	RemoteCostPerKB *float64 `json:"remote_cost_per_kb"`
+	// DomainCostPerKB is the same for each KiB to another failure domain of the
+	// region. Default 0.0025, an eighth of the cost between regions.
+	DomainCostPerKB *float64 `json:"domain_cost_per_kb"`
 	// StopTime is the time from SIGTERM until the process is killed, a number with
 	// the unit "ms" or "s". Requests in flight may complete until shortly before. If
 	// it is set, it replaces times.stop_limit_ms. Default none.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -92,6 +92,14 @@
 	if v := platform.QuotaSlack; v != nil {
 		jsonc.CheckRange(p, "platform.quota_slack", *v, 0, maxConnections)
 	}
+	for field, v := range map[string]*float64{
+		"platform.remote_cost": platform.RemoteCost, "platform.remote_cost_per_kb": platform.RemoteCostPerKB,
+		"platform.domain_cost_per_kb": platform.DomainCostPerKB,
+	} {
+		if v != nil {
+			jsonc.CheckRange(p, field, *v, 0, 1)
+		}
+	}
 	if platform.StopTime != "" {
 		if d, err := time.ParseDuration(platform.StopTime); err != nil || d <= 0 {
 			p.Add("platform.stop_time", "is %q, must be a number with the unit ms or s", platform.StopTime)
