--- a/internal/instance/entry/metrics.go
+++ b/internal/instance/entry/metrics.go
@@ -26,6 +26,23 @@
 	overhead tally.Histogram
 
 	waiting, inFlight, slots tally.Gauge
+	classes                  classMetrics
+}
+
+// memoryMetrics are the metrics of the memory for callers.
+type memoryMetrics struct {
+	used, waiting               tally.Gauge
+	evicted, stalled, displaced tally.Counter
+}
+
+func newMemoryMetrics(scope tally.Scope) *memoryMetrics {
+	evictions := func(reason string) tally.Counter {
+		return scope.Tagged(map[string]string{"reason": reason}).Counter("caller_evictions")
+	}
+	return &memoryMetrics{
+		used: scope.Gauge("caller_memory_bytes"), waiting: scope.Gauge("caller_memory_waiting"),
+		evicted: evictions("memory"), stalled: evictions("slot"), displaced: evictions("connection"),
+	}
 }
 
 // noService is the service label of requests without a service, such as locate
@@ -45,6 +62,7 @@
 		waiting:  sc.Gauge("requests_waiting"),
 		inFlight: sc.Gauge("requests_in_flight"),
 		slots:    sc.Gauge("region_slots"),
+		classes:  classMetrics{scope: sc},
 	}
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -26,7 +26,8 @@
 type Member struct {
 	ID      string
 	Address netip.AddrPort // of its UDP socket
-	Remote  bool           // in another region
+	Region  string
+	Remote  bool // Region is another one than that of this instance
 	Self    bool
 }
 
@@ -103,6 +104,9 @@
 	// maxAsks bounds the requests for an account in a round. Holders without tokens
 	// say so at once, and a request asks for no more than it lacks.
 	maxAsks = 12
+	// minAsks replaces maxAsks after a round that brought nothing: at an account over
+	// its limit everywhere, nobody has tokens to spare.
+	minAsks = 6
 	// maxFanout bounds the number of holders asked at once.
 	maxFanout = 6
 	// MaxWait is the longest time for which a request waits for a transfer.
