--- a/internal/admission/decide_test.go
+++ b/internal/admission/decide_test.go
@@ -159,3 +159,27 @@
 		t.Errorf("demand %+v, want a quarter of 10 slots", u)
 	}
 }
+
+// Guards against slots kept free for classes whose requests can wait behind less
+// urgent ones, which costs those the best upstreams.
+func TestRoomIsKeptForBlockedClassesOnly(t *testing.T) {
+	var d Demand
+	now := atMS(0)
+	urgent, patient, slow := Class{Route: 0}, Class{Route: 1}, Class{Route: 2}
+	for k, times := range map[Class][2]time.Duration{
+		urgent: {500 * time.Millisecond, 32 * time.Millisecond}, patient: {1200 * time.Millisecond, 107 * time.Millisecond},
+		slow: {4 * time.Second, 200 * time.Millisecond},
+	} {
+		d.Add(k, "r", time.Second, now)
+		d.SetTimes(k, times[0], times[1])
+	}
+	if u := d.BlockedBy(slow, now); u.Classes != 1 || u.All != d.UrgentThan(patient, now).All {
+		t.Errorf("behind the slow class %+v, want the urgent class alone", u)
+	}
+	if u := d.BlockedBy(patient, now); u != (Urgent{}) {
+		t.Errorf("behind the patient class %+v, want none", u)
+	}
+	if u := d.BlockedBy(Class{Route: 3}, now); u != (Urgent{}) {
+		t.Errorf("behind an unknown class %+v, want none", u)
+	}
+}
--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -29,6 +29,9 @@
 	Class
 	own, all average
 	last     time.Time // latest request
+	// objective is 0 if it is not known. blocks is the mean time for which a request
+	// blocks one behind it at an upstream.
+	objective, blocks time.Duration
 }
 
 // routeDemand is the recent demand of a route by class. It tells the classes of
@@ -105,6 +108,29 @@
 	}
 }
 
+const (
+	// maxBlockedShare is the share of a request's latency objective for which it may
+	// wait behind less urgent requests at an upstream. Keeping room costs these: the
+	// free slots are those of the best upstreams, and if room was kept for classes
+	// that can wait, half as many requests again failed.
+	maxBlockedShare = 1.0 / 3
+	// blocksGain is the gain of the moving average of classDemand.blocks.
+	blocksGain = 1.0 / 16
+)
+
+// SetTimes records the latency objective of a request of a class, and for how long
+// it blocks a request behind it at an upstream. The shortest objective counts.
+func (d *Demand) SetTimes(k Class, objective, blocks time.Duration) {
+	c := at(&d.classes, k)
+	if c.objective == 0 || objective < c.objective {
+		c.objective = objective
+	}
+	if c.blocks == 0 {
+		c.blocks = blocks
+	}
+	c.blocks += time.Duration(blocksGain * float64(blocks-c.blocks))
+}
+
 // Urgent is the demand of the classes that are more urgent than some class, as the
 // mean number of slots.
 type Urgent struct {
@@ -115,13 +141,30 @@
 
 // UrgentThan returns the demand of the classes that are more urgent than k.
 func (d *Demand) UrgentThan(k Class, now time.Time) Urgent {
+	return d.urgentThan(k, now, func(*classDemand) bool { return true })
+}
+
+// BlockedBy returns the demand of the classes that are more urgent than k and whose
+// requests can't wait behind those of k at an upstream.
+func (d *Demand) BlockedBy(k Class, now time.Time) Urgent {
+	i, ok := find(d.classes, k)
+	if !ok {
+		return Urgent{}
+	}
+	blocks := d.classes[i].blocks
+	return d.urgentThan(k, now, func(c *classDemand) bool {
+		return c.objective > 0 && float64(blocks) >= maxBlockedShare*float64(c.objective)
+	})
+}
+
+func (d *Demand) urgentThan(k Class, now time.Time, include func(*classDemand) bool) Urgent {
 	var u Urgent
 	for i := range d.classes {
 		c := &d.classes[i]
 		if c.Compare(k) >= 0 {
 			break
 		}
-		if now.Sub(c.last) > demandRecent {
+		if now.Sub(c.last) > demandRecent || !include(c) {
 			continue
 		}
 		u.Classes++
--- a/internal/instance/entry/wait.go
+++ b/internal/instance/entry/wait.go
@@ -14,15 +14,20 @@
 const usableInterval = 50 * time.Millisecond
 
 // countDemand counts an attempt toward the demand of its class. st.mu is held.
-func (st *serviceState) countDemand(req *slotRequest, now time.Time) {
+func (st *serviceState) countDemand(svc *routing.Service, req *slotRequest, now time.Time) {
 	if p := st.placer; p != nil {
-		p.demand.Add(req.class, req.route, p.times(req).Mean(), now)
+		mean := p.times(req).Mean()
+		p.demand.Add(req.class, req.route, mean, now)
+		if len(svc.Upstreams) > 0 {
+			p.demand.SetTimes(req.class, req.objective, mean/time.Duration(max(1, svc.Upstreams[0].Slots)))
+		}
 	}
 }
 
-// headroom returns what a request leaves to more urgent ones.
+// headroom returns what a request leaves to more urgent ones: to those that would
+// miss their objective if they waited behind it for a slot of an upstream.
 func (p *placer) headroom(class admission.Class, due bool, now time.Time) placement.Headroom {
-	u := p.demand.UrgentThan(class, now)
+	u := p.demand.BlockedBy(class, now)
 	return placement.Headroom{Urgent: u.Classes > 0, Slots: u.All, Due: due}
 }
 
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -101,6 +101,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), dir: dir, store: standin.NewStore(),
 		routes: map[string]string{"/read/": "lookups", "/write/": "orders"}, maxAttempts: 2, timeout: routeTimeout, accounts: accounts, started: time.Now(),
 	}
+	f.store.SetEra(1)
 	f.storeServer = httptest.NewServer(f.store)
 	t.Cleanup(f.close)
 	f.putConfiguration(1)
