Requests leave a region only if that pays

Regions exchanged requests while all of them were full (see docs/design/locality.md). Regions now report the load of services with client accounts or large responses to each other, and the planner of each route decides which share of the requests leaves the failure domain and the region.

--- a/internal/instance/entry/locality.go
+++ b/internal/instance/entry/locality.go
@@ -105,6 +105,11 @@
 // between upstreams, and not a suspicion.
 const stayCost = 0.04
 
+// maxLocalRisk is the risk to fail at the best upstream of the region, however
+// loaded, up to which requests stay there. Beyond it all of them are probably faulty
+// or not known, and each request goes where the risk is lowest.
+const maxLocalRisk = 0.12
+
 // scopeOf returns how far a request travels. st.mu is held.
 func (st *serviceState) scopeOf(snap *routing.Snapshot, svc *routing.Service, req *slotRequest, now time.Time) scope {
 	if !svc.ShareLoads {
@@ -126,7 +131,7 @@
 	leave := p.region.Leaves(req.spread)
 	return scope{
 		stayNear:  !p.domain.Leaves(req.spread),
-		stayLocal: !leave && s.domain.Slots+s.nearby.Slots >= 1,
+		stayLocal: !leave && s.domain.Slots+s.nearby.Slots >= 1 && min(s.domain.Risk, s.nearby.Risk) <= maxLocalRisk,
 		leave:     leave,
 	}
 }
@@ -196,3 +201,17 @@
 	}
 	return reports
 }
+
+// updateLeavingGauges updates the gauges of the largest shares of a route's requests
+// that leave the failure domain and the region. st.mu is held.
+func (st *serviceState) updateLeavingGauges() {
+	if st.placer == nil {
+		return
+	}
+	domain, region := 0.0, 0.0
+	for _, p := range st.placer.scopes.routes {
+		domain, region = max(domain, p.domain.Share()), max(region, p.region.Share())
+	}
+	st.metrics.leaveDomain.Update(domain)
+	st.metrics.leaveRegion.Update(region)
+}
--- a/internal/instance/entry/metrics.go
+++ b/internal/instance/entry/metrics.go
@@ -26,6 +26,7 @@
 	overhead tally.Histogram
 
 	waiting, inFlight, slots tally.Gauge
+	leaveDomain, leaveRegion tally.Gauge // shares of requests
 	classes                  classMetrics
 }
 
@@ -52,17 +53,19 @@
 func newServiceMetrics(scope tally.Scope, service string) *serviceMetrics {
 	sc := scope.Tagged(map[string]string{"service": service})
 	return &serviceMetrics{
-		scope:    sc,
-		attempts: sc.Counter("attempts"),
-		retries:  sc.Counter("retries"),
-		refusals: sc.Counter("refusals"),
-		total:    sc.Histogram("request_seconds", latencyBuckets),
-		queued:   sc.Histogram("queued_seconds", latencyBuckets),
-		overhead: sc.Histogram("overhead_seconds", latencyBuckets),
-		waiting:  sc.Gauge("requests_waiting"),
-		inFlight: sc.Gauge("requests_in_flight"),
-		slots:    sc.Gauge("region_slots"),
-		classes:  classMetrics{scope: sc},
+		scope:       sc,
+		attempts:    sc.Counter("attempts"),
+		retries:     sc.Counter("retries"),
+		refusals:    sc.Counter("refusals"),
+		total:       sc.Histogram("request_seconds", latencyBuckets),
+		queued:      sc.Histogram("queued_seconds", latencyBuckets),
+		overhead:    sc.Histogram("overhead_seconds", latencyBuckets),
+		waiting:     sc.Gauge("requests_waiting"),
+		leaveDomain: sc.Tagged(map[string]string{"scope": "domain"}).Gauge("requests_leaving_share"),
+		leaveRegion: sc.Tagged(map[string]string{"scope": "region"}).Gauge("requests_leaving_share"),
+		inFlight:    sc.Gauge("requests_in_flight"),
+		slots:       sc.Gauge("region_slots"),
+		classes:     classMetrics{scope: sc},
 	}
 }
 
--- a/internal/instance/entry/service.go
+++ b/internal/instance/entry/service.go
@@ -200,6 +200,7 @@
 			}
 		}
 	}
+	st.updateLeavingGauges()
 	st.metrics.waiting.Update(float64(st.queue.Len()))
 	st.metrics.inFlight.Update(float64(inFlight))
 	st.metrics.slots.Update(float64(slots))
--- a/internal/instance/follower/quota_test.go
+++ b/internal/instance/follower/quota_test.go
@@ -55,3 +55,43 @@
 		}
 	})
 }
+
+// Guards against regions whose load nobody or everybody reports, and against
+// reports for a configuration that doesn't need them.
+func TestTwoInstancesReportTheLoadOfTheirRegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		entries := []catalog.Change{testConfiguration(), testUpstream()}
+		for _, id := range []string{"i0", "i1", "i2", "n1"} {
+			region := "south"
+			if id == "n1" {
+				region = "north"
+			}
+			entries = append(entries, catalog.Change{Kind: catalog.KindMember, ID: id, Member: &catalog.Member{
+				ID: id, Address: "10.0.0.1:1", PeerAddress: "10.0.0.1:2", Region: region, FailureDomain: region + "1", Width: 3,
+			}})
+		}
+		source := new(partitionedSource)
+		source.set(false, entries...)
+		f, stop := startLoops(t, source, (*Follower).Run, (*Follower).Watch)
+		time.Sleep(10 * time.Second)
+		if n := len(f.LoadPeers()); n != 0 {
+			t.Errorf("%d receivers without need", n)
+		}
+		stop()
+		entries[0].Configuration.Routes[0].Rule.LargeResponses = true
+		f, stop = startLoops(t, source, (*Follower).Run, (*Follower).Watch) // i1
+		time.Sleep(10 * time.Second)
+		if n := len(f.LoadPeers()); n != 1 {
+			t.Errorf("the second instance of the region has %d receivers, want n1", n)
+		}
+		stop()
+		entries[2].Member.ID, entries[2].ID = "h0", "h0"
+		entries[4].Member.ID, entries[4].ID = "h1", "h1"
+		source.set(false, entries...)
+		f, _ = startLoops(t, source, (*Follower).Run, (*Follower).Watch)
+		time.Sleep(10 * time.Second)
+		if n := len(f.LoadPeers()); n != 0 {
+			t.Errorf("the third instance of the region has %d receivers", n)
+		}
+	})
+}
