--- a/internal/instance/entry/service.go
+++ b/internal/instance/entry/service.go
@@ -67,6 +67,9 @@
 			reserve := p.reserve(s.control.Snapshot().ServingInstances)
 			st.retryBudget = newTokenBucket(p.RetryShare, reserve, max(1, reserve))
 		}
+		if st.placer != nil {
+			st.placer.scopes.loads = &s.loads
+		}
 		s.services[name] = st
 	}
 	return st
@@ -197,6 +200,7 @@
 			}
 		}
 	}
+	st.updateLeavingGauges()
 	st.metrics.waiting.Update(float64(st.queue.Len()))
 	st.metrics.inFlight.Update(float64(inFlight))
 	st.metrics.slots.Update(float64(slots))
