entry, quota: a token that lapsed in the queue is replaced

Such a request now waits for another token with its slot, for at most 100 ms. Queuing again was ruled out: the next token would lapse as well. Longer lived tokens were, as they would occupy the lenders' buckets.

A refusal after a lapsed token also counted down the requests that wait, so that tokens were not asked for on behalf of another one; a test shows it.

A test of the entry with a queue was tried and left out: it did not reach its state and hung.

--- a/internal/instance/entry/quota.go
+++ b/internal/instance/entry/quota.go
@@ -198,22 +198,29 @@
 // is done.
 func (g *quotaGate) take(ctx context.Context, name string, limit quota.Limit, version uint64) (quota.Token, time.Duration, bool) {
 	d := g.limiter.Take(name, limit, version, bootTime())
-	if !d.Admitted && d.Wait > 0 {
-		signal(g.wake)
-		d = g.wait(ctx, name, limit, version, d)
-	}
+	d = g.wait(ctx, name, limit, version, d)
 	if d.Admitted {
 		return d.Token, 0, true
 	}
+	return quota.Token{}, g.refuse(ctx, name), false
+}
+
+// refuse returns the time after which the caller should return, 0 if ctx is done.
+func (g *quotaGate) refuse(ctx context.Context, name string) time.Duration {
 	after := g.limiter.Refuse(name, bootTime())
 	if ctx.Err() != nil {
-		after = 0
+		return 0
 	}
-	return quota.Token{}, after, false
+	return after
 }
 
-// wait tries again when tokens arrive, until quota.MaxWait has passed.
+// wait tries again when tokens arrive, until quota.MaxWait has passed. It returns
+// the decision d itself if waiting is pointless.
 func (g *quotaGate) wait(ctx context.Context, name string, limit quota.Limit, version uint64, d quota.Decision) quota.Decision {
+	if d.Admitted || d.Wait == 0 {
+		return d
+	}
+	signal(g.wake)
 	arrived, ok := g.enqueue(name)
 	if !ok {
 		return d
@@ -301,19 +308,25 @@
 	return nil
 }
 
-// useToken uses the token up, before the first attempt. The request must not be
-// sent if the token has lapsed while it waited for a slot.
+// useToken uses the token up, before the first attempt. If it has lapsed while the
+// request waited for a slot, another one is needed: the request waits for it with
+// the slot, because the next token would lapse in a long queue, too.
 func (e *exchange) useToken() error {
 	if e.token.state != heldToken {
 		return nil
 	}
-	t := e.token
-	if e.s.quota.limiter.Sent(t.account, t.token, bootTime()) {
-		e.token.state = usedToken
-		return nil
+	g, t := e.s.quota, e.token
+	if !g.limiter.Sent(t.account, t.token, bootTime()) {
+		e.token = requestToken{}
+		d := g.wait(e.ctx, t.account, t.limit, t.version, g.limiter.TakeAgain(t.account, t.limit, t.version, bootTime()))
+		if !d.Admitted || !g.limiter.Sent(t.account, d.Token, bootTime()) {
+			return e.quotaError(&t, g.refuse(e.ctx, t.account))
+		}
+		t.token = d.Token
 	}
-	e.token = requestToken{}
-	return e.quotaError(&t, e.s.quota.limiter.Refuse(t.account, bootTime()))
+	t.state = usedToken
+	e.token = t
+	return nil
 }
 
 // settleToken gives back the token of a request that was not sent.
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -127,7 +127,7 @@
 
 // Sent uses up the token of a request that is about to be sent. It returns false
 // if the token has lapsed meanwhile and no other one is available: the request
-// must not be sent then.
+// must not be sent then. It has to wait and call TakeAgain, or Refuse.
 func (l *Limiter) Sent(account string, t Token, now time.Duration) bool {
 	if t == (Token{}) {
 		return true
@@ -151,6 +151,7 @@
 		replacement, ok := b.take(lapsed)
 		if !ok {
 			b.giveBack(&l.cfg, t, now)
+			b.asking.waiting++ // until TakeAgain or Refuse
 			return false
 		}
 		t.own += replacement.own
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -320,3 +320,23 @@
 		}
 	}
 }
+
+// Guards against requests that still wait but are forgotten when another one, whose
+// token has lapsed, is refused.
+func TestRefusalEndsOneWaitOnly(t *testing.T) {
+	limit := Limit{2, 2}
+	l, now := soleLimiter(2, false)
+	l.Take(account, limit, 1, now)
+	number := l.Requests(now)[0].Request.Number
+	l.Receive(Transfer{Account: account, Version: 1, Number: number, Tokens: 1, TTLMS: 300}, now)
+	d := l.TakeAgain(account, limit, 1, now)
+	now += tokenTTL
+	l.Take(account, limit, 1, now) // waits
+	if l.Sent(account, d.Token, now) {
+		t.Fatal("a token was used after it had lapsed")
+	}
+	l.Refuse(account, now)
+	if n := l.buckets[account].asking.waiting; n != 1 {
+		t.Errorf("%d requests wait, want 1", n)
+	}
+}
