platform: the tolerances of quotas come from the environment

The deploy file passes the bounds in environment variables, which are empty where there is no bound, and the adapter applies them to the settings, also on reload. A field with an empty value was ruled out, since it isn't valid JSON for a number.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -37,6 +37,9 @@
 	if err != nil {
 		return err
 	}
+	if err := platform.ApplyEnvironment(&cfg, os.Getenv); err != nil {
+		return exitErrorf(ExitUsage, "%v", err)
+	}
 	if cfg.Platform != nil {
 		return serveOnPlatform(ctx, s, file, cfg)
 	}
@@ -62,5 +65,6 @@
 		Source: source, Protocol: platform.Protocol(),
 		ReadinessHandler: platform.ReadinessHandler, ResolveHandler: platform.ResolveHandler,
 		SettingsFile: file, Metrics: metrics, Close: source.Close,
+		Complete: func(s *settings.Settings) error { return platform.ApplyEnvironment(s, os.Getenv) },
 	}, log)
 }
--- a/internal/instance/onplatform.go
+++ b/internal/instance/onplatform.go
@@ -41,6 +41,9 @@
 	// SettingsFile is the file that the settings were read from. It is reloaded
 	// when it changes.
 	SettingsFile string
+	// Complete adds the settings that the platform passes outside the file. Nil adds
+	// none.
+	Complete func(*settings.Settings) error
 	// Metrics receives the instance's metrics. RunOnPlatform closes it.
 	Metrics *telemetry.Metrics
 	// Close releases the resources of the adapter.
--- a/internal/instance/reload.go
+++ b/internal/instance/reload.go
@@ -71,6 +71,11 @@
 // applySettings applies the only setting that can change while the instance runs:
 // the time for which callers cache addresses. All others need a restart.
 func (c *platformComponents) applySettings(s settings.Settings) {
+	if c.platform.Complete != nil {
+		if err := c.platform.Complete(&s); err != nil {
+			c.log.Warn("settings_incomplete", zap.Error(err))
+		}
+	}
 	c.cacheTime.Store(int64(milliseconds(s.Times.KeepMS)))
 	restart := settings.Diff(c.settings, s, "times.keep_ms")
 	c.log.Info("settings_reloaded", zap.Int("keep_ms", s.Times.KeepMS), zap.Strings("needs_restart", restart))
