placement: a class that is due may use the places beyond the slots

Classes for which no room is kept fill the places beyond the slots of all upstreams. A less urgent class, which doesn't use these, then found no upstream below its slots even when it was due for its minimum share: TestReplayDemand with all loads gave it 0 slots of 3.2 at 3 and 4 times the capacity.

--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -23,7 +23,8 @@
 	// have needed recently: their rate times their work.
 	Slots float64
 	// Due is set if the request's class or account is due for its minimum share. It
-	// may use the slots that are kept free.
+	// may use the slots that are kept free and the places beyond the slots: classes that
+	// leave nothing free would otherwise occupy all slots.
 	Due bool
 }
 
@@ -123,7 +124,7 @@
 // if none has been sent to it for too long: the users require that most healthy
 // upstreams are used, and the instance would know nothing of it.
 func (t *Tracker) mayUse(c *Candidate, s *upstreamState, h Headroom, reserved *[2]int, load int, now time.Time) bool {
-	if !h.Urgent {
+	if !h.Urgent || h.Due {
 		return true
 	}
 	keep := min(c.Slots, max(0, reserved[c.region()]-s.slotsBefore))
