entry, placement: slow callers are no evidence and don't raise expected waits

Attempts whose callers stop in the middle of the body counted as late, so their upstream seemed faulty and its slots lost (1.2 of 6). And one fast response after the guess of 3 s raised the estimated mean to 6.9 s and the slow response to 9.1 s of the objective of 10 s, so that any wait looked too long. Ruled out: the memory budget, which held. Attempts are marked while the caller has not sent the whole body, and expected times are at most the guess until 24 responses are known.

--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -152,7 +152,7 @@
 	e.slotReq = &slotRequest{
 		caller: e.queueCaller(), credentials: e.credentials, class: e.class(), route: routeName(e.route), idempotent: e.route.Idempotent, deadline: e.deadline,
 		started: e.started, repeatable: e.route.Idempotent && e.body == nil && e.retryLimit() > 0, objective: milliseconds(e.route.ObjectiveMS), bodyBytes: e.r.ContentLength,
-		spread: mathrand.Float64(),
+		spread: mathrand.Float64(), unreceived: e.body != nil && !e.body.complete(),
 	}
 	return e.acquireWithToken()
 }
--- a/internal/instance/entry/pick.go
+++ b/internal/instance/entry/pick.go
@@ -29,6 +29,7 @@
 	borrowed    int      // previous attempts with borrowed slots
 	retry       bool     // not the first attempt
 	repeatable  bool     // idempotent, and may be retried
+	unreceived  bool     // the caller has not sent the whole body yet
 
 	started   time.Time     // when the request arrived
 	objective time.Duration // latency objective of the route
--- a/internal/instance/entry/placer.go
+++ b/internal/instance/entry/placer.go
@@ -102,6 +102,9 @@
 func (p *placer) start(c *choice, req *slotRequest, now time.Time) {
 	c.tracked.times = p.times(req)
 	c.tracked.attempt = p.tracker.Start(c.upstream.ID, c.tracked.times, now)
+	if req.unreceived {
+		p.tracker.SetCallerPaced(c.upstream.ID, c.tracked.attempt, now)
+	}
 	c.tracked.req, c.tracked.number, c.tracked.started = req, attemptNumber.Add(1), now
 	p.shareAttempt(c, placement.Pending, now)
 }
--- a/internal/instance/entry/queue.go
+++ b/internal/instance/entry/queue.go
@@ -46,7 +46,8 @@
 	if st.placer == nil {
 		return time.Second // only the turns matter
 	}
-	return st.placer.times(req).Mean()
+	mean, _ := st.placer.expectedTimes(req)
+	return mean
 }
 
 const (
--- a/internal/instance/entry/wait.go
+++ b/internal/instance/entry/wait.go
@@ -16,7 +16,7 @@
 // countDemand counts an attempt toward the demand of its class. st.mu is held.
 func (st *serviceState) countDemand(svc *routing.Service, req *slotRequest, now time.Time) {
 	if p := st.placer; p != nil {
-		mean := p.times(req).Mean()
+		mean, _ := p.expectedTimes(req)
 		p.demand.Add(req.class, req.route, mean, now)
 		if len(svc.Upstreams) > 0 {
 			p.demand.SetTimes(req.class, req.objective, mean/time.Duration(max(1, svc.Upstreams[0].Slots)))
@@ -24,6 +24,19 @@
 	}
 }
 
+// expectedTimes returns the mean response time of a route, and one that one response
+// in six exceeds. Until enough responses have been observed, they are at most those
+// of the initial guess: a few responses far below it raise the estimated deviation,
+// and with it the mean, many times over.
+func (p *placer) expectedTimes(req *slotRequest) (mean, slow time.Duration) {
+	times := p.times(req)
+	mean, slow = times.Mean(), times.AtDeviations(1)
+	if guess := initialLatency(req); guess > 0 && !times.Settled() {
+		mean, slow = min(mean, guess), min(slow, 2*guess)
+	}
+	return mean, slow
+}
+
 // headroom returns what a request leaves to more urgent ones: to those that would
 // miss their objective if they waited behind it for a slot of an upstream.
 func (p *placer) headroom(class admission.Class, due bool, now time.Time) placement.Headroom {
@@ -38,14 +51,14 @@
 	if now.Sub(p.usableAt) >= usableInterval {
 		p.usable, p.usableAt = p.tracker.Usable(st.listCandidates(snap, svc, req, scope{}), now), now
 	}
-	times := p.times(req)
+	mean, slow := p.expectedTimes(req)
 	return admission.State{
 		Ahead: st.queue.AheadOf(req.class, req.caller, req.retry, now),
 		// The instance has its part of the slots, or more if it uses more.
 		Running:     max(p.usable.Running, p.usable.Slots/float64(max(1, snap.ServingInstances))),
 		Urgent:      p.demand.UrgentThan(req.class, now),
-		AtUpstreams: time.Duration(p.usable.Waiting / max(1, p.usable.Slots) * float64(times.Mean())),
-		Response:    times.Mean(), Slow: times.AtDeviations(1),
+		AtUpstreams: time.Duration(p.usable.Waiting / max(1, p.usable.Slots) * float64(mean)),
+		Response:    mean, Slow: slow,
 		Earliest: st.earliest(svc, now),
 	}
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -201,7 +201,7 @@
 	for _, s := range t.upstreams {
 		for _, a := range s.evidence {
 			age := now.Sub(a.start)
-			if age > failingWindow || a.retest || a.outcome == Neutral || a.outcome == Pending && age < a.times.Median() {
+			if age > failingWindow || a.retest || a.outcome == Neutral || a.outcome == Pending && a.callerPaced || a.outcome == Pending && age < a.times.Median() {
 				continue
 			}
 			all++
--- a/internal/placement/filter.go
+++ b/internal/placement/filter.go
@@ -134,6 +134,9 @@
 	outcome Outcome
 	peer    bool // made by another instance
 	retest  bool // sent although the upstream was probably faulty
+	// callerPaced is set if the caller had not sent the whole body at the start. How
+	// long the attempt takes is then no evidence about the upstream.
+	callerPaced bool
 }
 
 // Limits of the evidence kept for each upstream.
@@ -184,7 +187,7 @@
 
 // update applies Bayes' rule for one attempt.
 func (m *Model) update(j joint, a *Attempt, now time.Time) joint {
-	if a.outcome == Neutral {
+	if a.outcome == Neutral || a.outcome == Pending && a.callerPaced {
 		return j
 	}
 	stillPending := 0.0
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -265,3 +265,33 @@
 		}
 	}
 }
+
+// Guards against upstreams that seem faulty because callers stop in the middle of
+// their bodies.
+func TestCallerPacedAttemptsAreNoEvidence(t *testing.T) {
+	tr := NewTracker(DefaultModel())
+	times := tr.ResponseTimes("r", 100*time.Millisecond)
+	before := tr.upstreamState("u", epoch).failureProbability(&tr.model, epoch)
+	var attempts []*Attempt
+	for range 6 {
+		a := tr.Start("u", times, epoch)
+		tr.SetCallerPaced("u", a, epoch)
+		attempts = append(attempts, a)
+	}
+	later := epoch.Add(5 * time.Second)
+	if got := tr.upstreamState("u", later).failureProbability(&tr.model, later); got > before+0.01 || tr.isFailing(later) {
+		t.Errorf("failure probability %.2f while bodies are awaited, %.2f before", got, before)
+	}
+	for _, a := range attempts {
+		tr.End("u", a, Neutral, later)
+	}
+	if got := tr.upstreamState("u", later).failureProbability(&tr.model, later); got > before+0.01 {
+		t.Errorf("failure probability %.2f after the callers have stopped, %.2f before", got, before)
+	}
+	a := tr.Start("u", times, later)
+	tr.SetCallerPaced("u", a, later)
+	tr.End("u", a, Failed, later)
+	if got := tr.upstreamState("u", later).failureProbability(&tr.model, later); got <= before+0.1 {
+		t.Errorf("failure probability %.2f after a failure, %.2f before", got, before)
+	}
+}
--- a/internal/placement/times.go
+++ b/internal/placement/times.go
@@ -44,6 +44,10 @@
 	t.variance += gain * (delta*delta*(1-gain) - t.variance)
 }
 
+// Settled reports whether enough responses have been observed that the initial
+// guess hardly matters.
+func (t *ResponseTimes) Settled() bool { return t.samples >= 4*priorWeight }
+
 // Median returns the median response time.
 func (t *ResponseTimes) Median() time.Duration { return seconds(math.Exp(t.mean)) }
 
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -82,6 +82,12 @@
 	return a
 }
 
+// SetCallerPaced records that the caller has not sent the whole body of the request.
+func (t *Tracker) SetCallerPaced(id string, a *Attempt, now time.Time) {
+	a.callerPaced = true
+	t.upstreamState(id, now).invalidate()
+}
+
 // add inserts an attempt by its start time.
 func (f *filter) add(a *Attempt) {
 	i := len(f.evidence)
@@ -109,11 +115,11 @@
 	if a.outcome != Pending {
 		return
 	}
-	if o == Neutral && a.times.tailProbability(now.Sub(a.start)) < lateShare {
+	if o == Neutral && !a.callerPaced && a.times.tailProbability(now.Sub(a.start)) < lateShare {
 		o = Failed // abandoned because there was no response
 	}
 	a.outcome = o
-	if o == Succeeded {
+	if o == Succeeded && !a.callerPaced {
 		a.times.Add(now.Sub(a.start))
 	}
 	s.compact(&t.model, now)
