soak: the test of refusal copies waits for its route

The test now waits until each instance knows the route, which a body over the limit shows without a run.

--- a/test/soak/copies_test.go
+++ b/test/soak/copies_test.go
@@ -35,6 +35,7 @@
 			}
 			for _, i := range f.instances {
 				f.eventually("ready after the start: "+i.name, i.isReady)
+				f.eventually("the route is in effect: "+i.name, func() bool { return i.hasRoute("/ledger/x") })
 			}
 			outcomes := make([]outcome, clumps*clumpSize*tc.upstreams)
 			var wg sync.WaitGroup
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -168,7 +168,7 @@
 	configuration := map[string]any{
 		"version": f.version, "routes": routes,
 		"services": services,
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": maxBodyBytes, "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
 	}
 	if f.accounts != nil {
 		entries := f.accounts.entries()
@@ -184,6 +184,9 @@
 	f.store.Put("op/config", value)
 }
 
+// maxBodyBytes is the longest body that the configuration allows.
+const maxBodyBytes = 1 << 20
+
 func (f *fleet) addUpstream(service string) *proxiedUpstream {
 	return f.addUpstreamOf(service, slots, workTime)
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"flag"
 	"fmt"
@@ -95,6 +96,17 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// hasRoute reports whether the instance has a route for a path: it refuses a body
+// that is too long before it sends anything, and knows no route otherwise.
+func (i *instance) hasRoute(path string) bool {
+	resp, err := http.Post("http://"+i.entry+path, "", bytes.NewReader(make([]byte, maxBodyBytes+1)))
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusRequestEntityTooLarge
+}
+
 // eventually waits until cond holds. It fails the test after waitTimeout.
 func (f *fleet) eventually(what string, cond func() bool) {
 	f.t.Helper()
