soak: the check for a route names the host of the routes

The check that an instance knows its route asked for the instance's own address as host, for which there is no route, and timed out.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -99,7 +99,12 @@
 // hasRoute reports whether the instance has a route for a path: it refuses a body
 // that is too long before it sends anything, and knows no route otherwise.
 func (i *instance) hasRoute(path string) bool {
-	resp, err := http.Post("http://"+i.entry+path, "", bytes.NewReader(make([]byte, maxBodyBytes+1)))
+	req, err := http.NewRequest(http.MethodPost, "http://"+i.entry+path, bytes.NewReader(make([]byte, maxBodyBytes+1)))
+	if err != nil {
+		return false
+	}
+	req.Host = "soak.example"
+	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return false
 	}
