--- a/internal/instance/evidence/evidence.go
+++ b/internal/instance/evidence/evidence.go
@@ -87,7 +87,8 @@
 	dropped tally.Counter
 	sent    tally.Counter
 	refused tally.Counter
-	quota   quotaSender
+	quota   quotaCounters
+	conn    atomic.Pointer[net.PacketConn] // nil while Run isn't running
 
 	mu       sync.Mutex
 	windows  map[uint64]*replayWindow // by the sender's incarnation
@@ -103,7 +104,7 @@
 		cfg: cfg, queue: make(chan Record, queueLength), windows: make(map[uint64]*replayWindow),
 		dropped: cfg.Scope.Counter("evidence_dropped"), sent: cfg.Scope.Counter("evidence_datagrams_sent"),
 		refused: cfg.Scope.Counter("evidence_datagrams_refused"),
-		quota:   quotaSender{sent: cfg.Scope.Counter("quota_datagrams_sent"), dropped: cfg.Scope.Counter("quota_datagrams_dropped")},
+		quota:   quotaCounters{sent: cfg.Scope.Counter("quota_datagrams_sent"), dropped: cfg.Scope.Counter("quota_datagrams_dropped")},
 	}
 }
 
@@ -123,11 +124,11 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for evidence")
 	}
-	x.quota.open(conn)
+	x.conn.Store(&conn)
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
 		<-ctx.Done()
-		x.quota.open(nil)
+		x.conn.Store(nil)
 		return conn.Close()
 	})
 	g.Go(func() error { return x.receive(ctx, conn) })
--- a/internal/instance/evidence/loads.go
+++ b/internal/instance/evidence/loads.go
@@ -31,7 +31,7 @@
 // evidence, the datagrams are neither acknowledged nor retransmitted. Reports beyond
 // maxLoadReports are dropped and counted.
 func (x *Exchange) SendLoads(to []netip.AddrPort, region string, reports []locality.Report) {
-	conn, key := x.quota.conn.Load(), x.cfg.Keys().Seal
+	conn, key := x.conn.Load(), x.cfg.Keys().Seal
 	if conn == nil || key == nil {
 		return
 	}
--- a/internal/instance/evidence/loads_test.go
+++ b/internal/instance/evidence/loads_test.go
@@ -32,7 +32,7 @@
 				t.Error(err)
 			}
 		})
-		for x.quota.conn.Load() == nil {
+		for x.conn.Load() == nil {
 			time.Sleep(time.Millisecond)
 		}
 		return x, address
--- a/internal/instance/evidence/quota.go
+++ b/internal/instance/evidence/quota.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/netip"
-	"sync/atomic"
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
@@ -41,20 +40,8 @@
 	quotaEntryBytes = 1 + 3 + 3*9 + 5
 )
 
-// quotaSender sends datagrams about tokens from the socket of the exchange.
-type quotaSender struct {
-	conn          atomic.Pointer[net.PacketConn]
-	sent, dropped tally.Counter
-}
-
-// open sets the socket, nil for none.
-func (s *quotaSender) open(conn net.PacketConn) {
-	if conn == nil {
-		s.conn.Store(nil)
-		return
-	}
-	s.conn.Store(&conn)
-}
+// quotaCounters counts the datagrams about tokens.
+type quotaCounters struct{ sent, dropped tally.Counter }
 
 // SendQuota sends requests for tokens and transfers to an instance, in as many
 // datagrams as needed. Like evidence, they are neither acknowledged nor
@@ -85,7 +72,7 @@
 }
 
 func (x *Exchange) sendQuota(to netip.AddrPort, m *QuotaMessage) {
-	conn, key := x.quota.conn.Load(), x.cfg.Keys().Seal
+	conn, key := x.conn.Load(), x.cfg.Keys().Seal
 	if conn == nil || key == nil {
 		x.quota.dropped.Inc(1)
 		return
--- a/internal/instance/evidence/quota_test.go
+++ b/internal/instance/evidence/quota_test.go
@@ -36,7 +36,7 @@
 			t.Error(err)
 		}
 	})
-	for x.quota.conn.Load() == nil {
+	for x.conn.Load() == nil {
 		time.Sleep(time.Millisecond)
 	}
 	return x, address, got
--- a/internal/quota/asking.go
+++ b/internal/quota/asking.go
@@ -216,9 +216,8 @@
 }
 
 // Receive adds transferred tokens and reports whether a request that waits should
-// try again or Requests should be called. A transfer
-// that was not requested, was received before, has lapsed or is of another version
-// is ignored.
+// try again or Requests should be called. A transfer that was not requested, was
+// received before, has lapsed or is of another version is ignored.
 func (l *Limiter) Receive(t Transfer, now time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/quota/lending.go
+++ b/internal/quota/lending.go
@@ -8,9 +8,9 @@
 
 // Lend returns the tokens that this instance can spare for another one that asks
 // for them, and deducts them. It gives less than was asked for only if that is at
-// least one token, because parts of tokens at several instances admit nobody. limit and version are those of the configuration in
-// effect here; a request of another version gets
-// no answer.
+// least one token, because parts of tokens at several instances admit nobody. limit
+// and version are those of the configuration in effect here; a request of another
+// version gets no answer.
 func (l *Limiter) Lend(r Request, limit Limit, version uint64, now time.Duration) (Transfer, bool) {
 	// The comparison is false for a value that is not a number.
 	if r.Version != version || limit.Rate <= 0 || !(r.Tokens > 0) {
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -90,8 +90,9 @@
 }
 
 // Refuse ends the wait of a request that Take or TakeAgain did not admit. It
-// returns the time after which its caller should return. Each caller that is sent away gets a later time than the one before, at
-// the pace at which tokens are expected here.
+// returns the time after which its caller should return. Each caller that is sent
+// away gets a later time than the one before, at the pace at which tokens are
+// expected here.
 func (l *Limiter) Refuse(account string, now time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
