Serving members and plans are computed once; clearer names of the memory of a request

The members that serve callers were ranked twice at each change of the members, for quotas and for load reports; they are ranked once and passed to both. The input of the planners was built for each choice of an upstream, although it has an effect once in 250 ms; it is built when an update is due. openHolder and closeHolder are named after the memory, since a request's holder is its account.

--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -112,7 +112,7 @@
 	// maxBlockedShare is the share of a request's latency objective for which it may
 	// wait behind less urgent requests at an upstream. Keeping room costs these: the
 	// free slots are those of the best upstreams, and if room was kept for classes
-	// that can wait, half as many requests again failed.
+	// that can wait, up to twice as many requests failed.
 	maxBlockedShare = 1.0 / 3
 	// blocksGain is the gain of the moving average of classDemand.blocks.
 	blocksGain = 1.0 / 16
--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -26,7 +26,7 @@
 		started: time.Now(), caller: callerOf(r),
 	}
 	e.conn = callerConnOf(r)
-	e.openHolder()
+	e.openMemory()
 	e.memory.SetStage(membudget.Queued)
 	if r.ContentLength != 0 {
 		// The response may begin before the body has ended.
--- a/internal/instance/entry/locality.go
+++ b/internal/instance/entry/locality.go
@@ -124,7 +124,9 @@
 		p = new(planners)
 		s.routes[req.route] = p
 	}
-	st.updatePlanners(p, req, now)
+	if p.domain.Due(now) { // both are updated together
+		st.updatePlanners(p, req, now)
+	}
 	if len(s.remote) == 0 {
 		return scope{stayNear: !p.domain.Leaves(req.spread)}
 	}
--- a/internal/instance/entry/memory.go
+++ b/internal/instance/entry/memory.go
@@ -124,8 +124,8 @@
 	return st.queue.Len() > 0
 }
 
-// openHolder sets the holder of the memory of a request.
-func (e *exchange) openHolder() {
+// openMemory sets the holder of the memory of a request.
+func (e *exchange) openMemory() {
 	if e.conn != nil {
 		e.memory = e.conn.holder
 		return
@@ -133,8 +133,8 @@
 	e.memory = e.s.budget.Open(e.caller, nil, e.started)
 }
 
-// closeHolder returns the memory of the request.
-func (e *exchange) closeHolder() {
+// closeMemory returns the memory of the request.
+func (e *exchange) closeMemory() {
 	if e.conn != nil {
 		e.conn.end()
 		return
--- a/internal/instance/entry/response.go
+++ b/internal/instance/entry/response.go
@@ -214,7 +214,7 @@
 
 // finishConn reads the rest of the caller's body once the response is written.
 func (e *exchange) finishConn() {
-	defer e.closeHolder()
+	defer e.closeMemory()
 	if !e.aborted {
 		e.memory.SetStage(membudget.Writing)
 		_ = e.rc.Flush()
--- a/internal/instance/follower/follower.go
+++ b/internal/instance/follower/follower.go
@@ -279,8 +279,9 @@
 		f.directory.Store(d)
 		f.serving = d.ServingInstances()
 		f.publishPeers(d)
-		f.publishQuotaMembers(d)
-		f.publishLoadPeers(d)
+		serving := f.servingMembers(d)
+		f.publishQuotaMembers(serving)
+		f.publishLoadPeers(serving)
 		f.publishRelays(d)
 	}
 	snap.ServingInstances = f.serving
--- a/internal/instance/follower/peers.go
+++ b/internal/instance/follower/peers.go
@@ -44,12 +44,21 @@
 	}
 }
 
-// publishQuotaMembers publishes the instances that serve callers of any region and
-// share the tokens of client accounts.
-func (f *Follower) publishQuotaMembers(d *catalog.Directory) {
+// servingMembers returns the members that serve callers of any region, sorted by
+// ID, none if the configuration needs no messages between regions.
+func (f *Follower) servingMembers(d *catalog.Directory) []catalog.Member {
+	if f.table == nil || !f.catalog.Configuration().SharesLoads() {
+		return nil
+	}
+	return d.AllServingMembers(f.table.Hosts())
+}
+
+// publishQuotaMembers publishes the serving members as those that share the tokens
+// of client accounts.
+func (f *Follower) publishQuotaMembers(serving []catalog.Member) {
 	members := make([]quota.Member, 0)
-	if f.table != nil && f.catalog.Configuration().Accounts != nil {
-		for _, m := range d.AllServingMembers(f.table.Hosts()) {
+	if c := f.catalog.Configuration(); c != nil && c.Accounts != nil {
+		for _, m := range serving {
 			self := m.ID == f.cfg.Self.ID
 			address, err := netip.ParseAddrPort(m.PeerAddress)
 			if err != nil && !self {
@@ -74,17 +83,15 @@
 func (f *Follower) LoadPeers() []netip.AddrPort { return *f.loadPeers.Load() }
 
 // publishLoadPeers publishes the receivers of this region's load.
-func (f *Follower) publishLoadPeers(d *catalog.Directory) {
+func (f *Follower) publishLoadPeers(serving []catalog.Member) {
 	peers := make([]netip.AddrPort, 0)
 	reporters, reports := 0, false
-	if f.table != nil && f.catalog.Configuration().SharesLoads() {
-		for _, m := range d.AllServingMembers(f.table.Hosts()) { // sorted by ID
-			if m.Region == f.cfg.Self.Region {
-				reporters++
-				reports = reports || m.ID == f.cfg.Self.ID && reporters <= loadReporters
-			} else if address, err := netip.ParseAddrPort(m.PeerAddress); err == nil { // others are logged by publishPeers
-				peers = append(peers, address)
-			}
+	for _, m := range serving {
+		if m.Region == f.cfg.Self.Region {
+			reporters++
+			reports = reports || m.ID == f.cfg.Self.ID && reporters <= loadReporters
+		} else if address, err := netip.ParseAddrPort(m.PeerAddress); err == nil { // others are logged by publishPeers
+			peers = append(peers, address)
 		}
 	}
 	if !reports {
--- a/internal/locality/locality.go
+++ b/internal/locality/locality.go
@@ -71,10 +71,16 @@
 // Leaves reports whether a request leaves, for a random number from 0 to 1.
 func (p *Planner) Leaves(random float64) bool { return random < p.share }
 
+// Due reports whether Update has an effect: the latest update was at least
+// UpdateInterval ago.
+func (p *Planner) Due(now time.Time) bool {
+	return p.updatedAt.IsZero() || now.Sub(p.updatedAt) >= UpdateInterval
+}
+
 // Update moves the share toward the one at which leaving no longer pays. It does
-// nothing if the latest update was less than UpdateInterval ago.
+// nothing unless an update is due.
 func (p *Planner) Update(in Input, now time.Time) {
-	if !p.updatedAt.IsZero() && now.Sub(p.updatedAt) < UpdateInterval {
+	if !p.Due(now) {
 		return
 	}
 	p.updatedAt = now
