--- a/review/cases2/fleet.go
+++ b/review/cases2/fleet.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -90,6 +91,11 @@
 
 // newFleet starts the store. The instances are started by addInstance.
 func newFleet(rec *record) (*fleet, error) {
+	return newFleetWith(rec, func(store http.Handler) http.Handler { return store })
+}
+
+// newFleetWith is like newFleet with a handler around that of the store.
+func newFleetWith(rec *record, around func(store http.Handler) http.Handler) (*fleet, error) {
 	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		return nil, err
@@ -98,7 +104,8 @@
 	if f.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return nil, err
 	}
-	go func() { _ = http.Serve(f.listener, f.store) }()
+	server := &http.Server{Handler: around(f.store), ErrorLog: log.New(io.Discard, "", 0)}
+	go func() { _ = server.Serve(f.listener) }()
 	return f, nil
 }
 
@@ -242,17 +249,24 @@
 	}
 }
 
-// awaitReady waits until the platform's check finds all instances ready.
-func (f *fleet) awaitReady() error {
+// pathOf returns the path of a call of the platform.
+func pathOf(call string) (string, error) {
 	var machine struct {
 		Paths map[string]string `json:"paths"`
 	}
-	if err := json.Unmarshal(machineTemplate, &machine); err != nil {
+	err := json.Unmarshal(machineTemplate, &machine)
+	return machine.Paths[call], err
+}
+
+// awaitReady waits until the platform's check finds all instances ready.
+func (f *fleet) awaitReady() error {
+	path, err := pathOf("ready")
+	if err != nil {
 		return err
 	}
 	for _, i := range f.instances {
 		if !eventually(15*time.Second, func() bool {
-			resp, err := http.Get("http://" + i.ready + machine.Paths["ready"])
+			resp, err := http.Get("http://" + i.ready + path)
 			if err != nil {
 				return false
 			}
