Review case 7: a crowd at one address keeps all other callers out

Cause: the listener admits one connection after the other, and waits for memory for a caller that is at its own limit while others could be admitted. Done: a script with 300 clients that send large bodies from one address, and ten ordinary callers at others.

--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -12,6 +12,7 @@
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
 	"slow-target":  slowTarget,
+	"crowd":        crowd,
 	"cut-watch":    cutWatch,
 	"stalled":      stalled,
 	"changed-path": changedPath,
