--- a/review/cases2/cutwatch.go
+++ b/review/cases2/cutwatch.go
@@ -32,12 +32,12 @@
 // cuttingStore cuts watches that wait, as far as cutting is set, and records when the
 // instance has been told that a target is gone.
 type cuttingStore struct {
-	store       http.Handler
-	rec         *record
-	watch, list string // paths
-	cutting     atomic.Bool
-	removed     atomic.Bool // the entry of the leaving target
-	cuts        atomic.Int64
+	store   http.Handler
+	rec     *record
+	words   platformWords
+	cutting atomic.Bool
+	removed atomic.Bool // the entry of the leaving target
+	cuts    atomic.Int64
 
 	mu    sync.Mutex
 	acked time.Time // end of the first response from which the instance knows
@@ -45,7 +45,7 @@
 
 func (s *cuttingStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	ctx := r.Context()
-	if r.URL.Path == s.watch && s.cutting.Load() {
+	if r.URL.Path == s.words.Paths["watch"] && s.cutting.Load() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, cutAfter)
 		defer cancel()
@@ -53,7 +53,7 @@
 	removed := s.removed.Load()
 	b := &bufferedResponse{header: w.Header()}
 	s.store.ServeHTTP(b, r.WithContext(ctx))
-	if r.URL.Path == s.watch && b.status == 0 && b.body.Len() == 0 {
+	if r.URL.Path == s.words.Paths["watch"] && b.status == 0 && b.body.Len() == 0 {
 		s.cuts.Add(1)
 		panic(http.ErrAbortHandler) // closes the connection
 	}
@@ -63,8 +63,8 @@
 	_, _ = w.Write(b.body.Bytes())
 	_ = http.NewResponseController(w).Flush()
 	// Events name the removal; the last page of a read lacks the entry.
-	told := s.removed.Load() && r.URL.Path == s.watch && bytes.Contains(b.body.Bytes(), []byte("tombstone")) ||
-		removed && r.URL.Path == s.list && bytes.Contains(b.body.Bytes(), []byte(`"morePages":false`))
+	told := s.removed.Load() && r.URL.Path == s.words.Paths["watch"] && bytes.Contains(b.body.Bytes(), []byte("tombstone")) ||
+		removed && r.URL.Path == s.words.Paths["range"] && bytes.Contains(b.body.Bytes(), []byte(s.words.LastPage))
 	if told {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -113,14 +113,11 @@
 
 // cutWatch has the entry of a target removed while the store cuts waiting watches.
 func cutWatch(rec *record, trouble bool) (bool, error) {
-	s := &cuttingStore{rec: rec}
-	var err error
-	if s.watch, err = pathOf("watch"); err != nil {
-		return false, err
-	}
-	if s.list, err = pathOf("range"); err != nil {
+	words, err := readWords()
+	if err != nil {
 		return false, err
 	}
+	s := &cuttingStore{rec: rec, words: words}
 	f, err := newFleetWith(rec, func(store http.Handler) http.Handler {
 		s.store = store
 		return s
--- a/review/cases2/fleet.go
+++ b/review/cases2/fleet.go
@@ -249,24 +249,26 @@
 	}
 }
 
-// pathOf returns the path of a call of the platform.
-func pathOf(call string) (string, error) {
-	var machine struct {
-		Paths map[string]string `json:"paths"`
-	}
-	err := json.Unmarshal(machineTemplate, &machine)
-	return machine.Paths[call], err
+// platformWords are names of the platform that the cases need.
+type platformWords struct {
+	Paths    map[string]string `json:"paths"`
+	LastPage string            `json:"lastPage"` // in the last page of a read of the store
+}
+
+func readWords() (w platformWords, err error) {
+	err = json.Unmarshal(machineTemplate, &w)
+	return w, err
 }
 
 // awaitReady waits until the platform's check finds all instances ready.
 func (f *fleet) awaitReady() error {
-	path, err := pathOf("ready")
+	words, err := readWords()
 	if err != nil {
 		return err
 	}
 	for _, i := range f.instances {
 		if !eventually(15*time.Second, func() bool {
-			resp, err := http.Get("http://" + i.ready + path)
+			resp, err := http.Get("http://" + i.ready + words.Paths["ready"])
 			if err != nil {
 				return false
 			}
