entry: an address at its limit keeps nobody out

Callers saw: while one address had sent many large bodies, connections of all other addresses got no answer.

Cause: the accept loop waited until it could reserve the memory of a new connection. A caller may have three quarters of the memory; when its requests at upstreams hold these, its next connection can't be admitted before one of them ends, and nothing else was accepted meanwhile. To make room it also closed connections of others, which can't help, and closed one after the other while the bytes of the first were still on their way back.

Ruled out: the listen backlog and the limit of connections (150 of 2,050 were open).

Change: a connection whose caller is at its limit is closed unread at once, so that its client can turn to another instance. Room for it is made only from idle or stalled connections of the same caller. A new connection takes over the reservation of the one closed for it; a body that waits for memory on that one gives up at once. When no caller's part but the whole is in use, new connections wait as before.

TestCallerAtItsLimitKeepsNobodyOut before: no answer to the other address.

--- a/internal/instance/entry/callerconn.go
+++ b/internal/instance/entry/callerconn.go
@@ -208,6 +208,9 @@
 	if c.closed || c.holder.Stage() == membudget.Sent {
 		return false
 	}
+	if c.exchange != nil && c.exchange.body != nil { // ends a wait for memory
+		c.exchange.body.fail(errkind.New(errkind.CallerGone, "the connection was closed for a new one"))
+	}
 	_ = c.closeLocked()
 	return true
 }
--- a/internal/instance/entry/listener.go
+++ b/internal/instance/entry/listener.go
@@ -10,14 +10,13 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/uber-go/tally/v4"
 
 	"knapweedreel/internal/errkind"
 	"knapweedreel/internal/membudget"
 )
 
-// listener limits the number of open connections. When the limit is reached, it
-// closes another connection for each new one.
+// listener limits the number of open connections and their memory. When a limit is
+// reached, it closes another connection for each new one.
 type listener struct {
 	net.Listener
 	limit        int64
@@ -26,71 +25,87 @@
 	closed       chan struct{}
 	once         sync.Once
 	headerLimits func() headerLimits
-	evicted      tally.Counter
+	metrics      *memoryMetrics
 }
 
-func newListener(l net.Listener, limit int, budget *membudget.Budget, limits func() headerLimits, evicted tally.Counter) *listener {
-	return &listener{Listener: l, limit: int64(limit), budget: budget, closed: make(chan struct{}), headerLimits: limits, evicted: evicted}
+func newListener(l net.Listener, limit int, budget *membudget.Budget, limits func() headerLimits, metrics *memoryMetrics) *listener {
+	return &listener{Listener: l, limit: int64(limit), budget: budget, closed: make(chan struct{}), headerLimits: limits, metrics: metrics}
 }
 
-// Accept waits for a connection. While there is neither room for it nor another
-// one to close, it waits on; further callers then wait in the listen backlog of the
-// operating system.
+// Accept waits for a connection. While there is neither room nor another connection
+// to close, it waits on; further callers then wait in the listen backlog of the
+// operating system. A connection of a caller that itself holds too much is closed
+// unread, because waiting for that caller would keep all others out.
 func (l *listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	if tc, ok := nc.(*net.TCPConn); ok {
-		_ = tc.SetWriteBuffer(callerSendBuffer)
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if tc, ok := nc.(*net.TCPConn); ok {
+			_ = tc.SetWriteBuffer(callerSendBuffer)
+		}
+		c := &callerConn{Conn: nc, l: l}
+		c.holder = l.budget.Open(memoryCaller(nc.RemoteAddr()), c, time.Now())
+		c.holder.SetStage(membudget.Sent) // is not closed in favor of itself
+		if l.awaitRoom(c) {
+			c.holder.SetStage(membudget.Header)
+			return c, nil
+		}
+		c.holder.Close()
+		_ = nc.Close()
 	}
-	c := &callerConn{Conn: nc, l: l}
-	c.holder = l.budget.Open(memoryCaller(nc.RemoteAddr()), c, time.Now())
-	c.holder.SetStage(membudget.Sent) // is not closed in favor of itself
+}
+
+// admitInterval is the time between attempts to make room for a connection.
+const admitInterval = 10 * time.Millisecond
+
+// awaitRoom waits until a connection is admitted. It reports false if the
+// connection's caller is at its limit or the listener was closed.
+func (l *listener) awaitRoom(c *callerConn) bool {
 	for !l.admit(c) {
+		if c.holder.ExceedsShare(connectionBytes) {
+			l.metrics.refused.Inc(1)
+			return false
+		}
 		select {
 		case <-time.After(admitInterval):
 		case <-l.closed:
-			c.holder.Close()
-			_ = nc.Close()
-			return nil, net.ErrClosed
+			return false
 		}
 	}
-	c.holder.SetStage(membudget.Header)
-	return c, nil
+	return true
 }
 
-// admitInterval is the time between attempts to make room for a connection.
-const admitInterval = 10 * time.Millisecond
-
 // admit reserves the memory of a connection and counts it, closing others if
 // necessary. It reports false if there is no room.
 func (l *listener) admit(c *callerConn) bool {
 	now := time.Now()
-	for l.open.Load() >= l.limit {
-		if !l.evictOne(now) {
+	for l.open.Load() >= l.limit || !c.holder.Reserve(membudget.Connection, connectionBytes) {
+		victim := l.evictFor(c, now)
+		if victim == nil {
 			return false
 		}
-	}
-	for !c.holder.Reserve(membudget.Connection, connectionBytes) {
-		if !l.evictOne(now) {
-			return false
+		// A request on the closed connection returns its memory when it has ended.
+		if l.open.Load() < l.limit && c.holder.TakeOver(victim, membudget.Connection, connectionBytes) {
+			break
 		}
 	}
 	l.open.Add(1)
 	return true
 }
 
-// evictOne closes a connection for a new one and reports whether there was one.
-func (l *listener) evictOne(now time.Time) bool {
+// evictFor closes a connection for a new one and returns its holder, nil if there is
+// none to close.
+func (l *listener) evictFor(c *callerConn, now time.Time) *membudget.Holder {
 	for {
-		h := l.budget.EvictConnection(now)
+		h := l.budget.EvictConnectionFor(c.holder, connectionBytes, now)
 		if h == nil {
-			return false
+			return nil
 		}
-		if c, ok := h.Owner.(*callerConn); ok && c.evictConn() {
-			l.evicted.Inc(1)
-			return true
+		if victim, ok := h.Owner.(*callerConn); ok && victim.evictConn() {
+			l.metrics.displaced.Inc(1)
+			return h
 		}
 	}
 }
--- a/internal/instance/entry/memory_test.go
+++ b/internal/instance/entry/memory_test.go
@@ -171,6 +171,37 @@
 	}
 }
 
+// Guards against an address whose requests at upstreams hold all memory that it may
+// have: its next connection must not keep other addresses waiting.
+func TestCallerAtItsLimitKeepsNobodyOut(t *testing.T) {
+	c := &fakeControl{snap: snapshotOf(testDocument(), standin(t, "u1", succeed))}
+	s, url := startServer(t, c, smallMemory)
+	large := s.budget.Open("127.0.0.1", nil, time.Now())
+	defer large.Close()
+	large.SetStage(membudget.Sent)
+	if !large.Reserve(membudget.Body, int64(s.cfg.Limits.CallerMemoryBytes)*3/4) {
+		t.Fatal("the memory is in use")
+	}
+	call := func(from string) string {
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+		conn, err := d.DialContext(t.Context(), "tcp", strings.TrimPrefix(url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		_ = conn.SetDeadline(time.Now().Add(waitTimeout))
+		_, _ = io.WriteString(conn, "GET /read/x HTTP/1.1\r\nHost: svc\r\nConnection: close\r\n\r\n")
+		got, _ := io.ReadAll(conn)
+		return string(got)
+	}
+	if got := call("127.0.0.1"); got != "" {
+		t.Errorf("the large caller got %q", got)
+	}
+	if got := call("127.0.0.2"); !strings.HasPrefix(got, "HTTP/1.1 200 ") {
+		t.Errorf("another caller got %q", got)
+	}
+}
+
 // Guards against a client that evades its share or uses another caller's by naming
 // an account, and against one that does so with the addresses of its IPv6 site.
 func TestMemoryIsChargedToTheAddress(t *testing.T) {
--- a/internal/instance/entry/metrics.go
+++ b/internal/instance/entry/metrics.go
@@ -34,6 +34,7 @@
 type memoryMetrics struct {
 	used, waiting               tally.Gauge
 	evicted, stalled, displaced tally.Counter
+	refused                     tally.Counter // connections closed unread
 }
 
 func newMemoryMetrics(scope tally.Scope) *memoryMetrics {
@@ -43,6 +44,7 @@
 	return &memoryMetrics{
 		used: scope.Gauge("caller_memory_bytes"), waiting: scope.Gauge("caller_memory_waiting"),
 		evicted: evictions("memory"), stalled: evictions("slot"), displaced: evictions("connection"),
+		refused: scope.Counter("caller_connections_refused"),
 	}
 }
 
--- a/internal/instance/entry/run.go
+++ b/internal/instance/entry/run.go
@@ -36,7 +36,7 @@
 	s.mu.Unlock()
 	served := make(chan error, 1)
 	go func() {
-		served <- server.Serve(newListener(l, s.cfg.Limits.CallerConnections, s.budget, s.headerLimits, s.memoryMetrics.displaced))
+		served <- server.Serve(newListener(l, s.cfg.Limits.CallerConnections, s.budget, s.headerLimits, s.memoryMetrics))
 	}()
 	var background sync.WaitGroup
 	backgroundCtx, stopBackground := context.WithCancel(ctx)
--- a/internal/membudget/evict.go
+++ b/internal/membudget/evict.go
@@ -74,9 +74,29 @@
 func (b *Budget) EvictConnection(now time.Time) *Holder {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.evictConnection(now, func(*Holder) bool { return true })
+}
+
+// EvictConnectionFor is like EvictConnection for a new connection of h, which takes n
+// bytes. If the caller of h is at its limit, other callers' connections can't make
+// room: only an idle connection of its own is closed, or one without progress.
+func (b *Budget) EvictConnectionFor(h *Holder, n int64, now time.Time) *Holder {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.caller.used+n <= b.callerLimit() {
+		return b.evictConnection(now, func(*Holder) bool { return true })
+	}
+	return b.evictConnection(now, func(v *Holder) bool {
+		return v.caller == h.caller && (v.Stage() == Idle || v.isStalled(now, b.cfg.Stall))
+	})
+}
+
+// evictConnection marks and returns the first of the candidates, nil if there is none.
+// b.mu is held.
+func (b *Budget) evictConnection(now time.Time, candidate func(*Holder) bool) *Holder {
 	var best *Holder
 	for h := range b.holders {
-		if b.isEvicting(h, now) || h.Stage() == Sent {
+		if b.isEvicting(h, now) || h.Stage() == Sent || !candidate(h) {
 			continue
 		}
 		if best == nil || compareConnections(h, best) < 0 {
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -161,6 +161,20 @@
 	return true
 }
 
+// TakeOver moves n bytes of a use from another holder, which is about to end, to h. It
+// reports false if the other one has ended or doesn't hold them.
+func (h *Holder) TakeOver(from *Holder, use Use, n int64) bool {
+	b := h.b
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.closed || from.closed || from.used[use] < n {
+		return false
+	}
+	b.take(from, use, -n)
+	b.take(h, use, n)
+	return true
+}
+
 // ReserveOrWait is like Reserve, but adds a reservation that isn't possible at
 // once to those that wait. It returns nil if the reservation is made, and false if
 // too many wait or n can never be reserved.
@@ -271,6 +285,13 @@
 	return b.used, len(b.waiting)
 }
 
+// ExceedsShare reports whether n more bytes of h exceed the limit of its caller.
+func (h *Holder) ExceedsShare(n int64) bool {
+	h.b.mu.Lock()
+	defer h.b.mu.Unlock()
+	return h.caller.used+n > h.b.callerLimit()
+}
+
 // callerLimit returns the maximum number of bytes of one caller.
 func (b *Budget) callerLimit() int64 { return b.cfg.Limit - b.cfg.Limit/callerReserve }
 
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -68,6 +68,7 @@
 					waits[rapid.IntRange(0, len(waits)-1).Draw(t, "wait")].Cancel()
 				}
 				pick().ReturnAll(use)
+				pick().TakeOver(pick(), use, n)
 			}
 			sum := int64(0)
 			for h := range b.holders {
@@ -217,3 +218,27 @@
 		want.Close()
 	}
 }
+
+// Guards against closing connections of other callers, or requests in progress, for a
+// new connection of a caller that holds all it may have.
+func TestConnectionsOfOthersAreKeptForACallerAtItsLimit(t *testing.T) {
+	const limit, n = 1 << 20, 16 << 10
+	b := New(Config{Limit: limit, Stall: stall})
+	b.Open("other", nil, start).SetStage(Idle)
+	large := b.Open("large", nil, start)
+	large.SetStage(Sent)
+	if !large.Reserve(Body, limit-limit/callerReserve) {
+		t.Fatal("the caller's part is not available")
+	}
+	busy := b.Open("large", nil, start)
+	busy.SetStage(Queued)
+	fresh := b.Open("large", nil, start)
+	fresh.SetStage(Sent)
+	if h := b.EvictConnectionFor(fresh, n, start); h != nil {
+		t.Fatalf("a connection of %s at stage %d is closed", h.caller.name, h.Stage())
+	}
+	busy.SetStage(Idle)
+	if h := b.EvictConnectionFor(fresh, n, start); h != busy {
+		t.Error("the caller's idle connection is not closed")
+	}
+}
--- a/test/crowd/clients_test.go
+++ b/test/crowd/clients_test.go
@@ -35,6 +35,8 @@
 	send func(c net.Conn, id string) error
 	// slow makes members read nothing but the first bytes of the response.
 	slow bool
+	// scattered makes each member call from an address of its own.
+	scattered bool
 
 	mu   sync.Mutex
 	open map[string]*member // by request ID
@@ -80,6 +82,9 @@
 // ends or a response has arrived. settled is called when all has been sent.
 func (c *crowd) visit(ctx context.Context, id string, settled func()) {
 	d := net.Dialer{Timeout: waitTimeout}
+	if c.scattered {
+		d.LocalAddr = &net.TCPAddr{IP: memberAddress(id)}
+	}
 	conn, err := d.DialContext(ctx, "tcp", c.address)
 	if err != nil {
 		return
@@ -109,6 +114,13 @@
 	ended.Wait()
 }
 
+// memberAddress returns the own address of a member.
+func memberAddress(id string) net.IP {
+	var n int
+	_, _ = fmt.Sscanf(id, "m%d-", &n)
+	return net.IPv4(127, 1, byte(n>>8), byte(n))
+}
+
 // read reads until the connection ends. The body of an ordinary response ends it.
 // Slow members read a byte a second.
 func (c *crowd) read(ctx context.Context, conn net.Conn, m *member) {
--- a/test/crowd/process_test.go
+++ b/test/crowd/process_test.go
@@ -42,6 +42,8 @@
 	store     *standin.Store
 	entry     string // IP:port
 	ready     string
+	directory string
+	peer      string
 	cmd       *exec.Cmd
 	exited    chan struct{} // closed when cmd has exited
 	descPeak  atomic.Int64  // most open descriptors seen
@@ -86,6 +88,7 @@
 		}
 	}
 	p.entry, p.ready = addresses[0], addresses[1]
+	p.peer, p.directory = addresses[2], addresses[3]
 	dir := t.TempDir()
 	settings := filepath.Join(dir, "settings.jsonc")
 	text, err := json.Marshal(map[string]any{
