guard: listeners beside the entry have bounds of their own

Callers saw: nothing until the process ended. Clients that ask for addresses could end it: with 300 to 400 headers of 900 KB that didn't end it held 505,852 KiB where its machine has 65,536.

Cause: the servers of the directory, the readiness check and the metrics bounded only the time to read a request. Connections were unlimited, a header could have 1 MB, responses had no time limit, and the operating system's buffers their default sizes. The relay took up to 512 connections whatever the number of descriptors.

Change: package guard, a listener with a limit of connections and small buffers, and an HTTP server on it with bounds of the header and of both directions. At its limit it closes an idle connection for a new one, else the one with the least progress of the address that has most, as the entry does; both use internal/membudget for the choice. An address gets three quarters. Subscribers of a relay are exempt once they have authenticated. New settings platform.directory_connections, peer_connections and monitor_connections, with defaults from the descriptors. The metric relay_subscribers_refused is replaced by listener_connections_closed.

--- a/internal/instance/entry/listener.go
+++ b/internal/instance/entry/listener.go
@@ -46,7 +46,7 @@
 			_ = tc.SetWriteBuffer(callerSendBuffer)
 		}
 		c := &callerConn{Conn: nc, l: l}
-		c.holder = l.budget.Open(memoryCaller(nc.RemoteAddr()), c, time.Now())
+		c.holder = l.budget.Open(membudget.CallerOf(nc.RemoteAddr()), c, time.Now())
 		c.holder.SetStage(membudget.Sent) // is not closed in favor of itself
 		if l.awaitRoom(c) {
 			c.holder.SetStage(membudget.Header)
--- a/internal/instance/entry/memory.go
+++ b/internal/instance/entry/memory.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
@@ -48,26 +46,6 @@
 	})
 }
 
-// addressPrefix is the number of bits of an IPv6 address that identify a caller. A
-// site usually has all addresses of such a prefix.
-const addressPrefix = 64
-
-// memoryCaller returns the caller to whom a connection's memory is charged. It
-// isn't the account that a request names, because a client can name any.
-func memoryCaller(a net.Addr) string {
-	address, err := netip.ParseAddrPort(a.String())
-	if err != nil {
-		return a.String()
-	}
-	ip := address.Addr().Unmap()
-	if ip.Is6() {
-		if prefix, err := ip.Prefix(addressPrefix); err == nil {
-			return prefix.String()
-		}
-	}
-	return ip.String()
-}
-
 // watchMemory ends requests of callers without progress while others need their
 // memory or their upstream.
 func (s *Server) watchMemory(ctx context.Context) {
--- a/internal/instance/entry/memory_test.go
+++ b/internal/instance/entry/memory_test.go
@@ -214,7 +214,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if got := memoryCaller(a); got != tc.want {
+		if got := membudget.CallerOf(a); got != tc.want {
 			t.Errorf("%s: %s, want %s", tc.address, got, tc.want)
 		}
 	}
--- a/internal/instance/follower/follower_test.go
+++ b/internal/instance/follower/follower_test.go
@@ -48,7 +48,7 @@
 		Regions: map[string]string{"z1": "south"}, Log: zap.NewNop(), Scope: tally.NoopScope, Jitter: func() float64 { return 0 },
 	}, source)
 	ctx, cancel := context.WithCancel(context.Background())
-	server := &relay.Server{Address: peer, ChangeLog: f.ChangeLog(), Keys: f.Keys, Logger: zap.NewNop(), Scope: tally.NoopScope}
+	server := &relay.Server{Address: peer, MaxConnections: 512, ChangeLog: f.ChangeLog(), Keys: f.Keys, Logger: zap.NewNop(), Scope: tally.NoopScope}
 	loops := []func(context.Context) error{f.Run, f.Watch, f.MaintainRegistration, server.Run}
 	ended := make(chan struct{}, len(loops))
 	for _, loop := range loops {
--- a/internal/instance/onplatform.go
+++ b/internal/instance/onplatform.go
@@ -20,6 +20,7 @@
 	"knapweedreel/internal/instance/entry/upstream"
 	"knapweedreel/internal/instance/evidence"
 	"knapweedreel/internal/instance/follower"
+	"knapweedreel/internal/instance/guard"
 	"knapweedreel/internal/instance/relay"
 	"knapweedreel/internal/placement"
 	"knapweedreel/internal/quota"
@@ -136,7 +137,7 @@
 		Log:          log, Scope: c.metrics.Scope,
 	})
 	c.relay = &relay.Server{
-		Address: s.PeerListenAddress, ChangeLog: c.follower.ChangeLog(), Keys: c.follower.Keys, Logger: log, Scope: c.metrics.Scope,
+		Address: s.PeerListenAddress, MaxConnections: s.Platform.PeerConnections, ChangeLog: c.follower.ChangeLog(), Keys: c.follower.Keys, Logger: log, Scope: c.metrics.Scope,
 	}
 	s.Times.StopLimitMS = int(s.StopLimit().Milliseconds())
 	limits := s.Limits
@@ -207,15 +208,21 @@
 		{Name: "relay", Run: c.relay.Run},
 		{Name: "load", Run: c.watchLoad},
 		{Name: "load-reports", Run: c.reportLoads},
-		{Name: "readiness", Run: endpoint{p.ReadyAddress, ready}.run},
-		{Name: "directory", Run: endpoint{p.DirectoryAddress, resolve}.run},
+		c.endpoint("readiness", p.ReadyAddress, ready, p.MonitorConnections),
+		c.endpoint("directory", p.DirectoryAddress, resolve, p.DirectoryConnections),
 	}
 	if p.MetricsAddress != "" {
-		children = append(children, supervisor.Child{Name: "metrics", Run: endpoint{p.MetricsAddress, c.metrics.Handler}.run})
+		children = append(children, c.endpoint("metrics", p.MetricsAddress, c.metrics.Handler, p.MonitorConnections))
 	}
 	return append(children, supervisor.Child{Name: "entry", Run: c.entry.Run, Essential: true})
 }
 
+// endpoint returns the child that serves a handler beside the entry.
+func (c *platformComponents) endpoint(name, address string, h http.Handler, connections int) supervisor.Child {
+	server := guard.Server{Name: name, Address: address, Handler: h, Connections: connections, Scope: c.metrics.Scope}
+	return supervisor.Child{Name: name, Run: server.Run}
+}
+
 // locate returns the entry addresses for callers of a host in a region. If no member
 // is known, it returns the address of this instance if it is ready.
 func (c *platformComponents) locate(host, region string) []string {
@@ -252,26 +259,3 @@
 		c.log.Warn("metrics_not_closed", zap.Error(err))
 	}
 }
-
-// endpoint is an HTTP server with one handler.
-type endpoint struct {
-	address string
-	handler http.Handler
-}
-
-// endpointReadTimeout bounds the time to read a request.
-const endpointReadTimeout = 5 * time.Second
-
-func (e endpoint) run(ctx context.Context) error {
-	server := &http.Server{Addr: e.address, Handler: e.handler, ReadTimeout: endpointReadTimeout, IdleTimeout: 2 * endpointReadTimeout}
-	ended := make(chan error, 1)
-	go func() { ended <- server.ListenAndServe() }()
-	select {
-	case err := <-ended:
-		return errors.Wrapf(err, "serve %s", e.address)
-	case <-ctx.Done():
-		_ = server.Close()
-		<-ended
-		return nil
-	}
-}
--- a/internal/instance/relay/relay_test.go
+++ b/internal/instance/relay/relay_test.go
@@ -45,7 +45,7 @@
 	}
 	address := free.Addr().String()
 	_ = free.Close()
-	s := &Server{Address: address, ChangeLog: l, Keys: staticKeys(keys), Logger: zap.NewNop(), Scope: tally.NoopScope}
+	s := &Server{Address: address, MaxConnections: 512, ChangeLog: l, Keys: staticKeys(keys), Logger: zap.NewNop(), Scope: tally.NoopScope}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- s.Run(ctx) }()
--- a/internal/instance/relay/server.go
+++ b/internal/instance/relay/server.go
@@ -11,13 +11,11 @@
 	"go.uber.org/zap"
 
 	"knapweedreel/internal/instance/evidence"
+	"knapweedreel/internal/instance/guard"
 )
 
 // Limits of a server.
 const (
-	// maxSubscribers bounds the number of connections. A failure domain of the
-	// largest planned fleet has 156 instances.
-	maxSubscribers = 512
 	// helloTimeout bounds the time until a subscriber has sent its hello.
 	helloTimeout = time.Second
 	// maxHelloBytes bounds the size of a hello.
@@ -29,18 +27,19 @@
 
 // Server sends the changes of a log to subscribers. All fields are required.
 type Server struct {
-	Address   string // TCP, IP:port
-	ChangeLog *Log
-	Keys      func() evidence.Keys
-	Logger    *zap.Logger
-	Scope     tally.Scope
+	Address        string // TCP, IP:port
+	MaxConnections int
+	ChangeLog      *Log
+	Keys           func() evidence.Keys
+	Logger         *zap.Logger
+	Scope          tally.Scope
 }
 
 // Run serves until ctx is canceled.
 func (s *Server) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", s.Address)
+	listener, err := guard.Listen(ctx, "peers", s.Address, s.MaxConnections, s.Scope)
 	if err != nil {
-		return errors.Wrap(err, "listen for subscribers")
+		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -48,7 +47,6 @@
 	defer stop()
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	slots := make(chan struct{}, maxSubscribers)
 	for {
 		conn, err := listener.Accept()
 		if ctx.Err() != nil {
@@ -58,15 +56,7 @@
 			cancel()
 			return errors.Wrap(err, "accept subscriber")
 		}
-		select {
-		case slots <- struct{}{}:
-		default:
-			s.Scope.Counter("relay_subscribers_refused").Inc(1)
-			_ = conn.Close()
-			continue
-		}
 		wg.Go(func() {
-			defer func() { <-slots }()
 			if err := s.serve(ctx, conn); err != nil && ctx.Err() == nil {
 				s.Logger.Debug("relay_subscriber_ended", zap.Stringer("remote", conn.RemoteAddr()), zap.Error(err))
 			}
@@ -97,6 +87,9 @@
 	if err != nil {
 		return err
 	}
+	if c, ok := conn.(*guard.Conn); ok {
+		c.Keep()
+	}
 	format := versionFor(after)
 	s.Scope.Counter("relay_subscribers").Inc(1)
 	for sequence := uint64(1); ; sequence++ {
--- a/internal/settings/normalize.go
+++ b/internal/settings/normalize.go
@@ -22,6 +22,7 @@
 	DefaultMemoryMB            = 256
 	DefaultLinkMbps            = 1_000
 	DefaultDescriptors         = 4_096
+	DefaultMonitorConnections  = 16
 	DefaultRetryShare          = 0.1
 	DefaultRetryReserve        = 10
 	DefaultQuotaWindow         = "5s"
@@ -35,6 +36,13 @@
 	// address has just expired needs time to resolve it again.
 	drainMarginMS = 2_000
 
+	// Shares of the descriptors, as divisors.
+	directoryDivisor = 16
+	peerDivisor      = 8
+	// maxPeerConnections is above the 156 instances in a failure domain of the
+	// largest planned fleet.
+	maxPeerConnections = 512
+
 	// callerMemoryShare is the share of an instance's memory for callers. The Go
 	// runtime's limit is 0.7 of the memory; the difference is for the program's own
 	// state and for garbage. The other 0.3 are for the program's code and for
@@ -60,6 +68,9 @@
 	setDefault(&p.MemoryMB, DefaultMemoryMB)
 	setDefault(&p.LinkMbps, DefaultLinkMbps)
 	setDefault(&p.Descriptors, DefaultDescriptors)
+	setDefault(&p.DirectoryConnections, max(1, p.Descriptors/directoryDivisor))
+	setDefault(&p.PeerConnections, min(maxPeerConnections, max(1, p.Descriptors/peerDivisor)))
+	setDefault(&p.MonitorConnections, DefaultMonitorConnections)
 	setDefault(&p.RetryShare, DefaultRetryShare)
 	setDefault(&p.RetryReserve, DefaultRetryReserve)
 	setDefault(&p.QuotaWindow, DefaultQuotaWindow)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -69,6 +69,17 @@
 	// Descriptors is the maximum number of open sockets and files. At most half
 	// of them are used for caller connections. Default 4,096.
 	Descriptors int `json:"descriptors"`
+	// DirectoryConnections is the maximum number of connections to
+	// DirectoryAddress. At this number, an idle one or one without progress is
+	// closed for a new one. Default a sixteenth of Descriptors.
+	DirectoryConnections int `json:"directory_connections"`
+	// PeerConnections is the same for other instances' connections to PeerAddress.
+	// Those of instances that have authenticated are kept. It must exceed the number
+	// of instances in a failure domain. Default an eighth of Descriptors, at most 512.
+	PeerConnections int `json:"peer_connections"`
+	// MonitorConnections is the same for ReadyAddress and for MetricsAddress.
+	// Default 16.
+	MonitorConnections int `json:"monitor_connections"`
 	// RetryShare is the fleet's retry budget: the share of a service's requests
 	// that may be sent to a second upstream. Default 0.1.
 	RetryShare float64 `json:"retry_share"`
