entry: slow bodies give up their slots late, with an answer, and don't take them

Callers saw two things. Uploads that paused for 2.5 s were closed without an answer when a burst came, though an upstream worked on them. And clients that send a byte every 200 ms kept all slots until their deadline, so that ordinary requests got none.

Cause: a request that holds a slot was closed after 1 s without any progress if others waited, by the clock made for memory. A single byte counted as progress.

Change: slots have a time of their own, times.slot_stall_ms (default 4 s), in which 16 KiB must come or go if others wait; the time that an upstream takes doesn't count. After that time a body of known length that can't arrive before the deadline at its rate is ended too. Both are answered with the new kind caller-stalled (504, may have run). While requests wait for a slot, or did so in the last 10 s, long bodies are received first as far as they can be kept; those without a length were already, but only while a request waited. The last sixteenth of what one caller may have is for its small holders, so that its large bodies leave room for its own ordinary connections.

Ruled out: putting bodies first in calm as well. TestStalledBody and TestUnreceivedBodiesLeaveRoomInTheQueue require that a slow body in calm reaches its upstream, and it did before.

TestUnreceivedBodiesLeaveRoomInTheQueue waits for requests that are queued or whose bodies are awaited: long bodies no longer enter the queue while others wait. What it guards, an ordinary request among them, is unchanged.

With the old time and progress TestPausedBodyInABurst fails.

--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -65,6 +65,7 @@
 	Stopping           Kind = "stopping"
 	CallerGone         Kind = "caller-gone"
 	CallerBodyFailed   Kind = "caller-body-failed"
+	CallerStalled      Kind = "caller-stalled"
 	Internal           Kind = "internal"
 )
 
@@ -121,6 +122,7 @@
 	{Stopping, http.StatusGatewayTimeout, Unknown, 0, "The instance shut down before the upstream responded."},
 	{CallerGone, StatusCallerGone, Unknown, 0, "The caller closed its connection before the response."},
 	{CallerBodyFailed, http.StatusBadRequest, Unknown, 0, "The caller's body ended early."},
+	{CallerStalled, http.StatusGatewayTimeout, Unknown, 0, "The caller's body came too slowly while others waited for its upstream."},
 	{Internal, http.StatusInternalServerError, Unknown, 0, "The instance failed in an unexpected way."},
 	{Conflict, http.StatusConflict, NotRun, 0, "Another operator changed the document first."},
 	{InvalidDocument, http.StatusUnprocessableEntity, NotRun, 0, "The document has errors."},
--- a/internal/instance/entry/admission.go
+++ b/internal/instance/entry/admission.go
@@ -52,6 +52,7 @@
 	it := st.newItem(w)
 	if req.retry || st.hasRoom(req, svc.Document) {
 		st.queue.Push(it, now)
+		st.lastQueued = now
 	} else {
 		st.mu.Unlock()
 		return choice{}, errkind.New(errkind.QueueFull, "the queue of service %s is full for caller %s", st.name, req.caller)
--- a/internal/instance/entry/body.go
+++ b/internal/instance/entry/body.go
@@ -37,6 +37,7 @@
 type requestBody struct {
 	src            io.Reader
 	trailer        http.Header // of the caller's request, set at the end of src
+	length         int64       // announced size in bytes, negative for none
 	limit          int64       // maximum size of the body in bytes
 	replayLimit    int         // maximum number of bytes kept for another attempt
 	first          int         // size of the first buffer in bytes
@@ -52,10 +53,14 @@
 	err           error   // io.EOF, or the error that ended the body
 	reading       bool    // a read from the caller is pending
 	sending       bool    // an upstream gets the body
-	eof           bool    // the end of the body was reached
-	readerWaiting bool    // a reader waits at the end of kept
-	attempted     bool    // an attempt has begun to read
-	discard       bool    // the rest is not needed
+	sendingSince  time.Time
+	sendingFrom   int64     // bytes received by then
+	deadline      time.Time // of the request
+	short         bool      // no memory to keep more of the body
+	eof           bool      // the end of the body was reached
+	readerWaiting bool      // a reader waits at the end of kept
+	attempted     bool      // an attempt has begun to read
+	discard       bool      // the rest is not needed
 	closed        bool
 	abandoned     chan struct{} // closed when no memory is needed any more
 	loopDone      chan struct{} // closed when readLoop has ended, nil before it starts
@@ -65,7 +70,7 @@
 // all if that is nil.
 func newRequestBody(r *http.Request, replayLimit int, holder *membudget.Holder, memoryWait time.Duration) *requestBody {
 	b := &requestBody{
-		src: r.Body, trailer: r.Trailer, limit: defaultMaxBody, replayLimit: replayLimit, first: bodyChunk,
+		src: r.Body, trailer: r.Trailer, length: r.ContentLength, limit: defaultMaxBody, replayLimit: replayLimit, first: bodyChunk,
 		expectContinue: r.Header.Get("Expect") != "", holder: holder, memoryWait: memoryWait,
 		abandoned: make(chan struct{}),
 	}
@@ -86,6 +91,29 @@
 	b.limit = limit
 }
 
+// setDeadline sets the deadline of the request.
+func (b *requestBody) setDeadline(t time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.deadline = t
+}
+
+// received returns the number of bytes received. b.mu is held.
+func (b *requestBody) received() int64 { return b.start + int64(b.kept.length) }
+
+// endsLate reports whether the rest of a body of known length can't arrive before the
+// deadline at the mean rate since an upstream gets it.
+func (b *requestBody) endsLate(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	elapsed := now.Sub(b.sendingSince)
+	if !b.sending || b.length < 0 || b.err != nil || elapsed <= 0 {
+		return false
+	}
+	rate := float64(b.received()-b.sendingFrom) / elapsed.Seconds()
+	return float64(b.length-b.received()) > rate*b.deadline.Sub(now).Seconds()
+}
+
 // readLoop reads from the caller until the end of the body.
 func (b *requestBody) readLoop() {
 	defer close(b.loopDone)
@@ -129,7 +157,9 @@
 func (b *requestBody) setSending() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.sending = true
+	if !b.sending {
+		b.sending, b.sendingSince, b.sendingFrom = true, time.Now(), b.received()
+	}
 	b.holder.SetStage(membudget.Sent)
 	b.setReadingLocked(b.reading)
 }
@@ -179,8 +209,11 @@
 		b.kept.add(size)
 		return true
 	}
-	if b.attempted && b.kept.length > 0 {
-		// The reader frees the memory it has read, or the body is abandoned.
+	if b.kept.length > 0 && (b.attempted || b.isLong()) {
+		// A part of a long body is enough to begin with. The reader frees the memory
+		// it has read, or the body is abandoned.
+		b.short = true
+		b.changed.Broadcast()
 		for !b.readerWaiting && b.err == nil && !b.discard && !b.closed {
 			b.changed.Wait()
 		}
@@ -315,8 +348,11 @@
 	}
 }
 
+// isLong reports whether the body is too long to be kept.
+func (b *requestBody) isLong() bool { return b.length > int64(b.replayLimit) }
+
 // awaitBuffered waits until the body has arrived or failed. It returns early if
-// the body is too long to be kept.
+// the body is too long to be kept, and as much as possible has arrived.
 func (b *requestBody) awaitBuffered(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() {
 		b.mu.Lock()
@@ -327,7 +363,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.startLocked()
-	for b.err == nil && b.start == 0 && b.kept.length < b.replayLimit && ctx.Err() == nil {
+	for b.err == nil && b.start == 0 && b.kept.length < b.replayLimit && !b.short && ctx.Err() == nil {
 		b.changed.Wait()
 	}
 }
--- a/internal/instance/entry/callerconn.go
+++ b/internal/instance/entry/callerconn.go
@@ -194,6 +194,8 @@
 		return false
 	case stage == membudget.Receiving && c.exchange != nil && c.exchange.body != nil:
 		c.exchange.body.fail(errkind.New(errkind.MemoryShort, "the body made no progress or its caller holds the most memory"))
+	case stage == membudget.Streaming && c.exchange != nil && c.exchange.body != nil:
+		c.exchange.body.fail(errkind.New(errkind.CallerStalled, "the body came too slowly while others waited"))
 	default:
 		_ = c.closeLocked()
 	}
@@ -227,6 +229,15 @@
 	return e.st.hasWaiting()
 }
 
+// bodyEndsLate reports whether the rest of the request's body can't arrive before the
+// deadline at the rate at which it comes.
+func (c *callerConn) bodyEndsLate(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := c.exchange
+	return e != nil && e.body != nil && e.body.endsLate(now)
+}
+
 func (c *callerConn) nearLimit() bool { return c.l.nearLimit() }
 
 // Write replaces the responses that net/http generates for requests that it
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -149,6 +149,7 @@
 	set(&l.Explanations, 1024)
 	set(&t.HeaderMS, 30_000)
 	set(&t.StallMS, 1_000)
+	set(&t.SlotStallMS, settings.SlotStallFactor*t.StallMS)
 	set(&t.MemoryWaitMS, 2_000)
 	set(&t.ConnectMS, 1_000)
 	set(&t.KeepMS, 10_000)
--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -137,6 +137,7 @@
 	}
 	if e.body != nil {
 		e.body.setLimit(maxBody(e.route))
+		e.body.setDeadline(e.deadline)
 	}
 	e.setDeadline()
 	return nil
@@ -170,16 +171,16 @@
 	return e.caller + unreceived
 }
 
-// receiveBody reads a body that can be kept before the request takes a slot, so
-// that a slow caller doesn't occupy the slot. A body without a length is only read
-// first while requests wait for a slot: its caller may wait for the response
-// before it sends the rest.
+// receiveBody reads a body before the request takes a slot, so that a slow caller
+// doesn't occupy the slot. A long body, or one without a length, is only read first
+// if requests wait for a slot or did so recently, the long one as far as it can be
+// kept: the caller of the other may wait for the response before it sends the rest.
 func (e *exchange) receiveBody() error {
 	if e.body == nil {
 		return nil
 	}
 	n := e.r.ContentLength
-	kept := n > 0 && n <= int64(e.s.cfg.Limits.BufferedBodyBytes) || n < 0 && e.st.hasWaiting()
+	kept := n > 0 && n <= int64(e.s.cfg.Limits.BufferedBodyBytes) || e.st.isContended(time.Now())
 	if !kept || e.body.expectContinue {
 		if err := e.body.reserveFirst(); err != nil {
 			return err
--- a/internal/instance/entry/memory.go
+++ b/internal/instance/entry/memory.go
@@ -20,6 +20,10 @@
 	// waitingBytes is the memory that a caller may fill in a socket buffer while its
 	// body waits for memory, the default receive window of the operating system.
 	waitingBytes = 64 << 10
+	// slotProgress is the number of bytes that a request has to receive or write in
+	// times.slot_stall_ms while it has a slot that others wait for. At the default
+	// time that is 4 KiB/s.
+	slotProgress = 16 << 10
 	// scansPerStall is the number of scans for callers without progress in the
 	// stall time.
 	scansPerStall = 4
@@ -42,6 +46,7 @@
 func newBudget(l settings.Limits, t settings.Times) *membudget.Budget {
 	return membudget.New(membudget.Config{
 		Limit: int64(l.CallerMemoryBytes), Stall: milliseconds(t.StallMS),
+		SlotStall: milliseconds(t.SlotStallMS), SlotProgress: slotProgress,
 		MaxWaiting: l.CallerMemoryBytes / waitingDivisor / waitingBytes,
 	})
 }
@@ -69,11 +74,16 @@
 		}
 	}
 	stalled := 0
-	for _, h := range s.budget.Stalled(now, membudget.Streaming, membudget.Writing) {
+	for _, h := range s.budget.Slow(now, membudget.Streaming, membudget.Writing) {
 		if c, ok := h.Owner.(*callerConn); ok && c.blocksSlot() && c.evict() {
 			stalled++
 		}
 	}
+	for _, h := range s.budget.Settled(now, membudget.Streaming) {
+		if c, ok := h.Owner.(*callerConn); ok && c.bodyEndsLate(now) && c.blocksSlot() && c.evict() {
+			stalled++
+		}
+	}
 	for _, h := range s.budget.Stalled(now, membudget.Writing) {
 		if c, ok := h.Owner.(*callerConn); ok && !c.chargeSocket() && c.evict() {
 			evicted++
@@ -102,6 +112,17 @@
 	return st.queue.Len() > 0
 }
 
+// contentionMemory is how long after a wait for a slot a service counts as contended.
+// It is longer than it takes until slow bodies give up their slots.
+const contentionMemory = 10 * time.Second
+
+// isContended reports whether requests wait for a slot or did so recently.
+func (st *serviceState) isContended(now time.Time) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.queue.Len() > 0 || now.Sub(st.lastQueued) < contentionMemory
+}
+
 // openMemory sets the holder of the memory of a request.
 func (e *exchange) openMemory() {
 	if e.conn != nil {
--- a/internal/instance/entry/memory_test.go
+++ b/internal/instance/entry/memory_test.go
@@ -171,16 +171,84 @@
 	}
 }
 
+// Guards against cutting an upload that pauses while others wait for its slot, and
+// against ending one that stays away, or drips, without an answer.
+func TestPausedBodyInABurst(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		slotStall int
+		drips     bool
+		status    string
+	}{
+		{"a pause", 60_000, false, "200 OK"},
+		{"no more", 400, false, "504 Gateway Timeout"},
+		{"single bytes", 400, true, "504 Gateway Timeout"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			up := standin(t, "u1", succeed)
+			up.HomeSlots, up.Slots = 1, 1
+			c := &fakeControl{snap: snapshotOf(testDocument(), up)}
+			s, url := startServer(t, c, func(cfg *Config) {
+				cfg.Times.StallMS, cfg.Times.SlotStallMS = 50, tc.slotStall
+			})
+			conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			_ = conn.SetDeadline(time.Now().Add(waitTimeout))
+			_, _ = io.WriteString(conn, "POST /write/x HTTP/1.1\r\nHost: svc\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n4\r\nbody\r\n")
+			eventually(t, "the body occupies the slot", func() bool { return len(s.InFlight()) == 1 })
+			waiting := make(chan struct{})
+			go func() {
+				defer close(waiting)
+				for { // until it gets the slot; the queue refuses after a while
+					if resp, _ := roundTrip(t, request(t, http.MethodGet, url+"/read/x", nil)); resp.StatusCode == http.StatusOK {
+						return
+					}
+				}
+			}()
+			answered := make(chan string, 1)
+			go func() {
+				data, _ := io.ReadAll(conn)
+				answered <- string(data)
+			}()
+			end := time.After(10 * milliseconds(s.cfg.Times.StallMS)) // of the pause
+			tick := time.NewTicker(milliseconds(s.cfg.Times.StallMS) / 4)
+			defer tick.Stop()
+			for answer := ""; answer == ""; {
+				select {
+				case answer = <-answered:
+					if !strings.HasPrefix(answer, "HTTP/1.1 "+tc.status) || strings.Contains(answer, string(errkind.NotRun)) {
+						t.Errorf("answer %q", answer)
+					}
+				case <-end:
+					if tc.status == "200 OK" {
+						_, _ = io.WriteString(conn, "0\r\n\r\n")
+					}
+				case <-tick.C:
+					if tc.drips {
+						_, _ = io.WriteString(conn, "1\r\nx\r\n")
+					}
+				}
+			}
+			<-waiting
+		})
+	}
+}
+
 // Guards against an address whose requests at upstreams hold all memory that it may
 // have: its next connection must not keep other addresses waiting.
 func TestCallerAtItsLimitKeepsNobodyOut(t *testing.T) {
 	c := &fakeControl{snap: snapshotOf(testDocument(), standin(t, "u1", succeed))}
 	s, url := startServer(t, c, smallMemory)
-	large := s.budget.Open("127.0.0.1", nil, time.Now())
-	defer large.Close()
-	large.SetStage(membudget.Sent)
-	if !large.Reserve(membudget.Body, int64(s.cfg.Limits.CallerMemoryBytes)*3/4) {
-		t.Fatal("the memory is in use")
+	for _, sixteenths := range []float64{11, 0.5, 0.5} { // the last one is for small holders
+		h := s.budget.Open("127.0.0.1", nil, time.Now())
+		defer h.Close()
+		h.SetStage(membudget.Sent)
+		if !h.Reserve(membudget.Body, int64(sixteenths*float64(s.cfg.Limits.CallerMemoryBytes)/16)) {
+			t.Fatal("the memory is in use")
+		}
 	}
 	call := func(from string) string {
 		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
@@ -311,6 +379,15 @@
 		defer st.mu.Unlock()
 		return st.queue.Len()
 	}
+	receiving := func() int {
+		n := 0
+		for _, h := range s.budget.Holding(membudget.Connection, membudget.Receiving) {
+			if h.Owner != nil {
+				n++
+			}
+		}
+		return n
+	}
 	const quota = 64 / callerQuotaDivisor
 	for n := range quota + 1 {
 		conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
@@ -329,7 +406,7 @@
 			})
 		}
 	}
-	eventually(t, "requests are queued", func() bool { return queued() > quota/2 })
+	eventually(t, "requests are queued or their bodies awaited", func() bool { return queued()+receiving() > quota/2 })
 	if resp, _ := roundTrip(t, request(t, http.MethodGet, url+"/read/x", nil)); resp.StatusCode != http.StatusOK {
 		t.Errorf("status %d, kind %s", resp.StatusCode, resp.Header.Get(errkind.HeaderError))
 	}
--- a/internal/instance/entry/outcome.go
+++ b/internal/instance/entry/outcome.go
@@ -110,7 +110,7 @@
 	case a.notNeeded():
 		return health.Neutral, resultNotNeeded
 	case a.refused != upstream.NotRefused, a.trace.UnverifiedRefusal, a.trace.OutOfResources, kind == errkind.Internal, kind == errkind.CallerGone,
-		kind == errkind.CallerBodyFailed, kind == errkind.BodyLimitExceeded, kind == errkind.MemoryShort:
+		kind == errkind.CallerBodyFailed, kind == errkind.BodyLimitExceeded, kind == errkind.MemoryShort, kind == errkind.CallerStalled:
 		return health.Neutral, string(kind)
 	case errors.Is(a.err, errCallerWrite):
 		return health.Neutral, string(errkind.CallerGone)
--- a/internal/instance/entry/service.go
+++ b/internal/instance/entry/service.go
@@ -30,6 +30,7 @@
 	failures      map[string]failureStreak // by upstream
 	borrow        borrowPause
 	queue         *requestQueue
+	lastQueued    time.Time   // when a request was queued last
 	recheck       *time.Timer // runs while requests are queued
 	retryBudget   tokenBucket
 	refusalBudget tokenBucket
--- a/internal/instance/guard/listener_test.go
+++ b/internal/instance/guard/listener_test.go
@@ -54,12 +54,14 @@
 	trusted := <-accepted
 	trusted.Keep()
 	dial("127.0.0.1")
-	<-accepted
+	(<-accepted).Keep()
 	dial("127.0.0.1")
-	(<-accepted).SetIdle(true)
+	last := <-accepted
+	last.Keep()
+	ended(dial("127.0.0.1")) // its address has three that are kept
+	last.SetIdle(true)
 	dial("127.0.0.1")
-	<-accepted               // in place of the idle one
-	ended(dial("127.0.0.1")) // none of its address is idle or stalled
+	<-accepted // in place of the idle one
 	dial("127.0.0.2")
 	<-accepted // the last quarter
 	dial("127.0.0.3")
--- a/internal/membudget/evict.go
+++ b/internal/membudget/evict.go
@@ -18,9 +18,7 @@
 	defer b.mu.Unlock()
 	returning := int64(0) // bytes of holders that were evicted recently
 	for h := range b.holders {
-		if p := h.progress.Load(); p != h.seen {
-			h.seen, h.since = p, now
-		}
+		h.observe(now, b.cfg.SlotProgress)
 		if b.isEvicting(h, now) {
 			returning += h.total
 		}
@@ -41,31 +39,61 @@
 	return victims
 }
 
-// Stalled returns the holders at a stage that have made no progress for
-// Config.Stall, as of the last Scan.
-func (b *Budget) Stalled(now time.Time, stages ...Stage) []*Holder {
+// observe records the progress and the stage of h. The time that an upstream takes
+// doesn't count as slowness of the caller.
+func (h *Holder) observe(now time.Time, slotProgress int64) {
+	p, stage := h.progress.Load(), h.Stage()
+	if p != h.seen {
+		h.seen, h.since = p, now
+	}
+	if stage != h.lastStage {
+		h.lastStage, h.stageAt = stage, now
+		h.mark, h.markAt = p, now
+	}
+	if p-h.mark >= slotProgress {
+		h.mark, h.markAt = p, now
+	}
+}
+
+// Slow returns the holders at a stage that have progressed by less than
+// Config.SlotProgress in Config.SlotStall, as of the last Scan.
+func (b *Budget) Slow(now time.Time, stages ...Stage) []*Holder {
+	return b.holdersWhere(func(h *Holder) bool {
+		return now.Sub(h.markAt) >= b.cfg.SlotStall && slices.Contains(stages, h.Stage()) && !b.isEvicting(h, now)
+	})
+}
+
+// Settled returns the holders that have been at a stage for Config.SlotStall, as of
+// the last Scan.
+func (b *Budget) Settled(now time.Time, stage Stage) []*Holder {
+	return b.holdersWhere(func(h *Holder) bool {
+		return h.lastStage == stage && h.Stage() == stage && now.Sub(h.stageAt) >= b.cfg.SlotStall && !b.isEvicting(h, now)
+	})
+}
+
+func (b *Budget) holdersWhere(matches func(*Holder) bool) []*Holder {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []*Holder
 	for h := range b.holders {
-		if now.Sub(h.since) >= b.cfg.Stall && slices.Contains(stages, h.Stage()) && !b.isEvicting(h, now) {
+		if matches(h) {
 			out = append(out, h)
 		}
 	}
 	return out
 }
 
+// Stalled returns the holders at a stage that have made no progress for
+// Config.Stall, as of the last Scan.
+func (b *Budget) Stalled(now time.Time, stages ...Stage) []*Holder {
+	return b.holdersWhere(func(h *Holder) bool {
+		return now.Sub(h.since) >= b.cfg.Stall && slices.Contains(stages, h.Stage()) && !b.isEvicting(h, now)
+	})
+}
+
 // Holding returns the holders at a stage that have reserved bytes for a use.
 func (b *Budget) Holding(use Use, stage Stage) []*Holder {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var out []*Holder
-	for h := range b.holders {
-		if h.used[use] > 0 && h.Stage() == stage {
-			out = append(out, h)
-		}
-	}
-	return out
+	return b.holdersWhere(func(h *Holder) bool { return h.used[use] > 0 && h.Stage() == stage })
 }
 
 // EvictConnection returns the holder whose connection is to be closed for a new
@@ -83,7 +111,7 @@
 func (b *Budget) EvictConnectionFor(h *Holder, n int64, now time.Time) *Holder {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if h.caller.used+n <= b.callerLimit() {
+	if h.caller.used+n <= b.callerLimit(h, n) {
 		return b.evictConnection(now, func(*Holder) bool { return true })
 	}
 	return b.evictConnection(now, func(v *Holder) bool {
@@ -160,7 +188,7 @@
 	}
 	// A caller at its own limit needs bytes of its own.
 	for _, r := range b.waiting {
-		need = max(need, r.holder.caller.used+r.bytes-b.callerLimit())
+		need = max(need, r.holder.caller.used+r.bytes-b.callerLimit(r.holder, r.bytes))
 	}
 	return need
 }
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -44,6 +44,9 @@
 	// SmallHolder bytes. Ordinary requests are served from it while large bodies
 	// take the rest.
 	smallReserve = 8
+	// smallCallerReserve is the same within what one caller may have, so that its
+	// large bodies don't keep out its own ordinary requests.
+	smallCallerReserve = 16
 	// callerReserve is the part of the limit that one caller leaves to others.
 	callerReserve = 4
 )
@@ -57,6 +60,10 @@
 	Limit int64 // bytes
 	// Stall is the time without progress after which a holder may be evicted.
 	Stall time.Duration
+	// SlotStall is the time in which a holder has to progress by SlotProgress while
+	// it has an upstream's slot that others wait for.
+	SlotStall    time.Duration
+	SlotProgress int64 // bytes
 	// MaxWaiting is the maximum number of reservations that wait. The bytes that
 	// their callers send meanwhile stay in socket buffers.
 	MaxWaiting int
@@ -98,6 +105,11 @@
 	seen    int64     // progress at the last Scan that saw a change
 	since   time.Time // time of that scan
 	evicted time.Time // when it was chosen for eviction, zero if it was not
+	// As of the last Scan.
+	lastStage Stage
+	stageAt   time.Time // since when lastStage was seen
+	mark      int64     // progress at markAt
+	markAt    time.Time // when mark was exceeded by Config.SlotProgress last
 }
 
 // Reservation is a reservation that waits.
@@ -124,7 +136,7 @@
 		b.callers[callerName] = c
 	}
 	c.holders++
-	h := &Holder{Owner: owner, b: b, caller: c, used: make(map[Use]int64, 1), since: now}
+	h := &Holder{Owner: owner, b: b, caller: c, used: make(map[Use]int64, 1), since: now, stageAt: now, markAt: now}
 	h.stage.Store(int32(Header))
 	b.holders[h] = struct{}{}
 	return h
@@ -189,7 +201,7 @@
 		b.take(h, use, n)
 		return nil, true
 	}
-	if len(b.waiting) >= b.cfg.MaxWaiting || h.total+n > b.cfg.Limit-b.cfg.Limit/smallReserve || h.total+n > b.callerLimit() {
+	if len(b.waiting) >= b.cfg.MaxWaiting || h.total+n > b.cfg.Limit-b.cfg.Limit/smallReserve || h.total+n > b.callerLimit(h, n) {
 		return nil, false
 	}
 	r := &Reservation{holder: h, use: use, bytes: n, granted: make(chan struct{})}
@@ -289,11 +301,18 @@
 func (h *Holder) ExceedsShare(n int64) bool {
 	h.b.mu.Lock()
 	defer h.b.mu.Unlock()
-	return h.caller.used+n > h.b.callerLimit()
+	return h.caller.used+n > h.b.callerLimit(h, n)
 }
 
-// callerLimit returns the maximum number of bytes of one caller.
-func (b *Budget) callerLimit() int64 { return b.cfg.Limit - b.cfg.Limit/callerReserve }
+// callerLimit returns the maximum number of bytes of the caller of h for a reservation
+// of n bytes.
+func (b *Budget) callerLimit(h *Holder, n int64) int64 {
+	limit := b.cfg.Limit - b.cfg.Limit/callerReserve
+	if h.total+n > SmallHolder {
+		limit -= b.cfg.Limit / smallCallerReserve
+	}
+	return limit
+}
 
 // fits reports whether n more bytes of h are within the limits. b.mu is held.
 func (b *Budget) fits(h *Holder, n int64) bool {
@@ -301,7 +320,7 @@
 	if h.total+n > SmallHolder {
 		limit -= limit / smallReserve
 	}
-	return b.used+n <= limit && h.caller.used+n <= b.callerLimit()
+	return b.used+n <= limit && h.caller.used+n <= b.callerLimit(h, n)
 }
 
 // isBehind reports whether a reservation of h has to wait because others wait.
@@ -311,7 +330,7 @@
 		return false
 	}
 	for _, r := range b.waiting {
-		if r.holder.caller.used <= h.caller.used && r.holder.caller.used+r.bytes <= b.callerLimit() {
+		if r.holder.caller.used <= h.caller.used && r.holder.caller.used+r.bytes <= b.callerLimit(r.holder, r.bytes) {
 			return true
 		}
 	}
@@ -353,7 +372,7 @@
 func (b *Budget) next() *Reservation {
 	var first, small *Reservation
 	for _, r := range b.waiting {
-		if r.holder.caller.used+r.bytes > b.callerLimit() {
+		if r.holder.caller.used+r.bytes > b.callerLimit(r.holder, r.bytes) {
 			continue
 		}
 		if first == nil || r.holder.caller.used < first.holder.caller.used {
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -225,10 +225,12 @@
 	const limit, n = 1 << 20, 16 << 10
 	b := New(Config{Limit: limit, Stall: stall})
 	b.Open("other", nil, start).SetStage(Idle)
-	large := b.Open("large", nil, start)
-	large.SetStage(Sent)
-	if !large.Reserve(Body, limit-limit/callerReserve) {
-		t.Fatal("the caller's part is not available")
+	for _, n := range []int64{limit - limit/callerReserve - limit/smallCallerReserve, SmallHolder, limit/smallCallerReserve - SmallHolder} {
+		large := b.Open("large", nil, start)
+		large.SetStage(Sent)
+		if !large.Reserve(Body, n) {
+			t.Fatal("the caller's part is not available")
+		}
 	}
 	busy := b.Open("large", nil, start)
 	busy.SetStage(Queued)
--- a/internal/settings/normalize.go
+++ b/internal/settings/normalize.go
@@ -12,6 +12,7 @@
 	DefaultHeaderMS            = 30_000
 	DefaultStallMS             = 1_000
 	DefaultMemoryWaitMS        = 2_000
+	SlotStallFactor            = 4 // default of SlotStallMS
 	DefaultConnectMS           = 1_000
 	DefaultStoreMS             = 2_000
 	DefaultHeartbeatMS         = 1_000
@@ -94,6 +95,7 @@
 func (t *Times) normalize() {
 	setDefault(&t.HeaderMS, DefaultHeaderMS)
 	setDefault(&t.StallMS, DefaultStallMS)
+	setDefault(&t.SlotStallMS, SlotStallFactor*t.StallMS)
 	setDefault(&t.MemoryWaitMS, DefaultMemoryWaitMS)
 	setDefault(&t.ConnectMS, DefaultConnectMS)
 	setDefault(&t.StoreMS, DefaultStoreMS)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -186,8 +186,14 @@
 	// idle caller connections. Default 30,000.
 	HeaderMS int `json:"header_ms"`
 	// StallMS is the time without progress after which a caller's request may be
-	// ended if others need its memory or its upstream. Default 1,000.
+	// ended if others need its memory. Default 1,000.
 	StallMS int `json:"stall_ms"`
+	// SlotStallMS is the time in which a request that has an upstream's slot must
+	// receive or write 16 KiB if others wait for one. After it, a body that can't
+	// arrive before the deadline at its present rate is ended as well. A shorter
+	// time frees slots sooner, but ends the uploads of callers that pause. Default
+	// 4 times StallMS.
+	SlotStallMS int `json:"slot_stall_ms"`
 	// MemoryWaitMS is the maximum time for which a request body waits for memory.
 	// Default 2,000.
 	MemoryWaitMS int `json:"memory_wait_ms"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -40,7 +40,7 @@
 		StoreAddress: "127.0.0.1:7000", ListAddress: "127.0.0.1:7000",
 		Keys:   Keys{CertificateFile: "i1.pem", KeyFile: "i1.key", AuthorityFile: "authority.pem"},
 		Limits: Limits{CallerConnections: 4096, HeaderBytes: 32 << 10, BufferedAnswerBytes: 64 << 10, BufferedBodyBytes: 64 << 10, CallerMemoryBytes: 256 << 20, Explanations: 1024},
-		Times: Times{HeaderMS: 30_000, StallMS: 1_000, MemoryWaitMS: 2_000, ConnectMS: 1_000, StoreMS: 2_000, HeartbeatMS: 1_000, PeerTimeoutMS: 3_000,
+		Times: Times{HeaderMS: 30_000, StallMS: 1_000, SlotStallMS: 4_000, MemoryWaitMS: 2_000, ConnectMS: 1_000, StoreMS: 2_000, HeartbeatMS: 1_000, PeerTimeoutMS: 3_000,
 			LeaseMS: 15_000, KeepMS: 4_000, DrainMS: 6_000, QuietLimitMS: 6_000, StopLimitMS: 120_000},
 		LogLevel: "info",
 	}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -134,6 +134,7 @@
 	}{
 		{"times.header_ms", t.HeaderMS},
 		{"times.stall_ms", t.StallMS},
+		{"times.slot_stall_ms", t.SlotStallMS},
 		{"times.memory_wait_ms", t.MemoryWaitMS},
 		{"times.connect_ms", t.ConnectMS},
 		{"times.store_ms", t.StoreMS},
