entry: a caller that leaves while its long body waits is noticed

Callers (and upstreams) saw: uploads over buffered_body_bytes whose callers had left reached an upstream up to seconds later.

Cause: while such a body waits for a slot, nothing reads from its connection, so neither its end nor a reset is seen; net/http only looks for them when the body has been read.

Change: with each scan of the memory for callers (250 ms), and before an attempt, the connection of a request whose body isn't complete is polled for a hang-up, which the operating system reports also behind unread bytes. It cancels the request. A caller that only shuts its sending side down counts as gone, as it did before once its body was read.

Ruled out: reading on into the buffer, which is what is limited.

TestCallerLeavesWhileItsLongBodyWaits with the poll disabled: the request was not given up in 20 s. (That run then hung in the test's own cleanup for 10 minutes; mended in the test.)

--- a/internal/instance/entry/attempt.go
+++ b/internal/instance/entry/attempt.go
@@ -62,6 +62,9 @@
 func (a *attempt) run() {
 	a.started = time.Now()
 	a.st.metrics.attempts.Inc(1)
+	if a.e.conn != nil {
+		a.e.conn.endIfHungUp() // since the last scan
+	}
 	if a.holder, a.err = a.e.holder(); a.err == nil {
 		a.e.setSending()
 		a.response, a.trace, a.err = a.s.pools.Do(a.ctx, a.upstreamAttempt())
--- a/internal/instance/entry/callerconn.go
+++ b/internal/instance/entry/callerconn.go
@@ -217,6 +217,16 @@
 	return true
 }
 
+// endIfHungUp cancels the request if its caller has closed the connection. Nothing
+// else notices that while nobody reads the body.
+func (c *callerConn) endIfHungUp() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if e := c.exchange; e != nil && e.body != nil && !e.body.complete() && c.isHungUp() {
+		e.hangUp()
+	}
+}
+
 // blocksSlot reports whether the request holds the slot of an upstream while others
 // wait for one. It is called at stage Streaming or Writing.
 func (c *callerConn) blocksSlot() bool {
--- a/internal/instance/entry/exchange.go
+++ b/internal/instance/entry/exchange.go
@@ -49,7 +49,8 @@
 	st          *serviceState
 	slotReq     *slotRequest
 	route       *document.Route
-	body        *requestBody // nil without a body
+	body        *requestBody       // nil without a body
+	hangUp      context.CancelFunc // cancels the context of r, nil without a body
 	memory      *membudget.Holder
 	// holdsSlot is set while the request holds a slot and waits for its caller: for
 	// the rest of the body, or until the caller reads a streamed response.
--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"crypto/rand"
 	"maps"
 	mathrand "math/rand/v2"
@@ -31,6 +32,10 @@
 	if r.ContentLength != 0 {
 		// The response may begin before the body has ended.
 		_ = e.rc.EnableFullDuplex()
+		var ctx context.Context
+		ctx, e.hangUp = context.WithCancel(r.Context())
+		defer e.hangUp()
+		e.r = r.WithContext(ctx)
 		e.body = newRequestBody(r, s.cfg.Limits.BufferedBodyBytes, e.memory, milliseconds(s.cfg.Times.MemoryWaitMS))
 		e.memory.SetStage(membudget.Receiving)
 	}
--- a/internal/instance/entry/memory.go
+++ b/internal/instance/entry/memory.go
@@ -89,6 +89,11 @@
 			evicted++
 		}
 	}
+	for _, h := range s.budget.Holding(membudget.Connection, membudget.Receiving, membudget.Queued, membudget.Sent) {
+		if c, ok := h.Owner.(*callerConn); ok {
+			c.endIfHungUp()
+		}
+	}
 	for _, h := range s.budget.Holding(membudget.Socket, membudget.Idle) {
 		if c, ok := h.Owner.(*callerConn); ok {
 			c.drainSocket()
--- a/internal/instance/entry/memory_test.go
+++ b/internal/instance/entry/memory_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -171,6 +172,49 @@
 	}
 }
 
+// Guards against an upload that reaches an upstream after its caller has left: nothing
+// reads from the caller while its long body waits for a slot.
+func TestCallerLeavesWhileItsLongBodyWaits(t *testing.T) {
+	for _, how := range []string{"close", "reset"} {
+		t.Run(how, func(t *testing.T) {
+			finish := make(chan struct{})
+			release := sync.OnceFunc(func() { close(finish) })
+			up := standin(t, "u1", func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/read/first" {
+					t.Errorf("%s has reached the upstream", r.URL.Path)
+				}
+				<-finish
+				succeed(w, r)
+			})
+			t.Cleanup(release) // also after a failure, before the upstream is closed
+			up.HomeSlots, up.Slots = 1, 1
+			doc := testDocument()
+			doc.DeadlineMS, doc.Queue.TimeoutMS = 60_000, 60_000
+			s, url := startServer(t, &fakeControl{snap: snapshotOf(doc, up)}, nil)
+			first := make(chan struct{})
+			go func() {
+				defer close(first)
+				roundTrip(t, request(t, http.MethodGet, url+"/read/first", nil))
+			}()
+			st := s.service("svc")
+			eventually(t, "the slot is taken", func() bool { return len(s.InFlight()) == 1 })
+			conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.WriteString(conn, "POST /write/x HTTP/1.1\r\nHost: svc\r\nContent-Length: 90000\r\n\r\n"+strings.Repeat("x", 90000))
+			eventually(t, "the body waits", st.hasWaiting)
+			if how == "reset" {
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
+			_ = conn.Close()
+			eventually(t, "the request is given up", func() bool { return !st.hasWaiting() })
+			release()
+			<-first
+		})
+	}
+}
+
 // Guards against cutting an upload that pauses while others wait for its slot, and
 // against ending one that stays away, or drips, without an answer.
 func TestPausedBodyInABurst(t *testing.T) {
--- a/internal/instance/entry/socket.go
+++ b/internal/instance/entry/socket.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -93,17 +94,44 @@
 // buffered returns the number of bytes in one of the operating system's buffers, 0
 // if that isn't known.
 func (c *callerConn) buffered(request uint) int64 {
+	n := 0
+	err := c.control(func(fd int) (err error) {
+		n, err = unix.IoctlGetInt(fd, request)
+		return err
+	})
+	if err != nil {
+		return 0
+	}
+	return int64(n)
+}
+
+// isHungUp reports whether the caller has closed or reset the connection, also if
+// bytes before that are unread. It is false if that isn't known.
+func (c *callerConn) isHungUp() bool {
+	const closed = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+	fds := []unix.PollFd{{Events: unix.POLLRDHUP}}
+	n := 0
+	err := c.control(func(fd int) (err error) {
+		fds[0].Fd = int32(fd)
+		n, err = unix.Poll(fds, 0)
+		return err
+	})
+	return err == nil && n > 0 && fds[0].Revents&closed != 0
+}
+
+// control calls f with the connection's descriptor.
+func (c *callerConn) control(f func(fd int) error) error {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return 0
+		return errors.ErrUnsupported
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return 0
+		return err
 	}
-	n := 0
-	if raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), request) }) != nil || err != nil {
-		return 0
+	var ferr error
+	if err := raw.Control(func(fd uintptr) { ferr = f(int(fd)) }); err != nil {
+		return err
 	}
-	return int64(n)
+	return ferr
 }
--- a/internal/membudget/evict.go
+++ b/internal/membudget/evict.go
@@ -91,9 +91,9 @@
 	})
 }
 
-// Holding returns the holders at a stage that have reserved bytes for a use.
-func (b *Budget) Holding(use Use, stage Stage) []*Holder {
-	return b.holdersWhere(func(h *Holder) bool { return h.used[use] > 0 && h.Stage() == stage })
+// Holding returns the holders at one of the stages that have reserved bytes for a use.
+func (b *Budget) Holding(use Use, stages ...Stage) []*Holder {
+	return b.holdersWhere(func(h *Holder) bool { return h.used[use] > 0 && slices.Contains(stages, h.Stage()) })
 }
 
 // EvictConnection returns the holder whose connection is to be closed for a new
