sockbuf: receive buffers are as large as the memory for them

Callers saw: nothing until the process ended. What clients or upstreams send while nobody reads counts toward its memory, and wasn't in the sum.

Cause: Linux enlarges the receive buffer of each connection, from 64 KiB to megabytes while it is read fast. Afterwards it stays so. A body whose upstream doesn't read, requests sent ahead, and responses whose callers don't read fill it.

Change: connections of callers begin with a receive buffer of 16 KiB, set at the listener, so that it also holds in the backlog. For a body over 8 KiB it becomes 256 KiB, if the memory for callers has that to spare; the reservation comes back when the connection has been idle for times.stall_ms. Connections to upstreams have 16 KiB, and 256 KiB while a large response is streamed. Without memory to spare everything goes through the small buffers.

Ruled out: TCP_WINDOW_CLAMP, which fixes the window's scale at the handshake and so could not be raised above 64 KiB later; charging unread bytes when they are seen, since 500 connections fill 32 MB between two scans; making the buffer small with the end of each request, when the sender may still have a large flight that would be dropped.

--- a/internal/instance/entry/callerconn.go
+++ b/internal/instance/entry/callerconn.go
@@ -25,6 +25,12 @@
 	// shortSendBuffer replaces callerSendBuffer for a large response while memory is
 	// short.
 	shortSendBuffer = 16 << 10
+	// callerReceiveBuffer is the receive buffer of a new connection in bytes. It takes
+	// the first flight of a request; those of all connections fit into the part of
+	// the instance's memory that is left to sockets.
+	callerReceiveBuffer = 16 << 10
+	// openReceiveBuffer replaces it while bodies are read.
+	openReceiveBuffer = 256 << 10
 	// writePiece is the size of one write to a caller. Each counts as progress.
 	writePiece = 16 << 10
 	// rejectTimeout is how long a rejected header is read on, so that the caller
@@ -65,9 +71,10 @@
 	// caller hasn't received.
 	written atomic.Int64
 
-	mu       sync.Mutex
-	closed   bool
-	exchange *exchange // the request being served, nil for none
+	mu         sync.Mutex
+	closed     bool
+	windowOpen bool      // the receive buffer is large
+	exchange   *exchange // the request being served, nil for none
 }
 
 // Read counts the bytes received as progress and enforces the limits of headers.
--- a/internal/instance/entry/handler.go
+++ b/internal/instance/entry/handler.go
@@ -41,6 +41,9 @@
 	}
 	if e.conn != nil {
 		e.conn.begin(e)
+		if e.body != nil {
+			e.conn.openWindow(r.ContentLength)
+		}
 	}
 	defer s.record(e)
 	defer e.finishConn()
--- a/internal/instance/entry/memory.go
+++ b/internal/instance/entry/memory.go
@@ -94,6 +94,11 @@
 			c.endIfHungUp()
 		}
 	}
+	for _, h := range s.budget.Stalled(now, membudget.Idle) {
+		if c, ok := h.Owner.(*callerConn); ok {
+			c.closeWindow()
+		}
+	}
 	for _, h := range s.budget.Holding(membudget.Socket, membudget.Idle) {
 		if c, ok := h.Owner.(*callerConn); ok {
 			c.drainSocket()
--- a/internal/instance/entry/response.go
+++ b/internal/instance/entry/response.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/instance/entry/upstream"
 	"knapweedreel/internal/membudget"
 )
 
@@ -66,6 +67,9 @@
 	if n := resp.ContentLength; e.conn != nil && (n < 0 || n > smallAnswer) && !(a.complete && len(a.prefix) <= smallAnswer) {
 		e.conn.reserveSocket(n)
 	}
+	if !a.complete && e.memory.ReserveSpare(membudget.Answer, upstream.OpenReceiveBuffer) {
+		resp.OpenWindow()
+	}
 	if a.complete && e.body != nil {
 		e.body.release()
 	}
--- a/internal/instance/entry/run.go
+++ b/internal/instance/entry/run.go
@@ -14,6 +14,7 @@
 
 	"knapweedreel/internal/health"
 	"knapweedreel/internal/routing"
+	"knapweedreel/internal/sockbuf"
 )
 
 // tidyInterval is the time between removals of unused state and connections.
@@ -26,7 +27,7 @@
 // connections, which cancels the requests in flight, waits for these to end and
 // returns nil. After Drain it only waits for ctx.
 func (s *Server) Run(ctx context.Context) error {
-	l, err := s.listen()
+	l, err := s.listen(ctx)
 	if err != nil {
 		return err
 	}
@@ -67,11 +68,11 @@
 	return nil
 }
 
-func (s *Server) listen() (net.Listener, error) {
+func (s *Server) listen(ctx context.Context) (net.Listener, error) {
 	if s.cfg.Listener != nil {
 		return s.cfg.Listener, nil
 	}
-	l, err := net.Listen("tcp", s.cfg.Address)
+	l, err := sockbuf.ListenConfig(callerReceiveBuffer).Listen(ctx, "tcp", s.cfg.Address)
 	return l, errors.Wrap(err, "listen for callers")
 }
 
--- a/internal/instance/entry/socket.go
+++ b/internal/instance/entry/socket.go
@@ -84,6 +84,37 @@
 	return missing <= 0 || c.holder.Reserve(membudget.Socket, missing)
 }
 
+// smallBody is the size up to which a body doesn't need a larger receive buffer.
+const smallBody = 8 << 10
+
+// openWindow enlarges the receive buffer for a body that is read from now on. Bytes
+// that the caller sends when nobody reads are limited by the buffer, so its memory is
+// reserved. If there is none to spare, the body comes through the small buffer.
+func (c *callerConn) openWindow(bodyLength int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.windowOpen || bodyLength >= 0 && bodyLength <= smallBody {
+		return
+	}
+	if tc, ok := c.Conn.(*net.TCPConn); ok && c.holder.ReserveSpare(membudget.Window, openReceiveBuffer) {
+		c.windowOpen = true
+		_ = tc.SetReadBuffer(openReceiveBuffer / 2) // which Linux doubles
+	}
+}
+
+// closeWindow makes the receive buffer of an idle connection small again. It is called
+// after a while, when TCP has gone back to small flights: a caller that goes on at once
+// loses no bytes by it.
+func (c *callerConn) closeWindow() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if tc, ok := c.Conn.(*net.TCPConn); ok && c.windowOpen && c.exchange == nil {
+		c.windowOpen = false
+		_ = tc.SetReadBuffer(callerReceiveBuffer)
+		c.holder.ReturnAll(membudget.Window)
+	}
+}
+
 // unsent returns the number of bytes in the send buffer that the caller hasn't
 // acknowledged.
 func (c *callerConn) unsent() int64 { return c.buffered(unix.TIOCOUTQ) }
--- a/internal/instance/entry/upstream/attempt.go
+++ b/internal/instance/entry/upstream/attempt.go
@@ -68,6 +68,20 @@
 	Refused Refusal
 }
 
+// Sizes of the receive buffer of a connection in bytes. A caller that doesn't read a
+// large response lets the upstream fill it.
+const (
+	ReceiveBuffer     = 16 << 10 // of a new connection, to be set when it is opened
+	OpenReceiveBuffer = 256 << 10
+)
+
+// OpenWindow enlarges the receive buffer for the rest of a large response.
+func (r *Response) OpenWindow() {
+	if b, ok := r.Body.(*body); ok {
+		b.exchange.conn.netConn.setWindow(true)
+	}
+}
+
 // Do makes one attempt: it gets a connection, writes the request and reads the
 // response header. It writes the request to at most one connection and never
 // resends it. The context covers the whole attempt, including reading the body.
--- a/internal/instance/entry/upstream/body.go
+++ b/internal/instance/entry/upstream/body.go
@@ -41,6 +41,7 @@
 	if b.eof && !b.endsWithConn {
 		_ = b.ReadCloser.Close()
 		b.exchange.conn.netConn.setOnClose(nil)
+		b.exchange.conn.netConn.setWindow(false)
 		b.exchange.pool.put(b.exchange.conn)
 	} else {
 		b.exchange.pool.discard(b.exchange.conn)
--- a/internal/instance/entry/upstream/conn.go
+++ b/internal/instance/entry/upstream/conn.go
@@ -31,6 +31,8 @@
 type countingConn struct {
 	net.Conn
 	done chan struct{} // closed after a read error or EOF, or when the connection is closed
+	// windowOpen belongs to the attempt that uses the connection.
+	windowOpen bool
 
 	mu            sync.Mutex
 	written       int64         // bytes accepted by the operating system
@@ -123,6 +125,21 @@
 	return err
 }
 
+// setWindow makes the receive buffer large for a response, or small again.
+func (c *countingConn) setWindow(open bool) {
+	if open == c.windowOpen {
+		return
+	}
+	c.windowOpen = open
+	size := ReceiveBuffer
+	if open {
+		size = OpenReceiveBuffer / 2 // which Linux doubles
+	}
+	if tc, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tc.SetReadBuffer(size)
+	}
+}
+
 // setOnClose sets the function to call when the connection is closed, possibly
 // several times. It returns the current byte counts.
 func (c *countingConn) setOnClose(onClose func()) (written, received int64) {
--- a/internal/instance/guard/listener.go
+++ b/internal/instance/guard/listener.go
@@ -6,14 +6,13 @@
 import (
 	"context"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
-	"golang.org/x/sys/unix"
 
 	"knapweedreel/internal/membudget"
+	"knapweedreel/internal/sockbuf"
 )
 
 const (
@@ -41,14 +40,7 @@
 
 // Listen listens at a TCP address, IP:port. The name labels the metrics.
 func Listen(ctx context.Context, name, address string, connections int, scope tally.Scope) (*Listener, error) {
-	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		// Accepted connections inherit the size, so that it also holds before they
-		// are accepted. Where it can't be set, the system's own limits apply.
-		return c.Control(func(fd uintptr) {
-			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
-		})
-	}}
-	l, err := config.Listen(ctx, "tcp", address)
+	l, err := sockbuf.ListenConfig(receiveBuffer).Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s", name)
 	}
--- a/internal/instance/onplatform.go
+++ b/internal/instance/onplatform.go
@@ -25,6 +25,7 @@
 	"knapweedreel/internal/placement"
 	"knapweedreel/internal/quota"
 	"knapweedreel/internal/settings"
+	"knapweedreel/internal/sockbuf"
 	"knapweedreel/internal/supervisor"
 	"knapweedreel/internal/telemetry"
 )
@@ -182,6 +183,9 @@
 		Timeout:         milliseconds(t.ConnectMS),
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
 		Control: func(_, _ string, c syscall.RawConn) error {
+			if err := sockbuf.SetReceive(c, upstream.ReceiveBuffer); err != nil {
+				return err
+			}
 			var err error
 			if cerr := c.Control(func(fd uintptr) {
 				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedTimeout.Milliseconds()))
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -21,6 +21,7 @@
 	Body       Use = "body"       // of a caller's request, kept for a retry
 	Answer     Use = "answer"     // a buffer for a response
 	Socket     Use = "socket"     // bytes of a response that its caller hasn't received
+	Window     Use = "window"     // receive buffer beyond the small one of each connection
 )
 
 // Stage is how far the request of a holder has got. It determines whether the
@@ -173,6 +174,22 @@
 	return true
 }
 
+// spareDivisor bounds a reservation by ReserveSpare to a part of the limit.
+const spareDivisor = 64
+
+// ReserveSpare is like Reserve, but leaves half of the limit to what is needed more,
+// and reserves only what is small compared to it.
+func (h *Holder) ReserveSpare(use Use, n int64) bool {
+	b := h.b
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.closed || n > b.cfg.Limit/spareDivisor || b.used+n > b.cfg.Limit/2 || !b.fits(h, n) || b.isBehind(h, n) {
+		return false
+	}
+	b.take(h, use, n)
+	return true
+}
+
 // TakeOver moves n bytes of a use from another holder, which is about to end, to h. It
 // reports false if the other one has ended or doesn't hold them.
 func (h *Holder) TakeOver(from *Holder, use Use, n int64) bool {
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -69,6 +69,7 @@
 				}
 				pick().ReturnAll(use)
 				pick().TakeOver(pick(), use, n)
+				pick().ReserveSpare(use, n)
 			}
 			sum := int64(0)
 			for h := range b.holders {
