upstream: a limit of the connections to all upstreams

Callers saw: nothing until descriptors run out; then neither connections of callers nor to upstreams can be opened.

Cause: callers may have half of the descriptors, and each of their requests takes a connection to an upstream besides. Only the connections to each upstream were bounded.

Change: platform.upstream_connections, by default what the descriptors leave when 200 for files, callers and the other listeners have theirs (1,034 of 4,100, 650 of 2,870). One service gets three quarters.

--- a/internal/instance/entry/outcome.go
+++ b/internal/instance/entry/outcome.go
@@ -52,7 +52,7 @@
 		}
 	case a.refused == upstream.Draining, a.refused == upstream.Replaced:
 		a.st.avoidFor(id, avoidAfterDraining)
-	case a.err != nil && !a.trace.Sent && a.trace.Fresh && errkind.Of(a.err) == errkind.ConnectFailed && a.ctxAlive():
+	case a.err != nil && !a.trace.Sent && a.trace.Fresh && !a.trace.OutOfResources && errkind.Of(a.err) == errkind.ConnectFailed && a.ctxAlive():
 		a.st.avoidFor(id, avoidAfterConnect)
 		a.st.setUnreachable(id, true)
 	case a.trace.Sent:
--- a/internal/instance/entry/upstream/conn.go
+++ b/internal/instance/entry/upstream/conn.go
@@ -242,6 +242,7 @@
 	netConn  *countingConn
 	lastUsed time.Time // end of the last complete response
 	fresh    bool      // no request was sent on it before the current one
+	release  func()    // ends its part of the limit; may be called several times
 	// carried holds the hashes of the IDs of all requests sent on the connection.
 	// A response echoes the ID of a request, which several attempts may share, so
 	// it identifies an attempt only if the connection carries each ID once.
@@ -261,7 +262,7 @@
 
 // open opens a connection. It takes at most half of the time left until the
 // deadline, so that an unreachable upstream leaves time to try another one.
-func (p *Pools) open(ctx context.Context, address string) (*conn, error) {
+func (p *Pools) open(ctx context.Context, address string, release func()) (*conn, error) {
 	timeout := p.cfg.ConnectTimeout
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = min(timeout, time.Until(deadline)/2)
@@ -273,7 +274,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{client: cc, netConn: result.conn, fresh: true}, nil
+	return &conn{client: cc, netConn: result.conn, fresh: true, release: release}, nil
 }
 
 // verify reports whether an idle connection can be reused: it is open, the
@@ -287,4 +288,5 @@
 func (c *conn) close() {
 	_ = c.client.Close()
 	_ = c.netConn.Close()
+	c.release()
 }
--- a/internal/instance/entry/upstream/pool.go
+++ b/internal/instance/entry/upstream/pool.go
@@ -51,8 +51,14 @@
 		return nil, nil, errkind.New(errkind.NoUpstream, "all %d connections to upstream %s are in use",
 			a.Target.MaxConnections, a.Target.Key.Upstream)
 	}
-	c, err := p.open(ctx, a.Target.Address)
+	if !p.reserveOpen(a.Target.Key.Service) {
+		pl.discard(nil)
+		return nil, nil, errkind.Wrap(errkind.ConnectFailed, errTooManyOpen, "connect to upstream %s", a.Target.Key.Upstream)
+	}
+	release := sync.OnceFunc(func() { p.limit.release(a.Target.Key.Service) })
+	c, err := p.open(ctx, a.Target.Address, release)
 	if err != nil {
+		release()
 		pl.discard(nil)
 		return nil, nil, errkind.Wrap(errkind.ConnectFailed, err, "connect to upstream %s", a.Target.Key.Upstream)
 	}
--- a/internal/instance/entry/upstream/upstream.go
+++ b/internal/instance/entry/upstream/upstream.go
@@ -21,6 +21,9 @@
 type Config struct {
 	ConnectTimeout time.Duration // to open a connection
 	HeaderBytes    int64         // largest response header
+	// MaxConnections is the maximum number of open connections to all upstreams. One
+	// service gets three quarters. Default: no limit.
+	MaxConnections int
 	// Dial opens connections. Default: a net.Dialer with TCP keep-alive.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Protocol describes the headers exchanged with upstreams. Default:
@@ -44,6 +47,7 @@
 type Pools struct {
 	cfg       Config
 	transport *http.Transport
+	limit     limit
 
 	mu     sync.Mutex
 	pools  map[health.Key]*pool
@@ -61,7 +65,7 @@
 	if cfg.Protocol.RequestID == "" {
 		cfg.Protocol = DefaultProtocol()
 	}
-	p := &Pools{cfg: cfg, pools: make(map[health.Key]*pool)}
+	p := &Pools{cfg: cfg, pools: make(map[health.Key]*pool), limit: limit{all: cfg.MaxConnections}}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	p.transport = &http.Transport{
--- a/internal/instance/onplatform.go
+++ b/internal/instance/onplatform.go
@@ -147,7 +147,7 @@
 		Instance: s.Instance, Address: s.EntryAddress, Limits: limits, Times: s.Times, Log: log, Scope: c.metrics.Scope,
 		Quota:     c.quotaConfig(),
 		Placement: placementConfig(s.Platform), Share: c.evidence.Share,
-		Upstreams: upstream.Config{Protocol: p.Protocol, Dial: newDialer(s.Times).DialContext},
+		Upstreams: upstream.Config{Protocol: p.Protocol, MaxConnections: s.Platform.UpstreamConnections, Dial: newDialer(s.Times).DialContext},
 	}, c.follower)
 	return c
 }
--- a/internal/settings/normalize.go
+++ b/internal/settings/normalize.go
@@ -38,8 +38,15 @@
 	drainMarginMS = 2_000
 
 	// Shares of the descriptors, as divisors.
+	callerDivisor    = 2
 	directoryDivisor = 16
 	peerDivisor      = 8
+	// fileDescriptors is the number of descriptors that are left to files.
+	fileDescriptors = 200
+	// storeConnections is above the number of concurrent calls to the store.
+	storeConnections = 16
+	// minUpstreamConnections lets an instance work with any number of descriptors.
+	minUpstreamConnections = 16
 	// maxPeerConnections is above the 156 instances in a failure domain of the
 	// largest planned fleet.
 	maxPeerConnections = 512
@@ -72,6 +79,8 @@
 	setDefault(&p.DirectoryConnections, max(1, p.Descriptors/directoryDivisor))
 	setDefault(&p.PeerConnections, min(maxPeerConnections, max(1, p.Descriptors/peerDivisor)))
 	setDefault(&p.MonitorConnections, DefaultMonitorConnections)
+	others := p.Descriptors/callerDivisor + p.DirectoryConnections + p.PeerConnections + 2*p.MonitorConnections + storeConnections
+	setDefault(&p.UpstreamConnections, max(minUpstreamConnections, p.Descriptors-fileDescriptors-others))
 	setDefault(&p.RetryShare, DefaultRetryShare)
 	setDefault(&p.RetryReserve, DefaultRetryReserve)
 	setDefault(&p.QuotaWindow, DefaultQuotaWindow)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -80,6 +80,11 @@
 	// MonitorConnections is the same for ReadyAddress and for MetricsAddress.
 	// Default 16.
 	MonitorConnections int `json:"monitor_connections"`
+	// UpstreamConnections is the maximum number of open connections to all
+	// upstreams, of which one service gets three quarters. Default what Descriptors
+	// leaves: less 200 for files, a half for callers, the limits of the other
+	// listeners and 16 for the store; at least 16.
+	UpstreamConnections int `json:"upstream_connections"`
 	// RetryShare is the fleet's retry budget: the share of a service's requests
 	// that may be sent to a second upstream. Default 0.1.
 	RetryShare float64 `json:"retry_share"`
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -83,6 +83,7 @@
 	jsonc.CheckRange(p, "platform.memory_mb", platform.MemoryMB, minMemoryMB, maxConnections)
 	jsonc.CheckRange(p, "platform.link_mbps", platform.LinkMbps, minLinkMbps, maxConnections)
 	jsonc.CheckRange(p, "platform.descriptors", platform.Descriptors, minDescriptors, 10*maxConnections)
+	jsonc.CheckRange(p, "platform.upstream_connections", platform.UpstreamConnections, 1, 10*maxConnections)
 	jsonc.CheckRange(p, "platform.directory_connections", platform.DirectoryConnections, 1, maxConnections)
 	jsonc.CheckRange(p, "platform.peer_connections", platform.PeerConnections, 1, maxConnections)
 	jsonc.CheckRange(p, "platform.monitor_connections", platform.MonitorConnections, 1, maxConnections)
