guard and connlimit beside internal/instance; enlarged buffers make no request large

The guarded listener and the limit of connections to upstreams decide without an instance, so they stand beside internal/instance; what they do is unchanged.

An ordinary request on a connection whose receive buffer was enlarged before counted as a large one when memory was short, and lost its part of the reserve. Seen by reading; TestEnlargedBufferMakesNoRequestLarge guards. An eviction that finds the body already ended no longer counts again with each scan.

--- a/internal/instance/entry/body.go
+++ b/internal/instance/entry/body.go
@@ -300,14 +300,16 @@
 	return err == nil
 }
 
-// fail ends the body with an error unless it has ended.
-func (b *requestBody) fail(err error) {
+// fail ends the body with an error unless it has ended, and reports whether it did.
+func (b *requestBody) fail(err error) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.err == nil {
-		b.err = err
-		b.abandonLocked()
+	if b.err != nil {
+		return false
 	}
+	b.err = err
+	b.abandonLocked()
+	return true
 }
 
 // release returns the memory of a complete body that no attempt needs any more.
--- a/internal/instance/entry/callerconn.go
+++ b/internal/instance/entry/callerconn.go
@@ -200,9 +200,9 @@
 	case c.closed, stage == membudget.Sent:
 		return false
 	case stage == membudget.Receiving && c.exchange != nil && c.exchange.body != nil:
-		c.exchange.body.fail(errkind.New(errkind.MemoryShort, "the body made no progress or its caller holds the most memory"))
+		return c.exchange.body.fail(errkind.New(errkind.MemoryShort, "the body made no progress or its caller holds the most memory"))
 	case stage == membudget.Streaming && c.exchange != nil && c.exchange.body != nil:
-		c.exchange.body.fail(errkind.New(errkind.CallerStalled, "the body came too slowly while others waited"))
+		return c.exchange.body.fail(errkind.New(errkind.CallerStalled, "the body came too slowly while others waited"))
 	default:
 		_ = c.closeLocked()
 	}
--- a/internal/instance/entry/upstream/limit.go
+++ b/internal/instance/entry/upstream/limit.go
@@ -2,77 +2,29 @@
 
 import (
 	"slices"
-	"sync"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
-)
 
-// serviceReserve is the part of all connections that one service leaves to others, as
-// a divisor.
-const serviceReserve = 4
+	"knapweedreel/internal/connlimit"
+)
 
 // errTooManyOpen means that this instance may open no more connections. Like a lack of
 // descriptors, it says nothing about the upstream.
 var errTooManyOpen = errors.Mark(errors.New("all connections to upstreams are in use"), syscall.EMFILE)
 
-// limit counts the open connections to all upstreams. It is safe for concurrent use.
-type limit struct {
-	all int // maximum number of connections, 0 for no limit
-
-	mu        sync.Mutex
-	open      int
-	byService map[string]int
-}
-
-// room is the result of a reservation.
-type room int
-
-const (
-	reserved    room = iota
-	full             // all connections are open
-	serviceFull      // the service has its part
-)
-
-// reserve counts a connection to an upstream of a service if there is room.
-func (l *limit) reserve(service string) room {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	switch {
-	case l.all > 0 && l.byService[service] >= l.all-l.all/serviceReserve:
-		return serviceFull
-	case l.all > 0 && l.open >= l.all:
-		return full
-	}
-	if l.byService == nil {
-		l.byService = make(map[string]int)
-	}
-	l.open++
-	l.byService[service]++
-	return reserved
-}
-
-func (l *limit) release(service string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.open--
-	if l.byService[service]--; l.byService[service] == 0 {
-		delete(l.byService, service)
-	}
-}
-
 // reserveOpen counts a connection that is about to be opened. At the limit it closes
 // the connection that has been idle longest, and reports false if none is idle.
 func (p *Pools) reserveOpen(service string) bool {
 	for {
 		closed := false
-		switch p.limit.reserve(service) {
-		case reserved:
+		switch p.limit.Reserve(service) {
+		case connlimit.Reserved:
 			return true
-		case full:
+		case connlimit.Full:
 			closed = p.closeLongestIdle("")
-		case serviceFull:
+		case connlimit.ServiceFull:
 			closed = p.closeLongestIdle(service)
 		}
 		if !closed {
--- a/internal/instance/entry/upstream/limit_test.go
+++ b/internal/instance/entry/upstream/limit_test.go
@@ -58,7 +58,7 @@
 	for _, c := range all {
 		c.close()
 	}
-	if p.limit.open != 0 || len(p.limit.byService) != 0 {
-		t.Errorf("%d connections are counted after all were closed", p.limit.open)
+	if n := p.limit.Open(); n != 0 {
+		t.Errorf("%d connections are counted after all were closed", n)
 	}
 }
--- a/internal/instance/entry/upstream/pool.go
+++ b/internal/instance/entry/upstream/pool.go
@@ -55,7 +55,7 @@
 		pl.discard(nil)
 		return nil, nil, errkind.Wrap(errkind.ConnectFailed, errTooManyOpen, "connect to upstream %s", a.Target.Key.Upstream)
 	}
-	release := sync.OnceFunc(func() { p.limit.release(a.Target.Key.Service) })
+	release := sync.OnceFunc(func() { p.limit.Release(a.Target.Key.Service) })
 	c, err := p.open(ctx, a.Target.Address, release)
 	if err != nil {
 		release()
--- a/internal/instance/entry/upstream/upstream.go
+++ b/internal/instance/entry/upstream/upstream.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"knapweedreel/internal/connlimit"
 	"knapweedreel/internal/health"
 )
 
@@ -47,7 +48,7 @@
 type Pools struct {
 	cfg       Config
 	transport *http.Transport
-	limit     limit
+	limit     connlimit.Limit
 
 	mu     sync.Mutex
 	pools  map[health.Key]*pool
@@ -65,7 +66,7 @@
 	if cfg.Protocol.RequestID == "" {
 		cfg.Protocol = DefaultProtocol()
 	}
-	p := &Pools{cfg: cfg, pools: make(map[health.Key]*pool), limit: limit{all: cfg.MaxConnections}}
+	p := &Pools{cfg: cfg, pools: make(map[health.Key]*pool), limit: connlimit.Limit{All: cfg.MaxConnections}}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	p.transport = &http.Transport{
--- a/internal/instance/onplatform.go
+++ b/internal/instance/onplatform.go
@@ -16,11 +16,11 @@
 
 	"knapweedreel/internal/catalog"
 	"knapweedreel/internal/errkind"
+	"knapweedreel/internal/guard"
 	"knapweedreel/internal/instance/entry"
 	"knapweedreel/internal/instance/entry/upstream"
 	"knapweedreel/internal/instance/evidence"
 	"knapweedreel/internal/instance/follower"
-	"knapweedreel/internal/instance/guard"
 	"knapweedreel/internal/instance/relay"
 	"knapweedreel/internal/placement"
 	"knapweedreel/internal/quota"
--- a/internal/instance/relay/server.go
+++ b/internal/instance/relay/server.go
@@ -10,8 +10,8 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"knapweedreel/internal/guard"
 	"knapweedreel/internal/instance/evidence"
-	"knapweedreel/internal/instance/guard"
 )
 
 // Limits of a server.
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -325,16 +325,20 @@
 // of n bytes.
 func (b *Budget) callerLimit(h *Holder, n int64) int64 {
 	limit := b.cfg.Limit - b.cfg.Limit/callerReserve
-	if h.total+n > SmallHolder {
+	if !h.isSmall(n) {
 		limit -= b.cfg.Limit / smallCallerReserve
 	}
 	return limit
 }
 
+// isSmall reports whether h counts as small with n more bytes. A receive buffer that
+// was enlarged while there was memory to spare makes no request large. b.mu is held.
+func (h *Holder) isSmall(n int64) bool { return h.total-h.used[Window]+n <= SmallHolder }
+
 // fits reports whether n more bytes of h are within the limits. b.mu is held.
 func (b *Budget) fits(h *Holder, n int64) bool {
 	limit := b.cfg.Limit
-	if h.total+n > SmallHolder {
+	if !h.isSmall(n) {
 		limit -= limit / smallReserve
 	}
 	return b.used+n <= limit && h.caller.used+n <= b.callerLimit(h, n)
@@ -343,7 +347,7 @@
 // isBehind reports whether a reservation of h has to wait because others wait.
 // Small holders don't wait for large ones. b.mu is held.
 func (b *Budget) isBehind(h *Holder, n int64) bool {
-	if h.total+n <= SmallHolder {
+	if h.isSmall(n) {
 		return false
 	}
 	for _, r := range b.waiting {
@@ -395,7 +399,7 @@
 		if first == nil || r.holder.caller.used < first.holder.caller.used {
 			first = r
 		}
-		if small == nil && r.holder.total+r.bytes <= SmallHolder && b.fits(r.holder, r.bytes) {
+		if small == nil && r.holder.isSmall(r.bytes) && b.fits(r.holder, r.bytes) {
 			small = r
 		}
 	}
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -220,6 +220,27 @@
 	}
 }
 
+// Guards against an ordinary request that waits with the large ones because the
+// receive buffer of its connection was enlarged before.
+func TestEnlargedBufferMakesNoRequestLarge(t *testing.T) {
+	const limit = 32 << 20
+	b := New(Config{Limit: limit, Stall: stall})
+	h := b.Open("ordinary", nil, start)
+	if !h.ReserveSpare(Window, limit/spareDivisor) {
+		t.Fatal("no memory to spare")
+	}
+	for _, name := range []string{"x", "y"} {
+		large := b.Open(name, nil, start)
+		large.Reserve(Body, limit*7/16-limit/spareDivisor/2)
+	}
+	if !h.Reserve(Body, SmallHolder) {
+		t.Error("a small body gets no memory")
+	}
+	if h.Reserve(Body, 1) {
+		t.Error("a large one does")
+	}
+}
+
 // Guards against closing connections of other callers, or requests in progress, for a
 // new connection of a caller that holds all it may have.
 func TestConnectionsOfOthersAreKeptForACallerAtItsLimit(t *testing.T) {
